--- /dev/null
+++ b/crates/direct/src/attempt.rs
@@ -0,0 +1,142 @@
+//! One send of a call to one backend server.
+
+use crate::call::Call;
+use adapter::{Forward, Helper, ServerHead, forward};
+use hyper::http::response::Parts;
+use policy::AttemptResult;
+use proto::BackendEntry;
+use quick_error::quick_error;
+use runtime::{Body, HttpError, SingleAnswer, SingleExchange, timeout};
+use slog::info;
+use std::time::Duration;
+
+/// Time to reach a server; within a region that takes milliseconds.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+
+quick_error! {
+    /// A send that gave no answer that could be used.
+    #[derive(Debug)]
+    pub enum AttemptError {
+        /// The server certainly has not run the request.
+        NotRun(server: Box<str>, reason: Box<str>) {
+            display("{server} has not run it: {reason}")
+        }
+        /// The server may have run it.
+        MayHaveRun(server: Box<str>, reason: Box<str>) {
+            display("{server} may have run it: {reason}")
+        }
+        /// The server was silent for as long as it could be waited for; it may have run it.
+        Silent(server: Box<str>) {
+            display("{server} was silent for too long")
+        }
+    }
+}
+
+/// Sends a call to a server and waits for at most `wait` for the head of its answer.
+pub async fn send(
+    call: &Call,
+    server: &BackendEntry,
+    helpers: &[Helper],
+    last_event: Option<u64>,
+    wait: Duration,
+) -> Result<SingleAnswer, AttemptError> {
+    let result = exchange(call, server, helpers, last_event, wait).await;
+    let (health, name) = match &result {
+        Ok(answer) if answer.head.status.is_server_error() => (AttemptResult::Failed, "error"),
+        Ok(_) => (AttemptResult::Answered, "answer"),
+        Err(AttemptError::NotRun(_, reason)) if &**reason == FULL => (AttemptResult::Full, "full"),
+        Err(AttemptError::NotRun(..)) => (AttemptResult::Silent, "not run"),
+        Err(AttemptError::MayHaveRun(..)) => (AttemptResult::Failed, "failed"),
+        Err(AttemptError::Silent(_)) => (AttemptResult::Silent, "silent"),
+    };
+    call.shared
+        .fleet
+        .on_result(&server.id, health, call.shared.clock.now());
+    call.shared.metrics.attempt(name);
+    if !matches!(result, Err(AttemptError::NotRun(..))) {
+        call.note_run();
+    }
+    if let Err(err) = &result {
+        info!(call.shared.log, "attempt: no answer"; "req" => &*call.head.id,
+            "server" => &*server.id, "address" => %server.address, "err" => %err);
+    }
+    result
+}
+
+const FULL: &str = "it is full";
+
+async fn exchange(
+    call: &Call,
+    server: &BackendEntry,
+    helpers: &[Helper],
+    last_event: Option<u64>,
+    wait: Duration,
+) -> Result<SingleAnswer, AttemptError> {
+    let shared = &call.shared;
+    let name = || server.id.clone();
+    let connect = CONNECT_TIME.min(call.remaining());
+    let exchange = SingleExchange::connect(&shared.executor, server.address, connect).await;
+    let exchange = exchange.map_err(|err| AttemptError::NotRun(name(), text(&err)))?;
+    if !shared.knowledge.is_usable(&server.id, shared.clock.now()) {
+        return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
+    }
+    let with = Forward {
+        server: &server.id,
+        deadline: call.remaining(),
+        team: call.team.as_ref().map(|team| &*team.name),
+        hide_key: call.hide_key,
+        last_event: last_event.or(call.head.last_event),
+        urgency: None,
+        helpers,
+    };
+    let body = Body::whole(call.body.clone());
+    let req = forward(&call.parts, body, call.body.len(), &with);
+    shared.fleet.on_sent(&server.id, shared.clock.now());
+    info!(shared.log, "attempt: sent"; "req" => &*call.head.id, "server" => &*server.id,
+        "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
+        "left_ms" => with.deadline.as_millis() as u64);
+    let answer = timeout(wait.min(call.remaining()), exchange.send(req)).await;
+    let answer = answer.map_err(|_| AttemptError::Silent(name()))?;
+    let answer = answer.map_err(|err| AttemptError::MayHaveRun(name(), text(&err)))?;
+    check(call, server, &answer.head)?;
+    Ok(answer)
+}
+
+fn check(call: &Call, server: &BackendEntry, parts: &Parts) -> Result<(), AttemptError> {
+    let head = ServerHead::read(parts, &call.head.id);
+    let name = || server.id.clone();
+    if head.other_server {
+        return Err(AttemptError::NotRun(
+            name(),
+            "another server has its address".into(),
+        ));
+    }
+    if head.not_run {
+        if let Some(blamed) = head.blamed {
+            note_blamed(call, &server.service, blamed);
+        }
+        return Err(AttemptError::NotRun(name(), FULL.into()));
+    }
+    if !head.is_genuine {
+        return Err(AttemptError::MayHaveRun(
+            name(),
+            "the answer is not its own".into(),
+        ));
+    }
+    Ok(())
+}
+
+/// Avoids an engine for which another one could not serve.
+fn note_blamed(call: &Call, service: &str, blamed: std::net::SocketAddr) {
+    let now = call.shared.clock.now();
+    let servers = call.shared.knowledge.usable(service, now);
+    for server in servers.iter().filter(|server| server.address == blamed) {
+        call.shared
+            .fleet
+            .on_result(&server.id, AttemptResult::Silent, now);
+    }
+}
+
+fn text(err: &HttpError) -> Box<str> {
+    err.to_string().into()
+}
--- /dev/null
+++ b/crates/direct/src/call.rs
@@ -0,0 +1,204 @@
+//! One attempt of a caller, on its way through the gateway.
+
+use crate::own_answer::OwnAnswer;
+use crate::shared::Shared;
+use adapter::CallHead;
+use bytes::Bytes;
+use hyper::Response;
+use hyper::http::request::Parts;
+use policy::{Route, ServiceSpec, TeamEntry};
+use runtime::Body;
+use slog::info;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
+
+/// Sends for one call at most, with those that servers refused.
+pub const MOST_SENDS: u32 = 4;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub struct Call {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+    /// What the request says.
+    pub head: CallHead,
+    /// Its head, to be sent on.
+    pub parts: Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its service.
+    pub service: Arc<ServiceSpec>,
+    /// Team that sent it.
+    pub team: Option<Arc<TeamEntry>>,
+    /// Whether callers' keys are kept from servers.
+    pub hide_key: bool,
+    /// Version of the declarations by which it is handled.
+    pub declarations: u64,
+    /// When it arrived.
+    pub arrived: Duration,
+    /// When its caller or its route wants it ended.
+    pub ends: Duration,
+    progress: Progress,
+}
+
+/// What happened to a call so far, for its last log line.
+#[derive(Debug, Default)]
+struct Progress {
+    sends: AtomicU32,
+    runs: AtomicU32,
+    ended: AtomicBool,
+}
+
+/// What a call is made of.
+#[derive(Debug)]
+pub struct CallParts {
+    /// See [`Call::head`].
+    pub head: CallHead,
+    /// See [`Call::parts`].
+    pub parts: Parts,
+    /// See [`Call::route`].
+    pub route: Arc<Route>,
+    /// See [`Call::service`].
+    pub service: Arc<ServiceSpec>,
+    /// See [`Call::team`].
+    pub team: Option<Arc<TeamEntry>>,
+    /// See [`Call::hide_key`].
+    pub hide_key: bool,
+    /// See [`Call::declarations`].
+    pub declarations: u64,
+    /// See [`Call::arrived`].
+    pub arrived: Duration,
+}
+
+impl Call {
+    /// A call whose body has been read.
+    pub fn new(shared: Arc<Shared>, call: CallParts, body: Bytes) -> Self {
+        let ends = ends_at(&call);
+        Self {
+            shared,
+            head: call.head,
+            parts: call.parts,
+            body,
+            route: call.route,
+            service: call.service,
+            team: call.team,
+            hide_key: call.hide_key,
+            declarations: call.declarations,
+            arrived: call.arrived,
+            ends,
+            progress: Progress::default(),
+        }
+    }
+
+    /// Rank; 0 goes first. A team's goes before the route's.
+    pub fn rank(&self) -> u8 {
+        let team = self.team.as_ref().and_then(|team| team.rank);
+        team.unwrap_or(self.route.rank)
+    }
+
+    /// Time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.ends.saturating_sub(self.shared.clock.now())
+    }
+
+    /// Notes a send; the first of a call is free, the others draw on the shared budget. Says
+    /// whether it may go out.
+    pub fn try_send(&self) -> bool {
+        let now = self.shared.clock.now();
+        let sends = self.sends();
+        let allowed = sends == 0
+            || sends < MOST_SENDS && self.shared.fleet.try_repeat(&self.service.name, now);
+        if allowed {
+            self.progress.sends.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.shared.metrics.repeat_denied();
+            info!(self.shared.log, "call: not sent again, the budget of repeats is spent";
+                "req" => &*self.head.id, "sends" => sends);
+        }
+        allowed
+    }
+
+    /// Notes that a server may have run the request.
+    pub fn note_run(&self) {
+        self.progress.runs.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sends so far.
+    pub fn sends(&self) -> u32 {
+        self.progress.sends.load(Ordering::Relaxed)
+    }
+
+    /// Servers that may have run the request.
+    pub fn runs(&self) -> u32 {
+        self.progress.runs.load(Ordering::Relaxed)
+    }
+
+    /// Whether another server may run the request, after those that may have run it.
+    pub fn may_run_again(&self) -> bool {
+        let runs = self.runs();
+        runs == 0 || self.route.kind.is_idempotent() && runs < self.route.max_attempts
+    }
+
+    /// Kind of the call, for metrics.
+    pub fn kind(&self) -> &'static str {
+        use policy::RouteKind;
+        match self.route.kind {
+            RouteKind::Safe => "safe",
+            RouteKind::Unsafe => "unsafe",
+            RouteKind::Stream { .. } => "stream",
+        }
+    }
+
+    /// Notes how the call ended.
+    pub fn note_end(&self, outcome: &str, detail: &str) {
+        if self.progress.ended.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let took = self.shared.clock.now().saturating_sub(self.arrived);
+        self.shared.metrics.request(self.kind(), outcome);
+        info!(self.shared.log, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
+            "detail" => detail, "route" => &*self.route.name, "service" => &*self.service.name,
+            "team" => self.team.as_ref().map(|team| team.name.to_string()),
+            "declarations" => self.declarations, "sends" => self.sends(), "runs" => self.runs(),
+            "took_ms" => took.as_millis() as u64);
+    }
+
+    /// Ends the call by an answer of the gateway's own.
+    pub fn answer(&self, answer: OwnAnswer, detail: &str) -> Response<Body> {
+        if let OwnAnswer::NotRun(_) = answer {
+            self.shared.metrics.refusal(detail);
+        }
+        self.note_end(answer.outcome(), detail);
+        answer.response(Some(&self.head.id))
+    }
+
+    /// Ends the call without an answer of a server: as not run where that is certain.
+    pub fn give_up(&self, come_back: Duration, detail: &str) -> Response<Body> {
+        if self.runs() == 0 {
+            self.answer(OwnAnswer::NotRun(come_back), detail)
+        } else if self.remaining().is_zero() {
+            self.answer(OwnAnswer::TimedOut, detail)
+        } else {
+            self.answer(OwnAnswer::Failed, detail)
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.note_end("caller left", "");
+    }
+}
+
+/// When a call must end: by its caller's word or its route's, whichever comes first.
+pub fn ends_at(call: &CallParts) -> Duration {
+    let timeout = call.route.timeout;
+    call.arrived
+        + call
+            .head
+            .deadline
+            .map_or(timeout, |deadline| deadline.min(timeout))
+}
--- /dev/null
+++ b/crates/direct/src/fleet.rs
@@ -0,0 +1,224 @@
+//! Load, health and limits of the backend servers, as this gateway keeps them.
+
+use adapter::HostSettings;
+use async_channel::{Receiver, Sender};
+use policy::{
+    ArrivalCap, AttemptResult, BackendId, EngineCandidate, FleetLoad, JobId, JobPart,
+    PlainCandidate, RepeatBudget, RepeatLimits, ServerHealth, ServiceName, ServiceSpec,
+    arrivals_share, server_key,
+};
+use proto::{BackendEntry, ServerKey, ServerUse};
+use rand::Rng as _;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Servers whose state is kept; beyond that, the state of those without work is dropped.
+const MOST_SERVERS: usize = 4_096;
+
+/// State of the backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    state: Mutex<State>,
+    gateways: AtomicUsize,
+    next_job: AtomicU64,
+    changed_tx: Sender<()>,
+    changed_rx: Receiver<()>,
+    domain: Box<str>,
+    repeats: RepeatLimits,
+    cold_overage: f64,
+    cold_slack: f64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    load: FleetLoad,
+    health: HashMap<BackendId, ServerHealth>,
+    arrivals: HashMap<BackendId, ArrivalCap>,
+    repeats: HashMap<ServiceName, RepeatBudget>,
+}
+
+impl Fleet {
+    /// An idle fleet.
+    pub fn new(settings: &HostSettings) -> Self {
+        let bounds = &settings.bounds;
+        let (changed_tx, changed_rx) = async_channel::bounded(1);
+        Self {
+            changed_tx,
+            changed_rx,
+            state: Mutex::default(),
+            gateways: AtomicUsize::new(1),
+            next_job: AtomicU64::new(1),
+            domain: settings.domain.clone(),
+            repeats: bounds.repeats,
+            cold_overage: bounds.cold_overage,
+            cold_slack: bounds.cold_slack,
+        }
+    }
+
+    /// Sets how many gateways share the limits.
+    pub fn set_gateways(&self, gateways: usize) {
+        self.gateways.store(gateways.max(1), Ordering::Relaxed);
+    }
+
+    /// A number for a new job.
+    pub fn next_job(&self) -> JobId {
+        self.next_job.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Engines as candidates for a prompt.
+    pub fn engines(
+        &self,
+        service: &ServiceSpec,
+        servers: &[BackendEntry],
+        now: Duration,
+    ) -> Vec<EngineCandidate> {
+        let share = self.arrivals_share(service);
+        let mut state = self.lock();
+        let candidates = servers.iter().map(|server| {
+            let key = server_key(&server.id);
+            let health = state.health.get(&server.id).cloned().unwrap_or_default();
+            let arrivals = state.arrivals.get_mut(&server.id);
+            let room = arrivals.is_none_or(|cap| cap.has_room(now, share));
+            EngineCandidate {
+                order: key,
+                load: state.load.of(key, now),
+                pace: health.pace(),
+                has_room: room && !health.is_full(now),
+                suspect: health.is_suspect(now),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Servers of a plain service as candidates for a request.
+    pub fn plain(&self, servers: &[BackendEntry], now: Duration) -> Vec<PlainCandidate> {
+        let state = self.lock();
+        let candidates = servers.iter().map(|server| {
+            let health = state.health.get(&server.id);
+            PlainCandidate {
+                jobs: state.load.of(server_key(&server.id), now).jobs,
+                slots: server.slots,
+                suspect: health.is_some_and(|health| health.is_suspect(now)),
+                full: health.is_some_and(|health| health.is_full(now)),
+                near: server.domain == self.domain,
+                draw: rand::rng().random(),
+            }
+        });
+        candidates.collect()
+    }
+
+    /// Whether one more request may be sent to a server in this second.
+    pub fn may_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
+        let share = self.arrivals_share(service);
+        let mut state = self.lock();
+        let arrivals = state.arrivals.get_mut(server);
+        arrivals.is_none_or(|cap| cap.has_room(now, share))
+    }
+
+    /// Notes that a request is sent to a server.
+    pub fn on_sent(&self, server: &str, now: Duration) {
+        let mut state = self.lock();
+        if state.arrivals.len() > MOST_SERVERS {
+            state.arrivals.retain(|_, cap| !cap.has_room(now, 1));
+        }
+        state.arrivals.entry(server.into()).or_default().note(now);
+    }
+
+    /// Notes how an attempt went.
+    pub fn on_result(&self, server: &str, result: AttemptResult, now: Duration) {
+        let mut state = self.lock();
+        if state.health.len() > MOST_SERVERS {
+            state.health.retain(|_, health| health.is_suspect(now));
+        }
+        state
+            .health
+            .entry(server.into())
+            .or_default()
+            .on_result(result, now);
+    }
+
+    /// Notes how long a first event took against its forecast.
+    pub fn on_pace(&self, server: &str, forecast: Duration, taken: Duration) {
+        let mut state = self.lock();
+        state
+            .health
+            .entry(server.into())
+            .or_default()
+            .on_pace(forecast, taken);
+    }
+
+    /// Notes a caller's request for a service.
+    pub fn note_first(&self, service: &str, now: Duration) {
+        self.with_budget(service, |budget| budget.note_first(now));
+    }
+
+    /// Takes one repeat for a service from the shared budget, if there is one.
+    pub fn try_repeat(&self, service: &str, now: Duration) -> bool {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        self.with_budget(service, |budget| {
+            budget.try_spend(now, self.repeats, gateways)
+        })
+    }
+
+    /// Notes that a job starts.
+    pub fn start(&self, job: JobId, parts: &[JobPart], now: Duration) {
+        self.lock().load.start(job, parts, now);
+        self.note_change();
+    }
+
+    /// Notes that a job's prompt has been read.
+    pub fn on_read(&self, job: JobId, parts: &[JobPart]) {
+        self.lock().load.on_read(job, parts);
+        self.note_change();
+    }
+
+    /// Notes that a job has ended.
+    pub fn end(&self, job: JobId, parts: &[JobPart]) {
+        self.lock().load.end(job, parts);
+        self.note_change();
+    }
+
+    /// All that this gateway has given to servers.
+    pub fn own(&self, now: Duration) -> Vec<(ServerKey, ServerUse)> {
+        self.lock().load.own(now)
+    }
+
+    /// Takes in what a peer has given to servers.
+    pub fn on_peer(&self, peer: &str, servers: Vec<(ServerKey, ServerUse)>, now: Duration) {
+        self.lock().load.on_peer(peer, servers, now);
+    }
+
+    /// Waits until this gateway's work has changed since the last call.
+    pub async fn changed(&self) {
+        // The sender lives as long as the receiver.
+        let _ = self.changed_rx.recv().await;
+    }
+
+    fn note_change(&self) {
+        // A full channel holds the news already.
+        let _ = self.changed_tx.try_send(());
+    }
+
+    fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut state = self.lock();
+        let window = self.repeats.window;
+        let budget = state.repeats.entry(service.into());
+        f(budget.or_insert_with(|| RepeatBudget::new(window)))
+    }
+
+    fn arrivals_share(&self, service: &ServiceSpec) -> usize {
+        let gateways = self.gateways.load(Ordering::Relaxed);
+        arrivals_share(
+            service.cold_rate,
+            self.cold_overage,
+            self.cold_slack,
+            gateways,
+        )
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/front.rs
@@ -0,0 +1,126 @@
+//! Where callers' requests arrive.
+
+use crate::call::{Call, CallParts, ends_at};
+use crate::own_answer::OwnAnswer;
+use crate::shared::Shared;
+use crate::{plain, stream};
+use adapter::CallHead;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use hyper::{Request, Response};
+use policy::Sender;
+use runtime::{Body, Responder, timeout};
+use slog::info;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// When a caller may come back to a gateway that does not know any declarations yet.
+const UNTIL_DECLARED: Duration = Duration::from_millis(400);
+
+/// Takes callers' requests.
+#[derive(Debug)]
+pub struct Front {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+}
+
+impl Responder for Front {
+    async fn respond(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        let arrived = self.shared.clock.now();
+        let (parts, body) = req.into_parts();
+        let head = match CallHead::read(&parts) {
+            Ok(head) => head,
+            Err(err) => {
+                info!(self.shared.log, "call: head cannot be served"; "err" => %err);
+                return OwnAnswer::BadRequest.response(None);
+            }
+        };
+        let id = head.id.clone();
+        let call = match self.admit(head, parts, arrived) {
+            Ok(call) => self.read(call, body).await,
+            Err(answer) => Err(answer),
+        };
+        let call = match call {
+            Ok(call) => call,
+            Err(answer) => return answer.response(Some(&id)),
+        };
+        self.shared
+            .fleet
+            .note_first(&call.service.name, self.shared.clock.now());
+        if call.route.kind.is_stream() && call.service.engine.is_some() {
+            stream::run(Arc::new(call)).await
+        } else {
+            plain::run(&call).await
+        }
+    }
+}
+
+impl Front {
+    /// Finds route, sender and service of a request.
+    fn admit(
+        &self,
+        head: CallHead,
+        parts: Parts,
+        arrived: Duration,
+    ) -> Result<CallParts, OwnAnswer> {
+        let Some(table) = self.shared.knowledge.table() else {
+            return Err(self.turn_away(&head, OwnAnswer::NotRun(UNTIL_DECLARED), 0));
+        };
+        let Some(route) = table.route(&head.host, &head.path) else {
+            return Err(self.turn_away(&head, OwnAnswer::NoRoute, table.version));
+        };
+        let team = match table.sender(route, head.key.as_deref()) {
+            Sender::Team(team) => Some(team),
+            Sender::Anonymous => None,
+            Sender::Unknown => {
+                return Err(self.turn_away(&head, OwnAnswer::UnknownKey, table.version));
+            }
+        };
+        let service = route.service(xxh3_64(head.id.as_bytes()));
+        let Some(service) = service.and_then(|name| table.services.get(name)) else {
+            return Err(self.turn_away(&head, OwnAnswer::NotRun(UNTIL_DECLARED), table.version));
+        };
+        Ok(CallParts {
+            team,
+            route: route.clone(),
+            service: service.clone(),
+            hide_key: table.has_teams(),
+            declarations: table.version,
+            arrived,
+            head,
+            parts,
+        })
+    }
+
+    fn turn_away(&self, head: &CallHead, answer: OwnAnswer, declarations: u64) -> OwnAnswer {
+        info!(self.shared.log, "call: turned away"; "req" => &*head.id,
+            "outcome" => answer.outcome(), "host" => &*head.host, "path" => &*head.path,
+            "has_key" => head.key.is_some(), "declarations" => declarations);
+        self.shared.metrics.request("none", answer.outcome());
+        answer
+    }
+
+    async fn read(&self, call: CallParts, body: Incoming) -> Result<Call, OwnAnswer> {
+        let limit = self
+            .shared
+            .knowledge
+            .table()
+            .map_or(0, |table| table.limits.body_bytes);
+        let left = ends_at(&call).saturating_sub(self.shared.clock.now());
+        let body = timeout(left, Limited::new(body, limit).collect()).await;
+        let fault = match body {
+            Ok(Ok(body)) => {
+                let body: Bytes = body.to_bytes();
+                return Ok(Call::new(self.shared.clone(), call, body));
+            }
+            Ok(Err(err)) if err.is::<LengthLimitError>() => OwnAnswer::TooLarge,
+            Ok(Err(_)) => OwnAnswer::BadRequest,
+            Err(_) => OwnAnswer::NotRun(Duration::ZERO),
+        };
+        Err(self.turn_away(&call.head, fault, call.declarations))
+    }
+}
--- /dev/null
+++ b/crates/direct/src/job.rs
@@ -0,0 +1,78 @@
+//! Work that was given to backend servers, reckoned for as long as it lasts.
+
+use crate::shared::Shared;
+use policy::{EngineNeed, JobId, JobPart, server_key};
+use proto::BackendEntry;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Work at one or several servers. Its drop ends the reckoning.
+#[derive(Debug)]
+pub struct Job {
+    shared: Arc<Shared>,
+    id: JobId,
+    parts: Vec<JobPart>,
+}
+
+impl Job {
+    /// Starts to reckon a prompt that `server` and its helpers read in parts of `part` each.
+    pub fn start(
+        shared: &Arc<Shared>,
+        need: &EngineNeed,
+        part: Duration,
+        server: &BackendEntry,
+        helpers: &[(BackendEntry, u64)],
+    ) -> Self {
+        let held: u64 = helpers.iter().map(|(_, tokens)| tokens).sum();
+        let first = JobPart {
+            server: server_key(&server.id),
+            read: part,
+            tokens: (need.prompt + need.answer).saturating_sub(held),
+            writes: true,
+            gap: need.gap,
+        };
+        let helpers = helpers.iter().map(|(helper, tokens)| JobPart {
+            server: server_key(&helper.id),
+            read: part,
+            tokens: *tokens,
+            writes: false,
+            gap: need.gap,
+        });
+        Self::start_parts(shared, std::iter::once(first).chain(helpers).collect())
+    }
+
+    /// Starts to reckon a request at a plain server.
+    pub fn start_plain(shared: &Arc<Shared>, server: &BackendEntry) -> Self {
+        let part = JobPart {
+            server: server_key(&server.id),
+            read: Duration::ZERO,
+            tokens: 0,
+            writes: true,
+            gap: Duration::MAX,
+        };
+        Self::start_parts(shared, vec![part])
+    }
+
+    /// Notes that the prompt has been read.
+    pub fn on_read(&self) {
+        self.shared.fleet.on_read(self.id, &self.parts);
+        self.shared.desk.wake();
+    }
+
+    fn start_parts(shared: &Arc<Shared>, parts: Vec<JobPart>) -> Self {
+        let id = shared.fleet.next_job();
+        shared.fleet.start(id, &parts, shared.clock.now());
+        Self {
+            shared: shared.clone(),
+            id,
+            parts,
+        }
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.shared.fleet.end(self.id, &self.parts);
+        self.shared.desk.wake();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/knowledge.rs
@@ -0,0 +1,231 @@
+//! What this gateway knows of the store's content: declarations, orders and backend servers.
+
+use adapter::{ChangedRow, Listing, backend_row, decode_declarations, evacuated_domain, keys};
+use policy::{DomainName, RouteTable, ServerSet};
+use proto::{BackendEntry, Knowledge, KnownVersions};
+use slog::{Logger, info, warn};
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Declarations in force, orders and servers, by the newest row of each.
+///
+/// Rows come from the store and from peers in any order; an older row never replaces a newer one.
+#[derive(Debug)]
+pub struct KnowledgeBase {
+    state: Mutex<State>,
+    log: Logger,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    table: Option<Arc<RouteTable>>,
+    declarations: Option<Vec<u8>>,
+    evacuations: HashMap<DomainName, Evacuation>,
+    servers: ServerSet,
+    known: KnownVersions,
+}
+
+#[derive(Debug)]
+struct Evacuation {
+    ordered: bool,
+    version: u64,
+}
+
+impl KnowledgeBase {
+    /// Knows nothing yet.
+    pub fn new(log: Logger) -> Self {
+        Self {
+            state: Mutex::default(),
+            log,
+        }
+    }
+
+    /// The declarations in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.lock().table.clone()
+    }
+
+    /// How far the store is known.
+    pub fn known(&self) -> KnownVersions {
+        self.lock().known
+    }
+
+    /// Servers of a service that may get new work.
+    pub fn usable(&self, service: &str, now: Duration) -> Vec<BackendEntry> {
+        self.lock().servers.usable(service, now).cloned().collect()
+    }
+
+    /// Whether a server may still get new work.
+    pub fn is_usable(&self, server: &str, now: Duration) -> bool {
+        self.lock().servers.is_usable(server, now)
+    }
+
+    /// Notes that the store answers again after it was away.
+    pub fn on_store_returned(&self, now: Duration) {
+        self.lock().servers.on_store_returned(now);
+    }
+
+    /// Takes in changed rows of the operators' table, known up to `version`.
+    pub fn on_operator_rows(&self, rows: &[ChangedRow], version: u64) {
+        let mut state = self.lock();
+        for row in rows {
+            self.on_operator_row(&mut state, row);
+        }
+        state.finish_operators(version);
+    }
+
+    /// Takes in the whole operators' table.
+    pub fn on_operator_listing(&self, listing: &Listing) {
+        let mut state = self.lock();
+        let listed = listing
+            .rows
+            .iter()
+            .filter_map(|row| evacuated_domain(&row.key));
+        let listed: HashSet<DomainName> = listed.map(Into::into).collect();
+        state.end_evacuations_but(&listed, listing.version);
+        for row in &listing.rows {
+            self.on_operator_row(&mut state, row);
+        }
+        state.finish_operators(listing.version);
+    }
+
+    /// Takes in changed rows of the servers' table, known up to `version`.
+    pub fn on_server_rows(&self, rows: &[ChangedRow], version: u64, now: Duration) {
+        let mut state = self.lock();
+        for row in rows {
+            let change = backend_row(row);
+            info!(self.log, "servers: row changed"; "server" => &*row.key, "version" => row.version,
+                "change" => ?change);
+            state.servers.on_row(&row.key, change, row.version, now);
+        }
+        state.known.servers = state.known.servers.max(version);
+    }
+
+    /// Takes in the whole servers' table.
+    pub fn on_server_listing(&self, listing: &Listing, now: Duration) {
+        let rows = listing.rows.iter();
+        let rows = rows.map(|row| (row.key.clone(), backend_row(row), row.version));
+        let mut state = self.lock();
+        state
+            .servers
+            .on_listing(rows.collect(), listing.version, now);
+        state.known.servers = state.known.servers.max(listing.version);
+        info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
+            "version" => listing.version);
+    }
+
+    /// All that is known, for a peer.
+    pub fn export(&self) -> Knowledge {
+        let state = self.lock();
+        let evacuated = state.evacuated().into_iter().collect();
+        let servers = state.servers.rows();
+        let servers = servers.map(|(id, row, version)| (id.clone(), row.clone(), version));
+        Knowledge {
+            known: state.known,
+            declarations: state.declarations.clone(),
+            evacuated,
+            servers: servers.collect(),
+        }
+    }
+
+    /// Takes in what a peer knows, as far as it is newer.
+    pub fn absorb(&self, peer: &str, knowledge: Knowledge, now: Duration) {
+        let mut state = self.lock();
+        let known = knowledge.known;
+        info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
+            "operators" => known.operators, "own_operators" => state.known.operators,
+            "servers" => known.servers, "own_servers" => state.known.servers);
+        if known.operators > state.known.operators {
+            if let Some(body) = knowledge.declarations {
+                self.on_declarations(&mut state, body);
+            }
+            let listed: HashSet<DomainName> = knowledge.evacuated.into_iter().collect();
+            state.end_evacuations_but(&listed, known.operators);
+            for domain in listed {
+                state.on_evacuation(domain, true, known.operators);
+            }
+            state.finish_operators(known.operators);
+        }
+        if known.servers > state.known.servers {
+            state
+                .servers
+                .on_listing(knowledge.servers, known.servers, now);
+            state.known.servers = known.servers;
+        }
+    }
+
+    fn on_operator_row(&self, state: &mut State, row: &ChangedRow) {
+        if &*row.key == keys::DECLARATIONS {
+            match &row.value {
+                Some(body) => self.on_declarations(state, body.clone()),
+                None => warn!(self.log, "declarations: the row has no content, the last ones stay";
+                    "version" => row.version),
+            }
+        } else if let Some(domain) = evacuated_domain(&row.key) {
+            info!(self.log, "domains: order changed"; "domain" => domain,
+                "out" => !row.removed, "version" => row.version);
+            state.on_evacuation(domain.into(), !row.removed, row.version);
+        }
+    }
+
+    fn on_declarations(&self, state: &mut State, body: Vec<u8>) {
+        let (table, left_aside) = match decode_declarations(&body) {
+            Ok(decoded) => decoded,
+            Err(err) => {
+                warn!(self.log, "declarations: cannot be read, the last ones stay"; "err" => %err);
+                return;
+            }
+        };
+        for fault in left_aside {
+            warn!(self.log, "declarations: entry left aside"; "fault" => &*fault);
+        }
+        let current = state.table.as_ref().map(|table| table.version);
+        if current.is_some_and(|current| current >= table.version) {
+            return;
+        }
+        info!(self.log, "declarations: in force"; "version" => table.version, "before" => current);
+        state.table = Some(Arc::new(table));
+        state.declarations = Some(body);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn on_evacuation(&mut self, domain: DomainName, ordered: bool, version: u64) {
+        let entry = self.evacuations.entry(domain);
+        let known = entry.or_insert(Evacuation {
+            ordered: false,
+            version: 0,
+        });
+        if version >= known.version {
+            *known = Evacuation { ordered, version };
+        }
+    }
+
+    /// A listing as of `version` that lacks a domain's order says that the order has ended.
+    fn end_evacuations_but(&mut self, listed: &HashSet<DomainName>, version: u64) {
+        for (domain, known) in &mut self.evacuations {
+            if !listed.contains(domain) && version > known.version {
+                *known = Evacuation {
+                    ordered: false,
+                    version,
+                };
+            }
+        }
+    }
+
+    fn evacuated(&self) -> HashSet<DomainName> {
+        let ordered = self.evacuations.iter().filter(|(_, known)| known.ordered);
+        ordered.map(|(domain, _)| domain.clone()).collect()
+    }
+
+    fn finish_operators(&mut self, version: u64) {
+        self.known.operators = self.known.operators.max(version);
+        let evacuated = self.evacuated();
+        self.servers.set_evacuated(evacuated);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/leg.rs
@@ -0,0 +1,238 @@
+//! The part of a stream that one engine writes.
+
+use crate::attempt::{AttemptError, send};
+use crate::call::Call;
+use crate::desk::{Assignment, DeskAsk, NoEngines};
+use crate::event_splitter::EventSplitter;
+use crate::reservation::{Reservations, ReserveError};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use policy::{AttemptResult, BackendId, EngineNeed};
+use quick_error::quick_error;
+use runtime::{SingleAnswer, timeout};
+use slog::info;
+use std::time::Duration;
+
+/// Silence before the first event: this many times its forecast, and a constant besides, which
+/// covers the pass that runs and an engine's stall on a lost helper.
+const FORECASTS: f64 = 2.5;
+const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700);
+/// Silence between events: this many times the pause that is on time, and no less than a pass
+/// with a long read.
+const GAPS: u32 = 3;
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+/// A guess of an answer's length is right in the middle; this factor covers most longer ones.
+const ANSWER_FACTOR: f64 = 1.3;
+
+quick_error! {
+    /// Why a stream did not begin, or did not go on, at an engine.
+    #[derive(Debug)]
+    pub enum LegError {
+        /// No engine can take it; it has not been sent.
+        NoEngines(why: NoEngines) {
+            display("{}", why.reason)
+        }
+        /// Memory for it could not be reserved; it has not been sent.
+        Memory(err: ReserveError) {
+            display("{err}")
+            from()
+        }
+        /// It was not sent once more, since the budget of repeats is spent.
+        RepeatsSpent {
+            display("the budget of repeats is spent")
+        }
+        /// The engine gave no answer.
+        Attempt(err: AttemptError) {
+            display("{err}")
+            from()
+        }
+    }
+}
+
+/// What comes next of a stream.
+#[derive(Debug)]
+pub enum LegEvent {
+    /// Whole events.
+    Events(Bytes),
+    /// The engine ended the stream.
+    End,
+    /// The engine broke off, or sent what is no stream of events.
+    Broken(Box<str>),
+    /// The engine was silent for too long.
+    Silent,
+}
+
+impl LegEvent {
+    fn how(&self) -> &str {
+        match self {
+            Self::Events(_) => "events",
+            Self::End => "end",
+            Self::Broken(reason) => reason,
+            Self::Silent => "silent for too long",
+        }
+    }
+}
+
+/// A stream at one engine.
+#[derive(Debug)]
+pub struct Leg {
+    /// The engine's answer.
+    pub answer: SingleAnswer,
+    assignment: Assignment,
+    _memory: Reservations,
+    splitter: EventSplitter,
+    sent: Duration,
+    first: bool,
+}
+
+/// What a prompt needs of engines.
+pub fn engine_need(call: &Call) -> EngineNeed {
+    let usual = call
+        .service
+        .engine
+        .as_ref()
+        .map_or(0, |model| model.usual_answer);
+    let usage = call.head.usage;
+    let guess = usage
+        .and_then(|usage| usage.guessed_answer)
+        .unwrap_or(usual);
+    let answer = (guess as f64 * ANSWER_FACTOR) as u64;
+    EngineNeed {
+        prompt: usage.map_or(1, |usage| usage.prompt),
+        answer: usage.map_or(answer, |usage| answer.min(usage.most_answer)),
+        target: call.route.target,
+        gap: call.route.target_gap,
+        waited: Duration::ZERO,
+    }
+}
+
+impl Leg {
+    /// Waits for engines and sends the call to them; the stream goes on behind `last_event`.
+    pub async fn open(
+        call: &Call,
+        tried: &mut Vec<BackendId>,
+        last_event: Option<u64>,
+    ) -> Result<Self, LegError> {
+        let shared = &call.shared;
+        let assignment = shared.desk.assign(shared, ask(call, tried)).await;
+        let assignment = assignment.map_err(LegError::NoEngines)?;
+        note_assignment(call, &assignment);
+        tried.push(assignment.server.id.clone());
+        let name = format!("{}-{}", call.head.id, call.sends());
+        let reserved = Reservations::take(shared, &name, &assignment.helpers).await;
+        let (memory, helpers) = reserved?;
+        if !call.try_send() {
+            return Err(LegError::RepeatsSpent);
+        }
+        let sent = shared.clock.now();
+        let wait = first_event_wait(call, &assignment);
+        let answer = send(call, &assignment.server, &helpers, last_event, wait).await?;
+        Ok(Self {
+            answer,
+            assignment,
+            _memory: memory,
+            splitter: EventSplitter::behind(last_event.or(call.head.last_event)),
+            sent,
+            first: true,
+        })
+    }
+
+    /// Id of the last whole event.
+    pub fn last_event(&self) -> Option<u64> {
+        self.splitter.last_event()
+    }
+
+    /// Waits for what comes next.
+    pub async fn next(&mut self, call: &Call) -> LegEvent {
+        let event = loop {
+            let limit = self.silence(call).min(call.remaining());
+            let frame = timeout(limit, self.answer.body.frame()).await;
+            let data = match frame {
+                Err(_) => break LegEvent::Silent,
+                Ok(None) if self.splitter.has_partial() => {
+                    break LegEvent::Broken("it ended within an event".into());
+                }
+                Ok(None) => break LegEvent::End,
+                Ok(Some(Err(err))) => break LegEvent::Broken(err.to_string().into()),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            match self.splitter.push(&data) {
+                Ok(Some(events)) => break LegEvent::Events(events),
+                Ok(None) => {}
+                Err(err) => break LegEvent::Broken(err.to_string().into()),
+            }
+        };
+        self.note(call, &event);
+        event
+    }
+
+    fn silence(&self, call: &Call) -> Duration {
+        if self.first {
+            let waited = call.shared.clock.now().saturating_sub(self.sent);
+            return first_event_wait(call, &self.assignment).saturating_sub(waited);
+        }
+        LEAST_SILENCE.max(call.route.target_gap * GAPS)
+    }
+
+    fn note(&mut self, call: &Call, event: &LegEvent) {
+        let shared = &call.shared;
+        let now = shared.clock.now();
+        let server = &self.assignment.server;
+        let health = match event {
+            LegEvent::Events(_) if self.first => {
+                self.first = false;
+                self.assignment.job.on_read();
+                let taken = now.saturating_sub(self.sent);
+                if self.assignment.helpers.is_empty() {
+                    shared
+                        .fleet
+                        .on_pace(&server.id, self.assignment.forecast, taken);
+                }
+                info!(shared.log, "stream: first event"; "req" => &*call.head.id,
+                    "server" => &*server.id, "taken_ms" => taken.as_millis() as u64,
+                    "forecast_ms" => self.assignment.forecast.as_millis() as u64,
+                    "since_arrival_ms" => now.saturating_sub(call.arrived).as_millis() as u64);
+                return;
+            }
+            LegEvent::Events(_) | LegEvent::End => return,
+            LegEvent::Broken(_) => AttemptResult::Failed,
+            LegEvent::Silent => AttemptResult::Silent,
+        };
+        shared.fleet.on_result(&server.id, health, now);
+        info!(shared.log, "stream: broke off"; "req" => &*call.head.id, "server" => &*server.id,
+            "how" => event.how(), "last_event" => self.last_event());
+    }
+}
+
+fn ask(call: &Call, tried: &[BackendId]) -> DeskAsk {
+    let now = call.shared.clock.now();
+    let again = call.sends() > 0;
+    // What goes on midway waits from now; the caller already has part of it.
+    let since = if again { now } else { call.arrived };
+    DeskAsk {
+        service: call.service.clone(),
+        need: engine_need(call),
+        rank: call.rank(),
+        since,
+        gives_up: call.ends.min(since + call.route.patience()),
+        tried: tried.to_vec(),
+    }
+}
+
+fn note_assignment(call: &Call, assignment: &Assignment) {
+    let waited = call.shared.clock.now().saturating_sub(call.arrived);
+    let held: u64 = assignment.helpers.iter().map(|(_, tokens)| tokens).sum();
+    info!(call.shared.log, "stream: engines assigned"; "req" => &*call.head.id,
+        "server" => &*assignment.server.id, "helpers" => assignment.helpers.len(),
+        "held_elsewhere" => held, "prompt" => call.head.usage.map(|usage| usage.prompt),
+        "forecast_ms" => assignment.forecast.as_millis() as u64,
+        "since_arrival_ms" => waited.as_millis() as u64);
+}
+
+fn first_event_wait(call: &Call, assignment: &Assignment) -> Duration {
+    let forecast = assignment
+        .forecast
+        .mul_f64(FORECASTS)
+        .max(call.route.target);
+    forecast + FIRST_EVENT_SLACK
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,36 @@
+//! A gateway that reaches backend servers itself, on a platform where no agent stands beside
+//! them.
+//!
+//! A request's way, one module a step: `front` (route, sender, body) → `stream` or `plain` (which
+//! attempts) → `desk` (which engines, when) → `attempt` (one send) → `leg` (one engine's part of
+//! a stream) → `stream` (to the caller). The decisions are those of `policy`; `adapter` knows the
+//! platform's names.
+//!
+//! ```
+//! let command = direct::command();
+//! assert_eq!(command.get_name(), direct::NAME);
+//! ```
+
+mod attempt;
+mod call;
+mod command;
+mod desk;
+mod event_splitter;
+mod fleet;
+mod front;
+mod job;
+mod knowledge;
+mod leg;
+mod metrics;
+mod own_answer;
+mod peers;
+mod plain;
+mod process;
+mod reservation;
+mod shared;
+mod store_watch;
+mod stream;
+
+pub use command::{NAME, command, run};
+pub use event_splitter::{EventError, EventSplitter};
+pub use process::{ProcessOptions, StartError, read_settings};
--- /dev/null
+++ b/crates/direct/src/metrics.rs
@@ -0,0 +1,162 @@
+//! Metrics of a direct gateway.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use std::time::Duration;
+
+const SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 1.5, 3.0, 6.0, 15.0,
+];
+
+/// Metrics of a direct gateway.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    first_byte: HistogramVec,
+    waiting: IntGauge,
+    repeats_denied: IntCounter,
+    store_calls: IntCounterVec,
+    declarations: IntGauge,
+    gateways: IntGauge,
+    reservations: IntGauge,
+}
+
+impl Metrics {
+    /// New metrics in a registry of their own.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let by = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let requests = by(
+            "bergamothold_direct_requests_total",
+            "Requests that ended, by kind and outcome",
+            &["kind", "outcome"],
+        )?;
+        let refusals = by(
+            "bergamothold_direct_refusals_total",
+            "Requests that were refused, by reason",
+            &["reason"],
+        )?;
+        let attempts = by(
+            "bergamothold_direct_attempts_total",
+            "Attempts at backend servers, by result",
+            &["result"],
+        )?;
+        let store_calls = by(
+            "bergamothold_direct_store_calls_total",
+            "Calls to the platform's store, by call and result",
+            &["call", "result"],
+        )?;
+        let first_byte = HistogramVec::new(
+            HistogramOpts::new(
+                "bergamothold_direct_first_byte_seconds",
+                "Time from a request's arrival to the first byte of its answer",
+            )
+            .buckets(SECONDS.to_vec()),
+            &["kind"],
+        )?;
+        registry.register(Box::new(first_byte.clone()))?;
+        let repeats_denied = IntCounter::new(
+            "bergamothold_direct_repeats_denied_total",
+            "Attempts that the shared budget of repeats did not allow",
+        )?;
+        registry.register(Box::new(repeats_denied.clone()))?;
+        Ok(Self {
+            requests,
+            refusals,
+            attempts,
+            first_byte,
+            waiting: gauge(
+                "bergamothold_direct_waiting",
+                "Prompts that wait for engines",
+            )?,
+            repeats_denied,
+            store_calls,
+            declarations: gauge(
+                "bergamothold_direct_declarations_version",
+                "Version of the declarations in force",
+            )?,
+            gateways: gauge(
+                "bergamothold_direct_gateways",
+                "Gateways that share the limits",
+            )?,
+            reservations: gauge(
+                "bergamothold_direct_reservations",
+                "Reservations of engine memory that are held",
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, kind: &str, outcome: &str) {
+        self.requests.with_label_values(&[kind, outcome]).inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: &str) {
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, result: &str) {
+        self.attempts.with_label_values(&[result]).inc();
+    }
+
+    /// Notes the time to the first byte.
+    pub fn first_byte(&self, kind: &str, time: Duration) {
+        self.first_byte
+            .with_label_values(&[kind])
+            .observe(time.as_secs_f64());
+    }
+
+    /// Counts a repeat that was not allowed.
+    pub fn repeat_denied(&self) {
+        self.repeats_denied.inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, call: &str, result: &str) {
+        self.store_calls.with_label_values(&[call, result]).inc();
+    }
+
+    /// Sets how many prompts wait.
+    pub fn set_waiting(&self, waiting: usize) {
+        self.waiting.set(waiting as i64);
+    }
+
+    /// Sets the version of the declarations.
+    pub fn set_declarations(&self, version: u64) {
+        self.declarations.set(version as i64);
+    }
+
+    /// Sets how many gateways share the limits.
+    pub fn set_gateways(&self, gateways: usize) {
+        self.gateways.set(gateways as i64);
+    }
+
+    /// Adds to the reservations that are held.
+    pub fn add_reservations(&self, change: i64) {
+        self.reservations.add(change);
+    }
+
+    /// All metrics as text.
+    pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/direct/src/peers.rs
@@ -0,0 +1,394 @@
+//! Links with the other gateways: what each has given to servers, and what the store holds.
+
+use crate::shared::Shared;
+use crate::store_watch::TableReader;
+use adapter::{ChangedRow, Changes, Listing, Store, StoreError, StoreTable, keys};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use proto::{Knowledge, KnownVersions, LoadFrame, Opening};
+use rand::random;
+use runtime::{
+    Authority, FrameReceiver, FrameSender, Identity, Link, LinkConfig, LinkError, Peer, Role,
+    StreamHandler, timeout,
+};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Time for which the authority and its certificates are valid; processes live far shorter.
+const VALIDITY: Duration = Duration::from_secs(10 * 365 * 86_400);
+/// Time after which a silent link is given up.
+const LINK_IDLE: Duration = Duration::from_secs(2);
+/// Pause before a broken link is opened again.
+const RELINK_PAUSE: Duration = Duration::from_millis(300);
+/// Pause before a failed call to the store is repeated.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+/// Frames go out at most this often to few peers.
+const LEAST_FRAME_INTERVAL: Duration = Duration::from_millis(10);
+/// Frames that one gateway sends in a second at most, over all peers.
+const FRAMES_PER_SECOND: u32 = 250;
+/// Frames go out at least this often, so that a silent link shows.
+const MOST_FRAME_INTERVAL: Duration = Duration::from_millis(500);
+/// A gateway that has not been heard for this long no longer counts for shared limits: longer
+/// than their windows.
+const COUNTED_FOR: Duration = Duration::from_secs(15);
+/// The store counts as out of reach after this time without an answer: one poll and a pause.
+const STORE_SILENT: Duration = Duration::from_millis(1_900);
+/// Time for a peer to send all that it knows.
+const KNOWLEDGE_TIME: Duration = Duration::from_secs(1);
+/// Pause between questions for what peers know.
+const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(250);
+
+/// Row of a gateway in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct GatewayRow {
+    address: SocketAddr,
+    /// Drawn at each start, so that peers notice a restart.
+    start: u64,
+}
+
+/// Row of the authority that all links trust.
+#[derive(Debug, Serialize, Deserialize)]
+struct AuthorityRow {
+    certificate: Box<str>,
+    key: Box<str>,
+}
+
+#[derive(Debug)]
+struct KnownPeer {
+    row: GatewayRow,
+    version: u64,
+    heard: Duration,
+    frames: Option<Sender<Arc<LoadFrame>>>,
+}
+
+/// The other gateways.
+#[derive(Debug)]
+pub struct Peers {
+    shared: Arc<Shared>,
+    link: Arc<Link>,
+    peers: Mutex<HashMap<Box<str>, KnownPeer>>,
+    asked: Mutex<Duration>,
+}
+
+/// Follows the gateways' table.
+#[derive(Debug)]
+pub struct GatewaysReader(pub Arc<Peers>);
+
+impl Peers {
+    /// Gets a certificate by the authority in the store, opens links, and registers this gateway.
+    pub async fn join(shared: Arc<Shared>, store: &Store) -> Result<Arc<Self>, LinkError> {
+        let authority = authority(&shared, store).await?;
+        let name = shared.settings.name.clone();
+        let identity = Identity::issue(&authority, Role::Gateway, &name, VALIDITY)?;
+        let listen = SocketAddr::new(shared.settings.address, shared.settings.peer_port);
+        let mut cfg = LinkConfig::new(listen);
+        cfg.idle_time = LINK_IDLE;
+        let link = Link::bind(shared.executor.clone(), cfg, &identity, shared.log.clone())?;
+        let peers = Arc::new(Self {
+            link: Arc::new(link),
+            peers: Mutex::default(),
+            asked: Mutex::default(),
+            shared: shared.clone(),
+        });
+        let streams = Arc::new(PeerStreams(peers.clone()));
+        let link = peers.link.clone();
+        shared
+            .executor
+            .detach(async move { link.serve(streams).await });
+        let row = GatewayRow {
+            address: listen,
+            start: random(),
+        };
+        register(&shared, store, &row).await;
+        Ok(peers)
+    }
+
+    /// Sends what this gateway has given to servers, whenever it changes.
+    pub async fn tell(self: Arc<Self>) {
+        loop {
+            let changed = self.shared.fleet.changed();
+            let due = async {
+                Timer::after(MOST_FRAME_INTERVAL).await;
+            };
+            futures_lite::future::or(changed, due).await;
+            let peers = self.send_frame();
+            self.count_gateways();
+            let paced = Duration::from_secs(1) * peers / FRAMES_PER_SECOND;
+            Timer::after(paced.max(LEAST_FRAME_INTERVAL)).await;
+        }
+    }
+
+    /// Ends all links.
+    pub async fn close(&self) {
+        self.link.close().await;
+    }
+
+    fn send_frame(&self) -> u32 {
+        let frame = Arc::new(LoadFrame {
+            servers: self.shared.fleet.own(self.shared.clock.now()),
+            known: self.shared.knowledge.known(),
+        });
+        let peers = self.lock();
+        for frames in peers.values().filter_map(|peer| peer.frames.as_ref()) {
+            // A peer that cannot take a frame in time gets the next one, which says all again.
+            let _ = frames.try_send(frame.clone());
+        }
+        peers.len() as u32
+    }
+
+    fn count_gateways(&self) {
+        let now = self.shared.clock.now();
+        let peers = self.lock();
+        let counted = peers.values().filter(|peer| now < peer.heard + COUNTED_FOR);
+        let gateways = 1 + counted.count();
+        self.shared.fleet.set_gateways(gateways);
+        self.shared.metrics.set_gateways(gateways);
+    }
+
+    fn on_row(self: &Arc<Self>, row: &ChangedRow) {
+        let Some(name) = row.key.strip_prefix(keys::GATEWAY_PREFIX) else {
+            return;
+        };
+        if *name == *self.shared.settings.name {
+            return;
+        }
+        let mut peers = self.lock();
+        if peers
+            .get(name)
+            .is_some_and(|known| known.version >= row.version)
+        {
+            return;
+        }
+        let value = row.value.as_deref();
+        let Some(found) = value.and_then(|value| serde_json::from_slice(value).ok()) else {
+            info!(self.shared.log, "peers: gateway gone"; "peer" => name);
+            peers.remove(name);
+            return;
+        };
+        if peers.get(name).is_some_and(|known| known.row == found) {
+            return;
+        }
+        let found: GatewayRow = found;
+        info!(self.shared.log, "peers: gateway found"; "peer" => name,
+            "address" => %found.address);
+        self.link.forget(found.address);
+        let (tx, rx) = async_channel::bounded(1);
+        let peer = KnownPeer {
+            heard: self.shared.clock.now(),
+            version: row.version,
+            frames: Some(tx),
+            row: found.clone(),
+        };
+        peers.insert(name.into(), peer);
+        let link = self.link.clone();
+        let shared = self.shared.clone();
+        self.shared
+            .executor
+            .detach(send_frames(shared, link, found.address, rx));
+    }
+
+    fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
+        let now = self.shared.clock.now();
+        self.shared.fleet.on_peer(peer, frame.servers, now);
+        self.shared.desk.wake();
+        let address = {
+            let mut peers = self.lock();
+            let known = peers.get_mut(peer);
+            known.map(|known| {
+                known.heard = now;
+                known.row.address
+            })
+        };
+        if let Some(address) = address.filter(|_| self.needs_knowledge(&frame.known, now)) {
+            let peers = self.clone();
+            let name: Box<str> = peer.into();
+            self.shared
+                .executor
+                .detach(async move { peers.fetch_knowledge(&name, address).await });
+        }
+    }
+
+    /// Whether the store is out of reach and a peer knows more of it.
+    fn needs_knowledge(&self, known: &KnownVersions, now: Duration) -> bool {
+        let silent = now.saturating_sub(self.shared.store_heard()) > STORE_SILENT;
+        let lost = silent || self.shared.is_store_lost();
+        if !lost || !known.is_ahead_of(&self.shared.knowledge.known()) {
+            return false;
+        }
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = now >= *asked + KNOWLEDGE_PAUSE;
+        if due {
+            *asked = now;
+        }
+        due
+    }
+
+    async fn fetch_knowledge(&self, peer: &str, address: SocketAddr) {
+        let fetch = async {
+            let opened = self
+                .link
+                .open(address, Role::Gateway, &Opening::Knowledge)
+                .await;
+            let (_tx, mut rx) = opened?;
+            rx.receive::<Knowledge>().await
+        };
+        match timeout(KNOWLEDGE_TIME, fetch).await {
+            Ok(Ok(Some(knowledge))) => {
+                let now = self.shared.clock.now();
+                self.shared.knowledge.absorb(peer, knowledge, now);
+                self.shared.note_declarations();
+                self.shared.desk.wake();
+            }
+            Ok(Ok(None)) => warn!(self.shared.log, "peers: no knowledge came"; "peer" => peer),
+            Ok(Err(err)) => {
+                warn!(self.shared.log, "peers: knowledge not fetched"; "peer" => peer,
+                    "err" => %err);
+            }
+            Err(_) => warn!(self.shared.log, "peers: knowledge took too long"; "peer" => peer),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Box<str>, KnownPeer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Answers streams of peers.
+#[derive(Debug)]
+struct PeerStreams(Arc<Peers>);
+
+impl StreamHandler for PeerStreams {
+    async fn handle(
+        &self,
+        peer: Peer,
+        opening: Opening,
+        mut tx: FrameSender,
+        mut rx: FrameReceiver,
+    ) {
+        match opening {
+            Opening::Load => {
+                while let Ok(Some(frame)) = rx.receive::<LoadFrame>().await {
+                    self.0.on_frame(&peer.node, frame);
+                }
+            }
+            Opening::Knowledge => {
+                let shared = &self.0.shared;
+                let sent = tx.send(&shared.knowledge.export()).await;
+                if let Err(err) = sent {
+                    warn!(shared.log, "peers: knowledge not sent"; "err" => %err);
+                }
+                tx.finish();
+                tx.stopped().await;
+            }
+            _ => {
+                tx.cancel();
+                rx.cancel();
+            }
+        }
+    }
+}
+
+impl TableReader for GatewaysReader {
+    const TABLE: StoreTable = StoreTable::Gateways;
+    /// Gateways come and go seldom, and a missed one only makes shares too large for a moment.
+    const WAIT: Duration = Duration::from_secs(5);
+
+    fn on_listing(&self, _shared: &Shared, listing: Listing) {
+        for row in &listing.rows {
+            self.0.on_row(row);
+        }
+        self.0.count_gateways();
+    }
+
+    fn on_changes(&self, _shared: &Shared, changes: Changes) {
+        for row in &changes.rows {
+            self.0.on_row(row);
+        }
+    }
+}
+
+async fn send_frames(
+    shared: Arc<Shared>,
+    link: Arc<Link>,
+    peer: SocketAddr,
+    frames: Receiver<Arc<LoadFrame>>,
+) {
+    while !frames.is_closed() {
+        match link.open(peer, Role::Gateway, &Opening::Load).await {
+            Ok((mut tx, _rx)) => {
+                info!(shared.log, "peers: link open"; "peer" => %peer);
+                while let Ok(frame) = frames.recv().await {
+                    if let Err(err) = tx.send(&*frame).await {
+                        info!(shared.log, "peers: link lost"; "peer" => %peer, "err" => %err);
+                        break;
+                    }
+                }
+            }
+            Err(err) => {
+                info!(shared.log, "peers: link not opened"; "peer" => %peer, "err" => %err);
+            }
+        }
+        Timer::after(RELINK_PAUSE).await;
+    }
+}
+
+/// The authority that links trust: that of the store's row, which the first gateway writes.
+async fn authority(shared: &Shared, store: &Store) -> Result<Authority, LinkError> {
+    loop {
+        match store.list(StoreTable::Gateways).await {
+            Ok(listing) => {
+                let row = listing.rows.iter().find(|row| &*row.key == keys::AUTHORITY);
+                let value = row.and_then(|row| row.value.as_deref());
+                let row =
+                    value.and_then(|value| serde_json::from_slice::<AuthorityRow>(value).ok());
+                if let Some(row) = row {
+                    return Ok(Authority::from_pem(&row.certificate, &row.key)?);
+                }
+                if let Err(err) = write_authority(store).await? {
+                    info!(shared.log, "peers: authority not written"; "err" => %err);
+                }
+            }
+            Err(err) => info!(shared.log, "peers: authority not read"; "err" => %err),
+        }
+        Timer::after(STORE_PAUSE.mul_f64(random::<f64>())).await;
+    }
+}
+
+async fn write_authority(store: &Store) -> Result<Result<(), StoreError>, LinkError> {
+    let authority = Authority::generate("bergamothold", VALIDITY)?;
+    let row = AuthorityRow {
+        certificate: authority.certificate().into(),
+        key: authority.key(),
+    };
+    let value = serde_json::to_vec(&row).unwrap_or_default();
+    Ok(store
+        .put(StoreTable::Gateways, keys::AUTHORITY, &value, Some(0))
+        .await)
+}
+
+async fn register(shared: &Shared, store: &Store, row: &GatewayRow) {
+    let key = gateway_key(shared);
+    let value = serde_json::to_vec(row).unwrap_or_default();
+    while let Err(err) = store.put(StoreTable::Gateways, &key, &value, None).await {
+        info!(shared.log, "peers: not registered yet"; "err" => %err);
+        Timer::after(STORE_PAUSE).await;
+    }
+}
+
+/// Takes this gateway's row out of the store; where that fails, peers count it out by its silence.
+pub async fn unregister(shared: &Shared, store: &Store) {
+    let removed = store
+        .remove(StoreTable::Gateways, &gateway_key(shared))
+        .await;
+    if let Err(err) = removed {
+        warn!(shared.log, "peers: row not removed"; "err" => %err);
+    }
+}
+
+fn gateway_key(shared: &Shared) -> String {
+    format!("{}{}", keys::GATEWAY_PREFIX, shared.settings.name)
+}
--- /dev/null
+++ b/crates/direct/src/plain.rs
@@ -0,0 +1,131 @@
+//! Calls of plain services: one whole answer each.
+
+use crate::attempt::{AttemptError, send};
+use crate::call::Call;
+use crate::job::Job;
+use adapter::answer_headers;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Limited};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
+use policy::{AttemptResult, BackendId, choose_plain};
+use proto::BackendEntry;
+use runtime::{Body, SingleAnswer, timeout};
+use slog::info;
+use std::time::Duration;
+
+/// Largest answer that is received whole before it is sent on.
+const ANSWER_BYTES: usize = 16 << 20;
+/// When a caller may come back that was refused because no server could be reached.
+const COME_BACK: Duration = Duration::from_millis(100);
+/// An attempt that may be repeated is cut after this part of the time left, or this many times
+/// the target, whichever is longer.
+const CUT_PART: f64 = 1.0 / 3.0;
+const CUT_TARGETS: f64 = 1.5;
+
+/// A failure that a server answered, kept in case no other server does better.
+struct FailedAnswer {
+    server: BackendEntry,
+    head: Parts,
+    body: Bytes,
+}
+
+/// Runs a call.
+pub async fn run(call: &Call) -> Response<Body> {
+    let mut tried: Vec<BackendId> = Vec::new();
+    let mut failed: Option<FailedAnswer> = None;
+    let reason = loop {
+        let Some(server) = choose(call, &tried) else {
+            break "no server";
+        };
+        if !call.try_send() {
+            break "repeats spent";
+        }
+        let _job = Job::start_plain(&call.shared, &server);
+        tried.push(server.id.clone());
+        match attempt(call, &server).await {
+            Ok((head, body)) if head.status.is_server_error() && call.may_run_again() => {
+                failed = Some(FailedAnswer { server, head, body });
+            }
+            Ok((head, body)) => return answer(call, &server, &head, body),
+            Err(_) if call.remaining().is_zero() || !call.may_run_again() => break "no answer",
+            Err(_) => {}
+        }
+    };
+    match failed {
+        Some(failed) => answer(call, &failed.server, &failed.head, failed.body),
+        None => call.give_up(COME_BACK, reason),
+    }
+}
+
+fn choose(call: &Call, tried: &[BackendId]) -> Option<BackendEntry> {
+    let now = call.shared.clock.now();
+    let mut servers = call.shared.knowledge.usable(&call.service.name, now);
+    servers.retain(|server| {
+        !tried.contains(&server.id) && call.shared.fleet.may_send(&call.service, &server.id, now)
+    });
+    let candidates = call.shared.fleet.plain(&servers, now);
+    let chosen = choose_plain(&candidates)?;
+    info!(call.shared.log, "plain: server chosen"; "req" => &*call.head.id,
+        "server" => &*servers[chosen].id, "jobs" => candidates[chosen].jobs,
+        "suspect" => candidates[chosen].suspect, "of" => servers.len());
+    Some(servers.swap_remove(chosen))
+}
+
+async fn attempt(call: &Call, server: &BackendEntry) -> Result<(Parts, Bytes), AttemptError> {
+    let wait = cut_after(call);
+    let started = call.shared.clock.now();
+    let SingleAnswer { head, body, .. } = &mut send(call, server, &[], None, wait).await?;
+    let left = (started + wait).saturating_sub(call.shared.clock.now());
+    let body = Limited::new(body, ANSWER_BYTES).collect();
+    let failed = |reason: Box<str>| {
+        let now = call.shared.clock.now();
+        call.shared
+            .fleet
+            .on_result(&server.id, AttemptResult::Failed, now);
+        info!(call.shared.log, "attempt: answer broke off"; "req" => &*call.head.id,
+            "server" => &*server.id, "err" => &*reason);
+        AttemptError::MayHaveRun(server.id.clone(), reason)
+    };
+    match timeout(left, body).await {
+        Ok(Ok(body)) => Ok((head.clone(), body.to_bytes())),
+        Ok(Err(err)) => Err(failed(err.to_string().into())),
+        Err(_) => Err(failed("the rest of it did not come in time".into())),
+    }
+}
+
+/// How long to wait for one server before another is asked.
+fn cut_after(call: &Call) -> Duration {
+    let left = call.remaining();
+    let may_repeat = call.route.kind.is_idempotent() && call.runs() + 1 < call.route.max_attempts;
+    if !may_repeat {
+        return left;
+    }
+    left.min(
+        left.mul_f64(CUT_PART)
+            .max(call.route.target.mul_f64(CUT_TARGETS)),
+    )
+}
+
+fn answer(call: &Call, server: &BackendEntry, head: &Parts, body: Bytes) -> Response<Body> {
+    let took = call.shared.clock.now().saturating_sub(call.arrived);
+    call.shared.metrics.first_byte(call.kind(), took);
+    let outcome = if head.status == StatusCode::OK {
+        "served"
+    } else {
+        "server's answer"
+    };
+    call.note_end(
+        outcome,
+        &format!("status {} of {}", head.status.as_u16(), server.id),
+    );
+    whole(head, body)
+}
+
+/// The server's answer as the caller gets it.
+pub fn whole(head: &Parts, body: Bytes) -> Response<Body> {
+    let mut answer = Response::new(Body::whole(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = answer_headers(head);
+    answer
+}
--- /dev/null
+++ b/crates/direct/src/process.rs
@@ -0,0 +1,217 @@
+//! The process: starts its tasks, follows signals, and ends without cutting a request.
+
+use crate::desk::Desk;
+use crate::front::Front;
+use crate::peers::{GatewaysReader, Peers, unregister};
+use crate::shared::Shared;
+use crate::store_watch::{OperatorsReader, ServersReader, watch};
+use adapter::{HostSettings, Store};
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt as _;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use quick_error::quick_error;
+use runtime::{Body, Executor, HttpLimits, HttpServer, Responder, ShutdownSignal, timeout};
+use slog::{Logger, error, info, warn};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// Time for which new connections are taken after SIGTERM: the balancer asks once a second and
+/// takes a gateway out after two misses.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Time before SIGKILL at which the process ends whatever still runs.
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// Unused connections of callers are kept for twice the longest time that any deployment lets
+/// callers leave them unused, so that closing one never meets a request.
+const IDLE_TIME: Duration = Duration::from_secs(60);
+
+quick_error! {
+    /// A process that cannot start.
+    #[derive(Debug)]
+    pub enum StartError {
+        /// An address cannot be bound.
+        Bind(what: &'static str, address: SocketAddr, err: std::io::Error) {
+            display("bind {address} for {what}: {err}")
+        }
+        /// Signals cannot be followed.
+        Signals(err: std::io::Error) {
+            display("follow signals: {err}")
+        }
+        /// Metrics cannot be set up.
+        Metrics(err: prometheus::Error) {
+            display("set up metrics: {err}")
+            from()
+        }
+    }
+}
+
+/// How the process was started.
+#[derive(Debug, Clone)]
+pub struct ProcessOptions {
+    /// The settings file, read again on SIGHUP.
+    pub settings_path: PathBuf,
+    /// What it said at the start.
+    pub settings: HostSettings,
+    /// Port for metrics on the host's address.
+    pub metrics_port: Option<u16>,
+}
+
+/// Runs until a signal ends the process and what runs has ended.
+pub async fn run(
+    executor: Executor,
+    options: ProcessOptions,
+    log: Logger,
+) -> Result<(), StartError> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+    let signals = signals.map_err(StartError::Signals)?;
+    let settings = options.settings.clone();
+    info!(log, "process: starting"; "version" => env!("CARGO_PKG_VERSION"),
+        "host" => &*settings.name, "domain" => &*settings.domain,
+        "callers" => %settings.callers, "store" => %settings.store);
+    let shared = Arc::new(Shared::new(
+        settings.clone(),
+        executor.clone(),
+        log.clone(),
+    )?);
+    let store = Store::new(shared.http.clone(), settings.store);
+    let ended = ShutdownSignal::default();
+    let limits = HttpLimits {
+        head_time: IDLE_TIME,
+        linger: LINGER,
+        ..HttpLimits::default()
+    };
+    let callers = bind("callers", settings.callers, limits, &log)?;
+    let ready = bind("readiness", settings.ready, HttpLimits::default(), &log)?;
+    executor.detach(ready.serve(
+        executor.clone(),
+        Arc::new(ReadyProbe(shared.clone())),
+        None,
+        ended.clone(),
+    ));
+    if let Some(port) = options.metrics_port {
+        let address = SocketAddr::new(settings.address, port);
+        let metrics = bind("metrics", address, HttpLimits::default(), &log)?;
+        let page = Arc::new(MetricsPage(shared.clone()));
+        executor.detach(metrics.serve(executor.clone(), page, None, ended.clone()));
+    }
+    executor.detach(watch(shared.clone(), store.clone(), OperatorsReader));
+    executor.detach(watch(shared.clone(), store.clone(), ServersReader));
+    executor.detach(Desk::run(shared.clone()));
+    let peers: Arc<Mutex<Option<Arc<Peers>>>> = Arc::default();
+    executor.detach(join_peers(shared.clone(), store.clone(), peers.clone()));
+    let front = Arc::new(Front {
+        shared: shared.clone(),
+    });
+    let served =
+        executor.spawn(callers.serve(executor.clone(), front, None, shared.draining.clone()));
+    follow(signals, &options.settings_path, &shared).await;
+    info!(log, "process: draining");
+    shared.draining.start();
+    let unregister = unregister(&shared, &store);
+    let drained = timeout(settings.bounds.grace.saturating_sub(BEFORE_KILL), async {
+        futures_lite::future::zip(served, unregister).await
+    });
+    let cut = drained.await.is_err();
+    let peers = peers.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(peers) = peers.filter(|_| !cut) {
+        peers.close().await;
+    }
+    ended.start();
+    info!(log, "process: ended"; "cut" => cut);
+    Ok(())
+}
+
+fn bind(
+    what: &'static str,
+    address: SocketAddr,
+    limits: HttpLimits,
+    log: &Logger,
+) -> Result<HttpServer, StartError> {
+    HttpServer::bind(address, limits, log.clone())
+        .map_err(|err| StartError::Bind(what, address, err))
+}
+
+async fn join_peers(shared: Arc<Shared>, store: Store, joined: Arc<Mutex<Option<Arc<Peers>>>>) {
+    const PAUSE: Duration = Duration::from_secs(1);
+    let peers = loop {
+        match Peers::join(shared.clone(), &store).await {
+            Ok(peers) => break peers,
+            Err(err) => error!(shared.log, "peers: links cannot be opened"; "err" => %err),
+        }
+        Timer::after(PAUSE).await;
+    };
+    *joined.lock().unwrap_or_else(PoisonError::into_inner) = Some(peers.clone());
+    shared.executor.detach(peers.clone().tell());
+    watch(shared, store, GatewaysReader(peers)).await;
+}
+
+/// Reads the settings again at each SIGHUP; returns at a signal that ends the process.
+async fn follow(mut signals: Signals, path: &Path, shared: &Shared) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(path, shared),
+            Ok(signal) => {
+                info!(shared.log, "process: signal"; "signal" => ?signal);
+                return;
+            }
+            Err(err) => warn!(shared.log, "process: signals cannot be read"; "err" => %err),
+        }
+    }
+}
+
+fn reload(path: &Path, shared: &Shared) {
+    match read_settings(path) {
+        Ok(settings) if settings == shared.settings => {
+            info!(shared.log, "settings: read again, nothing has changed");
+        }
+        Ok(settings) => {
+            warn!(shared.log, "settings: changed; a new start puts them in force";
+                "settings" => ?settings);
+        }
+        Err(err) => warn!(shared.log, "settings: cannot be read, the last ones stay"; "err" => err),
+    }
+}
+
+/// Reads a settings file; the error lists all that is wrong.
+pub fn read_settings(path: &Path) -> Result<HostSettings, String> {
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|err| format!("settings: {}: {err}\n", path.display()))?;
+    HostSettings::parse(&text).map_err(|faults| faults.to_string())
+}
+
+/// Says whether the gateway takes callers.
+#[derive(Debug)]
+struct ReadyProbe(Arc<Shared>);
+
+impl Responder for ReadyProbe {
+    async fn respond(&self, _peer: SocketAddr, _req: Request<Incoming>) -> Response<Body> {
+        let ready = self.0.knowledge.table().is_some() && !self.0.draining.is_started();
+        let mut answer = Response::new(Body::empty());
+        if !ready {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    }
+}
+
+/// Shows the metrics.
+#[derive(Debug)]
+struct MetricsPage(Arc<Shared>);
+
+impl Responder for MetricsPage {
+    async fn respond(&self, _peer: SocketAddr, _req: Request<Incoming>) -> Response<Body> {
+        match self.0.metrics.encode() {
+            Ok(text) => Response::new(Body::whole(text)),
+            Err(err) => {
+                warn!(self.0.log, "metrics: cannot be shown"; "err" => %err);
+                let mut answer = Response::new(Body::empty());
+                *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                answer
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/direct/src/reservation.rs
@@ -0,0 +1,168 @@
+//! Memory of engines that is reserved for a prompt which no single engine holds.
+
+use crate::shared::Shared;
+use adapter::{Helper, MemoryAnswer, release_order, reserve_order, reserve_result};
+use async_io::Timer;
+use proto::BackendEntry;
+use quick_error::quick_error;
+use runtime::Executor;
+use slog::{info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Part of the bound on freeing memory for which a reservation holds: it lapses in time even
+/// where its gateway is lost.
+const HOLD_PART: f64 = 0.85;
+/// Reservations are renewed this often while they hold once.
+const RENEWALS: u32 = 3;
+/// Time for an engine to answer an order.
+const ORDER_TIME: Duration = Duration::from_millis(350);
+const ANSWER_BYTES: usize = 4 << 10;
+
+quick_error! {
+    /// Memory that could not be reserved; what was reserved besides is given back.
+    #[derive(Debug)]
+    pub enum ReserveError {
+        /// The engine refuses.
+        Refused(server: Box<str>, answer: MemoryAnswer) {
+            display("reserve memory of {server}: {answer:?}")
+        }
+        /// The engine did not answer; it may reserve the memory, until the reservation lapses.
+        NoAnswer(server: Box<str>, reason: Box<str>) {
+            display("reserve memory of {server}: {reason}")
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    address: SocketAddr,
+    id: Box<str>,
+    tokens: u64,
+}
+
+/// Reserved memory; renewed until it is dropped, and then given back.
+#[derive(Debug)]
+pub struct Reservations {
+    shared: Arc<Shared>,
+    held: Vec<Held>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Reservations {
+    /// Reserves memory at those helpers that need it, under ids that begin with `name`.
+    pub async fn take(
+        shared: &Arc<Shared>,
+        name: &str,
+        helpers: &[(BackendEntry, u64)],
+    ) -> Result<(Self, Vec<Helper>), ReserveError> {
+        let mut taken = Self {
+            shared: shared.clone(),
+            held: Vec::new(),
+            ended: Arc::default(),
+        };
+        let mut listed = Vec::new();
+        for (index, (server, tokens)) in helpers.iter().enumerate() {
+            let id: Box<str> = format!("{name}-{index}").into();
+            let reservation = (*tokens > 0).then(|| id.clone());
+            listed.push(Helper {
+                address: server.address,
+                reservation,
+            });
+            if *tokens > 0 {
+                let held = Held {
+                    address: server.address,
+                    id,
+                    tokens: *tokens,
+                };
+                taken.held.push(held);
+            }
+        }
+        taken
+            .shared
+            .metrics
+            .add_reservations(taken.held.len() as i64);
+        for held in &taken.held {
+            reserve(shared, held).await?;
+        }
+        taken.renew();
+        Ok((taken, listed))
+    }
+
+    /// Renews the reservations until they are dropped.
+    fn renew(&self) {
+        if self.held.is_empty() {
+            return;
+        }
+        let shared = self.shared.clone();
+        let held = self.held.clone();
+        let ended = self.ended.clone();
+        self.shared.executor.detach(async move {
+            loop {
+                Timer::after(hold(&shared) / RENEWALS).await;
+                if ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                for held in &held {
+                    if let Err(err) = reserve(&shared, held).await {
+                        warn!(shared.log, "memory: not renewed"; "id" => &*held.id, "err" => %err);
+                    }
+                }
+            }
+        });
+    }
+}
+
+impl Drop for Reservations {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.shared
+            .metrics
+            .add_reservations(-(self.held.len() as i64));
+        for held in self.held.drain(..) {
+            let shared = self.shared.clone();
+            let executor: Executor = shared.executor.clone();
+            executor.detach(async move { release(&shared, &held).await });
+        }
+    }
+}
+
+fn hold(shared: &Shared) -> Duration {
+    let bounds = &shared.settings.bounds;
+    bounds
+        .memory_freed
+        .mul_f64(HOLD_PART)
+        .min(bounds.longest_reservation)
+}
+
+async fn reserve(shared: &Shared, held: &Held) -> Result<(), ReserveError> {
+    let order = reserve_order(held.address, &held.id, held.tokens, hold(shared));
+    let sent = shared
+        .http
+        .fetch(held.address, order, ANSWER_BYTES, ORDER_TIME)
+        .await;
+    let server = held.address.to_string().into();
+    match sent {
+        Ok((status, _)) => match reserve_result(status) {
+            MemoryAnswer::Reserved => Ok(()),
+            answer => Err(ReserveError::Refused(server, answer)),
+        },
+        Err(err) => Err(ReserveError::NoAnswer(server, err.to_string().into())),
+    }
+}
+
+async fn release(shared: &Shared, held: &Held) {
+    let order = release_order(held.address, &held.id);
+    match shared
+        .http
+        .fetch(held.address, order, ANSWER_BYTES, ORDER_TIME)
+        .await
+    {
+        Ok((status, _)) => info!(shared.log, "memory: given back"; "id" => &*held.id,
+            "status" => status.as_u16()),
+        Err(err) => warn!(shared.log, "memory: not given back, it lapses"; "id" => &*held.id,
+            "err" => %err),
+    }
+}
--- /dev/null
+++ b/crates/direct/src/shared.rs
@@ -0,0 +1,94 @@
+//! What all tasks of a direct gateway share.
+
+use crate::desk::Desk;
+use crate::fleet::Fleet;
+use crate::knowledge::KnowledgeBase;
+use crate::metrics::Metrics;
+use adapter::HostSettings;
+use runtime::{Clock, Executor, HttpClient, ShutdownSignal};
+use slog::Logger;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// State of one process, shared by its tasks.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings of the host.
+    pub settings: HostSettings,
+    /// Time since the start.
+    pub clock: Clock,
+    /// Runs tasks.
+    pub executor: Executor,
+    /// Calls to the store and orders to engines.
+    pub http: HttpClient,
+    /// The log.
+    pub log: Logger,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// What is known of the store's content.
+    pub knowledge: KnowledgeBase,
+    /// Load, health and limits of the backend servers.
+    pub fleet: Fleet,
+    /// Prompts that wait for engines.
+    pub desk: Desk,
+    /// Set once the process drains.
+    pub draining: ShutdownSignal,
+    store_heard_ms: AtomicU64,
+    lost_tables: AtomicUsize,
+}
+
+impl Shared {
+    /// The state at the start.
+    pub fn new(
+        settings: HostSettings,
+        executor: Executor,
+        log: Logger,
+    ) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            clock: Clock::default(),
+            http: HttpClient::new(executor.clone()),
+            metrics: Metrics::new()?,
+            knowledge: KnowledgeBase::new(log.clone()),
+            fleet: Fleet::new(&settings),
+            desk: Desk::default(),
+            draining: ShutdownSignal::default(),
+            store_heard_ms: AtomicU64::new(0),
+            lost_tables: AtomicUsize::new(0),
+            settings,
+            executor,
+            log,
+        })
+    }
+
+    /// Notes that the store has answered.
+    pub fn note_store_heard(&self, now: Duration) {
+        self.store_heard_ms
+            .store(now.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// When the store answered last.
+    pub fn store_heard(&self) -> Duration {
+        Duration::from_millis(self.store_heard_ms.load(Ordering::Relaxed))
+    }
+
+    /// Notes that calls for one table began to fail, or succeed again.
+    pub fn note_table(&self, lost: bool) {
+        if lost {
+            self.lost_tables.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.lost_tables.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether calls to the store fail.
+    pub fn is_store_lost(&self) -> bool {
+        self.lost_tables.load(Ordering::Relaxed) > 0
+    }
+
+    /// Shows the declarations in force in the metrics.
+    pub fn note_declarations(&self) {
+        if let Some(table) = self.knowledge.table() {
+            self.metrics.set_declarations(table.version);
+        }
+    }
+}
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -13,6 +13,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve_command::command())
+        .subcommand(direct::command())
         .subcommand(keys_command::command())
         .subcommand(check_command::command())
         .subcommand(apply_command::command())
@@ -23,6 +24,7 @@
 pub fn main() -> ExitCode {
     match command().get_matches().subcommand() {
         Some((serve_command::NAME, matches)) => serve_command::run(matches),
+        Some((direct::NAME, matches)) => direct::run(matches),
         Some((keys_command::NAME, matches)) => keys_command::run(matches),
         Some((check_command::NAME, matches)) => check_command::run(matches),
         Some((apply_command::NAME, matches)) => apply_command::run(matches),
--- /dev/null
+++ b/crates/policy/src/engine_choice.rs
@@ -0,0 +1,275 @@
+//! On which model engines a prompt is read and its answer written.
+//!
+//! An engine reads prompts between the steps of those that write, so a long read makes every
+//! writer beside it pause. Short prompts are packed onto few engines from one end of a common
+//! order, long ones are read in parts by engines from its other end, and a part is made no longer
+//! than the pause that the writers beside it bear.
+
+use crate::engine_model::EngineModel;
+use proto::ServerUse;
+use std::time::Duration;
+
+/// Most servers that may help the first one, as engines state it.
+pub const MOST_HELPERS: usize = 16;
+/// Part of the pause that writers bear which a pass may fill; the rest covers late news.
+const GAP_PART: f64 = 0.75;
+/// Part of the time to the first event that a placement may fill by its own forecast.
+const TARGET_PART: f64 = 0.8;
+/// Part of an engine's slots that is filled before the next engine in the order is opened.
+const PACKED_PART: f64 = 0.75;
+/// Part of an engine's memory that is given out; the rest covers answers longer than foreseen.
+const MEMORY_PART: f64 = 0.94;
+/// A prompt is short if its read alone fills at most this part of its own pause.
+const SHORT_PART: f64 = 0.5;
+/// How much longer the pauses of others may become while a prompt waits as long as its target.
+const STRETCH: f64 = 4.0;
+
+/// An engine that could take work.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineCandidate {
+    /// Place in the order that all gateways share.
+    pub order: u64,
+    /// What it has to do.
+    pub load: ServerUse,
+    /// How much slower it is than its published figures; 1 is as fast.
+    pub pace: f64,
+    /// Whether it may be sent a request now.
+    pub has_room: bool,
+    /// Whether it failed lately.
+    pub suspect: bool,
+}
+
+/// A prompt to place.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineNeed {
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Tokens of the answer, as far as can be foreseen.
+    pub answer: u64,
+    /// Time to the first event that is on time.
+    pub target: Duration,
+    /// Pause between events that is on time.
+    pub gap: Duration,
+    /// Time that it has waited.
+    pub waited: Duration,
+}
+
+/// Where a prompt goes; indices are those of the candidates.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EnginePlacement {
+    /// Engine that gets the request and writes the answer.
+    pub first: usize,
+    /// Engines that read parts of the prompt.
+    pub helpers: Vec<EngineHelper>,
+    /// Time that each of them reads.
+    pub part: Duration,
+    /// Forecast of the time to the first event.
+    pub forecast: Duration,
+}
+
+/// An engine that reads a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineHelper {
+    /// The engine.
+    pub index: usize,
+    /// Tokens of its memory that the prompt needs; 0 for none.
+    pub tokens: u64,
+}
+
+/// Whether a prompt is short: one engine reads it without disturbing the others there.
+pub fn is_short(model: &EngineModel, need: &EngineNeed) -> bool {
+    model.read_time(need.prompt) <= need.gap.mul_f64(SHORT_PART)
+}
+
+/// Places a prompt, or says `None` where it had better wait.
+pub fn place(
+    model: &EngineModel,
+    need: &EngineNeed,
+    engines: &[EngineCandidate],
+) -> Option<EnginePlacement> {
+    let fits = need.prompt + need.answer <= usable_memory(model);
+    if fits && is_short(model, need) {
+        place_short(model, need, engines)
+    } else {
+        place_long(model, need, engines)
+    }
+}
+
+/// Shortest time in which a prompt could be read if all engines were idle.
+pub fn least_time(model: &EngineModel, need: &EngineNeed, engines: usize) -> Duration {
+    let parts = if is_short(model, need) {
+        1
+    } else {
+        engines.clamp(1, MOST_HELPERS + 1)
+    };
+    model.read_time(need.prompt) / parts as u32 + model.pass_time(0)
+}
+
+fn usable_memory(model: &EngineModel) -> u64 {
+    (model.memory as f64 * MEMORY_PART) as u64
+}
+
+fn place_short(
+    model: &EngineModel,
+    need: &EngineNeed,
+    engines: &[EngineCandidate],
+) -> Option<EnginePlacement> {
+    let read = model.read_time(need.prompt);
+    let tokens = need.prompt + need.answer;
+    let packed = (f64::from(model.slots) * PACKED_PART) as u32;
+    let mut best: Option<(ShortRank, EnginePlacement)> = None;
+    for (index, engine) in engines.iter().enumerate() {
+        let free = usable_memory(model).saturating_sub(engine.load.tokens);
+        if !engine.has_room || engine.load.jobs >= model.slots || free < tokens {
+            continue;
+        }
+        let pass = pass_with(model, engine, read);
+        let gap = need.gap.min(engine.load.tightest_gap).mul_f64(GAP_PART);
+        let calm = pass <= gap && pass <= need.target.mul_f64(TARGET_PART);
+        let rank = ShortRank {
+            suspect: engine.suspect,
+            harms: !calm,
+            over_packed: engine.load.jobs >= packed,
+            forecast: if calm { Duration::ZERO } else { pass },
+            order: engine.order,
+        };
+        let placement = EnginePlacement {
+            first: index,
+            helpers: Vec::new(),
+            part: read,
+            forecast: pass,
+        };
+        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+            best = Some((rank, placement));
+        }
+    }
+    best.map(|(_, placement)| placement)
+}
+
+/// What speaks against an engine for a short prompt, the weightiest first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ShortRank {
+    suspect: bool,
+    harms: bool,
+    over_packed: bool,
+    forecast: Duration,
+    order: u64,
+}
+
+/// Time of a pass of this engine that reads what waits there and `read` besides.
+fn pass_with(model: &EngineModel, engine: &EngineCandidate, read: Duration) -> Duration {
+    let work = engine.load.reading + read + model.pass_time(engine.load.jobs + 1);
+    work.mul_f64(engine.pace)
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reader {
+    index: usize,
+    room: f64,
+    free: u64,
+    writes: bool,
+}
+
+fn place_long(
+    model: &EngineModel,
+    need: &EngineNeed,
+    engines: &[EngineCandidate],
+) -> Option<EnginePlacement> {
+    let waited = need.waited.as_secs_f64() / need.target.as_secs_f64().max(1e-3);
+    let stretch = 1.0 + STRETCH * waited;
+    let mut readers: Vec<Reader> = engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| !engine.suspect)
+        .map(|(index, engine)| reader(model, engine, index, stretch))
+        .collect();
+    readers.sort_by(|a, b| {
+        let order = engines[b.index].order.cmp(&engines[a.index].order);
+        b.room.total_cmp(&a.room).then(order)
+    });
+    readers.truncate(MOST_HELPERS + 1);
+    let read = model.read_time(need.prompt).as_secs_f64();
+    let hop = model.hop_ms / 1e3;
+    let due = need.target.as_secs_f64() * TARGET_PART;
+    let own_gap = need.gap.as_secs_f64() * GAP_PART * stretch;
+    let mut latest = None;
+    for parts in 1..=readers.len() {
+        let part = read / parts as f64 + hop * (parts - 1) as f64;
+        let chosen = &readers[..parts];
+        let fits = chosen.last().is_some_and(|last| last.room >= part) && part <= own_gap;
+        if !fits {
+            continue;
+        }
+        let Some((first, helpers)) = hold(need, chosen, usable_memory(model)) else {
+            continue;
+        };
+        let forecast = forecast(model, engines, chosen, part);
+        let placement = EnginePlacement {
+            first,
+            helpers,
+            part: Duration::from_secs_f64(part),
+            forecast,
+        };
+        if need.waited.as_secs_f64() + forecast.as_secs_f64() <= due * EARLY_PART {
+            return Some(placement);
+        }
+        let sooner = |than: &EnginePlacement| forecast < than.forecast;
+        if latest.as_ref().is_none_or(sooner) {
+            latest = Some(placement);
+        }
+    }
+    latest
+}
+
+/// Fewer parts are enough once the forecast fills only this part of the time that is due.
+const EARLY_PART: f64 = 0.5;
+
+fn reader(model: &EngineModel, engine: &EngineCandidate, index: usize, stretch: f64) -> Reader {
+    let gap = engine.load.tightest_gap.as_secs_f64().min(LONGEST_PASS_S);
+    let busy = engine.load.reading + model.pass_time(engine.load.jobs);
+    let slots_left = engine.load.jobs < model.slots;
+    Reader {
+        index,
+        room: (gap * GAP_PART * stretch - busy.as_secs_f64()) / engine.pace.max(0.1),
+        free: usable_memory(model).saturating_sub(engine.load.tokens),
+        writes: engine.has_room && slots_left,
+    }
+}
+
+/// Longest pass, in seconds, that is given to an engine on which nobody writes; longer queues are
+/// kept at the gateways, where they can still be put in order.
+const LONGEST_PASS_S: f64 = 1.2;
+
+fn forecast(
+    model: &EngineModel,
+    engines: &[EngineCandidate],
+    chosen: &[Reader],
+    part: f64,
+) -> Duration {
+    let part = Duration::from_secs_f64(part);
+    let passes = chosen
+        .iter()
+        .map(|reader| pass_with(model, &engines[reader.index], part));
+    passes.max().unwrap_or_default()
+}
+
+/// Finds memory for a prompt: at the first engine, and in tickets at helpers for what it lacks.
+fn hold(need: &EngineNeed, chosen: &[Reader], whole: u64) -> Option<(usize, Vec<EngineHelper>)> {
+    let tokens = need.prompt + need.answer;
+    let first = chosen
+        .iter()
+        .filter(|reader| reader.writes)
+        .max_by_key(|reader| reader.free)?;
+    let mut lacking = tokens.saturating_sub(first.free);
+    if lacking > 0 && tokens <= whole {
+        return None;
+    }
+    let mut helpers = Vec::new();
+    for reader in chosen.iter().filter(|reader| reader.index != first.index) {
+        let tokens = lacking.min(reader.free);
+        lacking -= tokens;
+        let index = reader.index;
+        helpers.push(EngineHelper { index, tokens });
+    }
+    (lacking == 0).then_some((first.index, helpers))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod admission;
 mod affinity;
+mod arrival_window;
 mod baseline;
 mod candidates;
 mod claim;
@@ -30,8 +31,12 @@
 mod config_rows;
 mod dispatch;
 mod domain_moves;
+mod engine_choice;
+mod engine_model;
+mod engine_queue;
 mod estimate;
 mod fairness;
+mod fleet_load;
 mod home_history;
 mod job;
 mod lending;
@@ -43,17 +48,21 @@
 mod neighbours;
 mod orders;
 mod placement;
+mod plain_choice;
 pub mod prelude;
 mod queue;
 mod rates;
 mod retry;
+mod route_table;
 mod router;
 mod rules;
 mod running;
 mod scheduler;
 mod scheduler_types;
+mod server_health;
 mod server_lease;
 mod server_load;
+mod server_set;
 mod span_leader;
 mod span_member;
 mod span_plan;
@@ -64,6 +73,7 @@
 mod trace;
 mod warmth;
 
+pub use arrival_window::{ArrivalCap, ArrivalWindow, RepeatBudget, RepeatLimits, arrivals_share};
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use claim::{
     CallId, ClaimAction, ClaimConfig, ClaimCounts, ClaimEvent, ClaimRequest, ClaimStored,
@@ -81,7 +91,14 @@
     command_key, history_key,
 };
 pub use domain_moves::{DomainMove, DomainMoves, DomainMovesConfig};
+pub use engine_choice::{
+    EngineCandidate, EngineHelper, EngineNeed, EnginePlacement, MOST_HELPERS, is_short, least_time,
+    place,
+};
+pub use engine_model::EngineModel;
+pub use engine_queue::{EngineWaiter, WaiterId, come_back_after, sort_waiters};
 pub use estimate::{BLOCK_BYTES, estimate_tokens, prefix_hashes};
+pub use fleet_load::{FleetLoad, JobId, JobPart, server_key};
 pub use home_history::{HANDOVER, HomeHistory};
 pub use job::{Job, LengthClass};
 pub use lending::{Allowance, Borrower, LendingHome, home_of};
@@ -98,16 +115,22 @@
     OrderEnd, OrderEvent, WantedState,
 };
 pub use placement::{LoadedModels, Placement, model_version};
+pub use plain_choice::{PlainCandidate, choose_plain};
 pub use retry::{
     AttemptEnd, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry, predicted_service,
 };
+pub use route_table::{
+    CallerLimits, Route, RouteKind, RouteTable, Sender, ServiceName, ServiceSpec, TeamEntry,
+};
 pub use router::{Ask, NoServer, Router, RouterConfig};
 pub use rules::{may_run, serves};
 pub use scheduler::Scheduler;
 pub use scheduler_types::{AbortReason, Action, EngineReport, Event, SchedulerConfig, ServerFacts};
+pub use server_health::{AttemptResult, ServerHealth};
 pub use server_lease::{
     LeaseAction, LeaseCommit, LeaseEvent, LeaseRow, ServerLease, ServerLeaseConfig,
 };
+pub use server_set::{BackendId, DomainName, LAPSE_GRACE, ServerSet};
 pub use span_leader::SpanLeader;
 pub use span_member::{CallEnd, MemberAction, MemberEvent, ReplyId, SpanCall, SpanMember};
 pub use span_plan::{
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -16,6 +16,7 @@
 mod control;
 mod hints;
 mod ids;
+mod load;
 mod opening;
 pub mod prelude;
 mod request;
@@ -32,6 +33,9 @@
     AttemptId, ConfigVersion, DomainId, Epoch, GrantId, HostId, ModelId, NodeId, OperatorId,
     RequestId, RouteId, ServerId, TeamId, Tokens,
 };
+pub use load::{
+    BackendEntry, BackendRow, Knowledge, KnownVersions, LoadFrame, ServerKey, ServerUse,
+};
 pub use opening::Opening;
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -44,4 +44,8 @@
         /// What is asked.
         request: QueryRequest,
     },
+    /// Work given to backend servers; [`crate::LoadFrame`]s follow, none come back.
+    Load,
+    /// What the store holds; one [`crate::Knowledge`] comes back.
+    Knowledge,
 }
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -42,8 +42,11 @@
     pub head_bytes: usize,
     /// Headers of a request.
     pub headers: usize,
-    /// Time for a request's head to arrive.
+    /// Time for a request's head to arrive, counted from the connection's last answer.
     pub head_time: Duration,
+    /// Time for which new connections are still taken after shutdown has started, until
+    /// balancers have noticed. Each then carries one request.
+    pub linger: Duration,
 }
 
 impl Default for HttpLimits {
@@ -53,6 +56,7 @@
             head_bytes: 16 << 10,
             headers: 64,
             head_time: Duration::from_secs(10),
+            linger: Duration::ZERO,
         }
     }
 }
@@ -91,7 +95,8 @@
     ) {
         let open = Arc::new(AtomicUsize::new(0));
         let (done_tx, done_rx) = async_channel::bounded::<()>(1);
-        while let Some(accepted) = self.accept(&shutdown).await {
+        let mut lingered = pin!(self.lingered(&shutdown));
+        while let Some(accepted) = self.accept(lingered.as_mut()).await {
             let Ok((stream, peer)) = accepted else {
                 async_io::Timer::after(ACCEPT_PAUSE).await;
                 continue;
@@ -121,13 +126,18 @@
         let _ = done_rx.recv().await;
     }
 
+    async fn lingered(&self, shutdown: &ShutdownSignal) {
+        shutdown.started().await;
+        async_io::Timer::after(self.limits.linger).await;
+    }
+
     async fn accept(
         &self,
-        shutdown: &ShutdownSignal,
+        lingered: impl Future<Output = ()>,
     ) -> Option<io::Result<(Async<TcpStream>, SocketAddr)>> {
         let accept = async { Some(self.listener.accept().await) };
         let stop = async {
-            shutdown.started().await;
+            lingered.await;
             None
         };
         futures_lite::future::or(stop, accept).await
@@ -162,13 +172,18 @@
             let responder = self.responder.clone();
             async move { Ok::<_, Infallible>(responder.respond(self.peer, req).await) }
         });
+        let lingers = self.shutdown.is_started();
         let connection = http1::Builder::new()
+            .keep_alive(!lingers)
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.head_time)
             .max_headers(self.limits.headers)
             .max_buf_size(self.limits.head_bytes.max(8192))
             .serve_connection(FuturesIo::new(io), service);
         let mut connection = pin!(connection);
+        if lingers {
+            return self.note_end(connection.await);
+        }
         let stop = async {
             self.shutdown.started().await;
             None
@@ -181,6 +196,10 @@
                 connection.await
             }
         };
+        self.note_end(result);
+    }
+
+    fn note_end(&self, result: hyper::Result<()>) {
         if let Err(err) = result {
             debug!(self.log, "http: connection broke"; "peer" => %self.peer, "err" => %err);
         }
--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -1,7 +1,7 @@
-//! The log, as text or JSON lines on standard error.
+//! The log, as text or JSON lines on standard output.
 
 use slog::{Drain, Level, Logger, o};
-use std::io::stderr;
+use std::io::stdout;
 use std::str::FromStr;
 
 const CHANNEL_LINES: usize = 4096;
@@ -32,7 +32,7 @@
     let node = node.to_owned();
     match format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainSyncDecorator::new(stderr());
+            let decorator = slog_term::PlainSyncDecorator::new(stdout());
             let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
             Logger::root(
                 queued(drain.filter_level(level).ignore_res()),
@@ -40,7 +40,7 @@
             )
         }
         LogFormat::Json => {
-            let drain = slog_json::Json::default(stderr());
+            let drain = slog_json::Json::default(stdout());
             let drain = std::sync::Mutex::new(drain).ignore_res();
             Logger::root(
                 queued(drain.filter_level(level).ignore_res()),
--- a/crates/runtime/src/tls.rs
+++ b/crates/runtime/src/tls.rs
@@ -172,6 +172,26 @@
         })
     }
 
+    /// An identity that an authority issues in memory, which trusts that authority.
+    pub fn issue(
+        authority: &Authority,
+        role: Role,
+        node: &str,
+        valid: Duration,
+    ) -> Result<Self, TlsError> {
+        let host = authority.issue(role, node, valid)?;
+        let mut authorities = RootCertStore::empty();
+        for certificate in pem_certificates(authority.certificate())? {
+            authorities.add(certificate).map_err(config_error)?;
+        }
+        let key = PrivateKeyDer::from_pem_slice(host.key.as_bytes());
+        Ok(Self {
+            authorities: Arc::new(authorities),
+            chain: pem_certificates(&host.certificate)?,
+            key: key.map_err(config_error)?,
+        })
+    }
+
     /// The node and role that the certificate names.
     pub fn subject(&self) -> Result<Peer, TlsError> {
         let first = self
@@ -342,6 +362,11 @@
     Ok(certificates)
 }
 
+fn pem_certificates(pem: &str) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let certificates = CertificateDer::pem_slice_iter(pem.as_bytes());
+    certificates.collect::<Result<_, _>>().map_err(config_error)
+}
+
 pub(crate) fn file_error(path: &Path, err: impl Display) -> TlsError {
     TlsError::File(path.to_owned(), err.to_string().into())
 }
--- a/crates/trials/src/process.rs
+++ b/crates/trials/src/process.rs
@@ -38,11 +38,13 @@
     ) -> Result<Self, TrialError> {
         let file = File::options().create(true).append(true).open(&log);
         let file = file.map_err(|err| TrialError::File(log.clone(), err))?;
+        let err_file = file.try_clone();
+        let err_file = err_file.map_err(|err| TrialError::File(log.clone(), err))?;
         let child = Command::new(program)
             .args(args.iter().map(|arg| &**arg))
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(file)
+            .stdout(file)
+            .stderr(err_file)
             .spawn()
             .map_err(|err| process_error(name, "start", err))?;
         Ok(Self {
