Test the direct gateway as a process and its decisions by the loads that they answer

Found by them: a gateway that is drained right after its start wrote its row behind the drain's removal of it (a_drain_cuts_no_answer failed first); it now removes it again. Change: stand-ins of the store and of servers by the published calls, a rig with the gateway as a process, tests of each kind whole, resume, true refusals, reused addresses, cancel, keys, drain, junk rows; decisions in virtual time.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -104,6 +104,10 @@
             start: random(),
         };
         register(&shared, store, &row).await;
+        if shared.draining.is_started() {
+            // The row was written behind the drain's removal of it.
+            unregister(&shared, store).await;
+        }
         Ok(peers)
     }
 
--- /dev/null
+++ b/crates/policy/tests/direct_decisions.rs
@@ -0,0 +1,230 @@
+//! Routes, waiting prompts, load that is told, health, and the choice of plain servers.
+
+use policy::{
+    AttemptResult, CallerLimits, EngineModel, EngineNeed, EngineWaiter, FleetLoad, JobPart,
+    PlainCandidate, Route, RouteKind, RouteTable, Sender, ServerHealth, TeamEntry, choose_plain,
+    come_back_after, sort_waiters,
+};
+use proto::ServerUse;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn route(prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: prefix.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Safe,
+        timeout: ms(1_000),
+        target: ms(100),
+        target_gap: ms(200),
+        rank: 1,
+        split: vec![("x".into(), 90), ("y".into(), 10)],
+        max_attempts: 2,
+        anonymous,
+    }
+}
+
+fn table() -> RouteTable {
+    let team = Arc::new(TeamEntry {
+        name: "t".into(),
+        rank: None,
+    });
+    let teams = HashMap::from([("k".into(), team)]);
+    let routes = vec![route("/a/", false), route("/a/b/", true)];
+    RouteTable::new(1, CallerLimits::default(), routes, Vec::new(), Some(teams))
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table();
+    assert_eq!(&*table.route("h", "/a/b/c").unwrap().prefix, "/a/b/");
+    assert_eq!(&*table.route("h", "/a/bc").unwrap().prefix, "/a/");
+    assert!(table.route("h", "/b/").is_none() && table.route("i", "/a/").is_none());
+}
+
+#[test]
+fn keys_name_teams_and_unknown_ones_are_told_from_none() {
+    let table = table();
+    let closed = table.route("h", "/a/x").unwrap();
+    let open = table.route("h", "/a/b/x").unwrap();
+    assert!(matches!(table.sender(closed, Some("k")), Sender::Team(_)));
+    assert_eq!(table.sender(closed, Some("other")), Sender::Unknown);
+    assert_eq!(table.sender(closed, None), Sender::Unknown);
+    assert_eq!(table.sender(open, None), Sender::Anonymous);
+}
+
+#[test]
+fn weights_split_requests() {
+    let route = route("/a/", false);
+    let to_y = (0..1_000)
+        .filter(|draw| &**route.service(*draw).unwrap() == "y")
+        .count();
+    assert_eq!(to_y, 100);
+    let none = Route {
+        split: Vec::new(),
+        ..route
+    };
+    assert_eq!(none.service(1), None);
+}
+
+fn waiter(id: u64, prompt: u64, since: Duration) -> EngineWaiter {
+    let need = EngineNeed {
+        prompt,
+        answer: 800,
+        target: ms(3_000),
+        gap: ms(800),
+        waited: ms(0),
+    };
+    EngineWaiter {
+        id,
+        rank: 1,
+        need,
+        since,
+        gives_up: since + ms(12_000),
+    }
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        memory: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        writer_ms: 0.00483,
+        context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        hop_ms: 0.1,
+        usual_answer: 1_500,
+    }
+}
+
+/// A clump of long prompts: those that can be on time go first, the nearest to lateness before.
+#[test]
+fn prompts_that_can_be_on_time_go_first() {
+    let mut waiters = [
+        waiter(1, 200_000, ms(0)),
+        waiter(2, 200_000, ms(4_000)),
+        waiter(3, 300_000, ms(4_000)),
+    ];
+    sort_waiters(&mut waiters, &model(), 14, ms(4_500));
+    assert_eq!(waiters.map(|waiter| waiter.id), [3, 2, 1]);
+}
+
+/// A prompt that no engine could begin in time is answered at once, not at its deadline.
+#[test]
+fn hopeless_prompts_are_known_early() {
+    let waiter = waiter(1, 1_000_000, ms(0));
+    assert!(!waiter.is_hopeless(&model(), 14, ms(0)));
+    assert!(waiter.is_hopeless(&model(), 2, ms(0)));
+}
+
+/// Callers that are refused together are told different times.
+#[test]
+fn a_crowd_does_not_come_back_as_one() {
+    let mut times: Vec<_> = (0..64)
+        .map(|draw| come_back_after(ms(14_000), 14, draw))
+        .collect();
+    times.sort();
+    times.dedup();
+    assert_eq!(times.len(), 64);
+    assert!(times[0] >= ms(1_000) && times[63] <= ms(2_400), "{times:?}");
+}
+
+fn part(server: u64, read: Duration) -> JobPart {
+    JobPart {
+        server,
+        read,
+        tokens: 100,
+        writes: true,
+        gap: ms(200),
+        long: true,
+    }
+}
+
+#[test]
+fn load_of_peers_adds_up_and_grows_old() {
+    let mut load = FleetLoad::default();
+    load.start(1, &[part(7, ms(100))], ms(0));
+    let told = ServerUse {
+        jobs: 2,
+        reading: ms(300),
+        tokens: 50,
+        ..ServerUse::default()
+    };
+    load.on_peer("p", vec![(7, told)], ms(0));
+    let now = load.of(7, ms(40));
+    assert_eq!((now.jobs, now.tokens, now.long_reads), (3, 150, 1));
+    assert_eq!(now.reading, ms(60 + 260));
+    assert_eq!(
+        load.of(7, ms(3_000)).jobs,
+        1,
+        "a silent peer counts no more"
+    );
+    load.on_read(1, &[part(7, ms(100))]);
+    assert_eq!(load.of(7, ms(3_000)).reading, ms(0));
+    load.end(1, &[part(7, ms(100))]);
+    assert_eq!(load.of(7, ms(3_000)), ServerUse::default());
+}
+
+#[test]
+fn a_read_that_takes_longer_than_foreseen_still_counts() {
+    let mut load = FleetLoad::default();
+    load.start(1, &[part(7, ms(800))], ms(0));
+    assert_eq!(load.of(7, ms(5_000)).reading, ms(100));
+    assert_eq!(load.of(7, ms(5_000)).long_reads, 1);
+}
+
+/// A server fails a part of its requests while it calls itself healthy.
+#[test]
+fn grey_servers_are_avoided_and_forgiven() {
+    let mut health = ServerHealth::default();
+    health.on_result(AttemptResult::Failed, ms(0));
+    assert!(health.is_suspect(ms(1)));
+    assert!(!health.is_suspect(ms(700)));
+    for n in 0..20 {
+        health.on_result(AttemptResult::Answered, ms(700 + n));
+    }
+    health.on_result(AttemptResult::Full, ms(800));
+    assert!(health.is_full(ms(801)) && !health.is_suspect(ms(801)) && !health.is_full(ms(900)));
+}
+
+#[test]
+fn plain_servers_are_chosen_by_health_then_load_then_nearness() {
+    let idle = PlainCandidate {
+        jobs: 0,
+        slots: 6,
+        suspect: false,
+        full: false,
+        near: false,
+        draw: 0,
+    };
+    let busy = PlainCandidate {
+        jobs: 3,
+        near: true,
+        ..idle.clone()
+    };
+    let suspect = PlainCandidate {
+        suspect: true,
+        near: true,
+        ..idle.clone()
+    };
+    let near = PlainCandidate {
+        near: true,
+        draw: 9,
+        ..idle.clone()
+    };
+    assert_eq!(
+        choose_plain(&[suspect.clone(), busy.clone(), idle.clone()]),
+        Some(2)
+    );
+    assert_eq!(choose_plain(&[idle, near]), Some(1));
+    assert_eq!(choose_plain(&[suspect]), Some(0));
+    assert_eq!(choose_plain(&[]), None);
+}
--- /dev/null
+++ b/crates/policy/tests/engine_choice.rs
@@ -0,0 +1,231 @@
+//! Where prompts go, each case with the load that it answers.
+
+use policy::{EngineCandidate, EngineModel, EngineNeed, is_short, place};
+use proto::ServerUse;
+use std::time::Duration;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        memory: 450_000,
+        stride: 46,
+        step_ms: 0.925,
+        writer_ms: 0.00483,
+        context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        hop_ms: 0.1,
+        usual_answer: 1_500,
+    }
+}
+
+fn idle(order: u64) -> EngineCandidate {
+    EngineCandidate {
+        order,
+        load: ServerUse::default(),
+        pace: 1.0,
+        has_room: true,
+        suspect: false,
+    }
+}
+
+fn writing(order: u64, jobs: u32, gap: Duration) -> EngineCandidate {
+    let load = ServerUse {
+        jobs,
+        tightest_gap: gap,
+        ..ServerUse::default()
+    };
+    EngineCandidate {
+        load,
+        ..idle(order)
+    }
+}
+
+fn reading(order: u64, reading: Duration) -> EngineCandidate {
+    let load = ServerUse {
+        reading,
+        long_reads: 1,
+        ..ServerUse::default()
+    };
+    EngineCandidate {
+        load,
+        ..idle(order)
+    }
+}
+
+fn draft() -> EngineNeed {
+    EngineNeed {
+        prompt: 5_000,
+        answer: 1_600,
+        target: ms(300),
+        gap: ms(200),
+        waited: ms(0),
+    }
+}
+
+fn long(prompt: u64) -> EngineNeed {
+    EngineNeed {
+        prompt,
+        answer: 800,
+        target: ms(3_000),
+        gap: ms(800),
+        waited: ms(0),
+    }
+}
+
+fn engines(count: u64, engine: impl Fn(u64) -> EngineCandidate) -> Vec<EngineCandidate> {
+    (0..count).map(engine).collect()
+}
+
+/// Short prompts all day: they share few engines, so that the others stay free for long reads.
+#[test]
+fn short_prompts_are_packed_from_one_end() {
+    let mut engines = engines(14, idle);
+    for _ in 0..24 {
+        let placement = place(&model(), &draft(), &engines).unwrap();
+        let load = &mut engines[placement.first].load;
+        load.jobs += 1;
+        load.tightest_gap = draft().gap;
+        assert!(placement.helpers.is_empty());
+    }
+    let used: Vec<u32> = engines.iter().map(|engine| engine.load.jobs).collect();
+    assert_eq!(used[..2], [12, 12], "{used:?}");
+}
+
+/// A long prompt arrives while short ones write: no part makes them pause for too long.
+#[test]
+fn long_prompts_keep_off_engines_with_tight_writers() {
+    let mut engines = engines(6, |order| writing(order, 8, ms(200)));
+    engines.extend((6..14).map(idle));
+    let placement = place(&model(), &long(210_000), &engines).unwrap();
+    let used = placement
+        .helpers
+        .iter()
+        .map(|helper| helper.index)
+        .chain([placement.first]);
+    assert!(used.clone().all(|index| index >= 6), "{placement:?}");
+    assert!(placement.forecast <= ms(1_200), "{placement:?}");
+}
+
+/// Waiting long never entitles a prompt to make others pause.
+#[test]
+fn parts_do_not_grow_with_waiting() {
+    let engines = engines(4, |order| writing(order, 8, ms(200)));
+    let need = EngineNeed {
+        waited: ms(10_000),
+        ..long(210_000)
+    };
+    assert_eq!(place(&model(), &need, &engines), None);
+}
+
+/// A clump of long prompts: an engine puts a further part before the one that it reads, so
+/// engines that read get none.
+#[test]
+fn a_long_read_is_never_interrupted_by_a_further_part() {
+    let mut engines = engines(7, |order| reading(order, ms(400)));
+    assert_eq!(place(&model(), &long(210_000), &engines), None);
+    engines.extend((7..14).map(idle));
+    let placement = place(&model(), &long(210_000), &engines).unwrap();
+    let used = placement
+        .helpers
+        .iter()
+        .map(|helper| helper.index)
+        .chain([placement.first]);
+    assert!(used.clone().all(|index| index >= 7), "{placement:?}");
+}
+
+/// Few engines are free and more will be soon: a start that would be late waits for them, one
+/// that cannot be on time any more does not.
+#[test]
+fn a_late_start_waits_while_an_early_one_may_come() {
+    let mut engines = engines(13, |order| reading(order, ms(200)));
+    engines.push(idle(13));
+    assert_eq!(place(&model(), &long(300_000), &engines), None);
+    let need = EngineNeed {
+        waited: ms(2_900),
+        ..long(300_000)
+    };
+    assert!(place(&model(), &need, &engines).is_some());
+}
+
+/// A prompt larger than any engine's memory: what the first engine lacks is held by helpers.
+#[test]
+fn the_longest_prompts_are_held_by_several_engines() {
+    let engines = engines(14, idle);
+    let placement = place(&model(), &long(900_000), &engines).unwrap();
+    let held: u64 = placement.helpers.iter().map(|helper| helper.tokens).sum();
+    assert!(held + 450_000 >= 900_800, "{placement:?}");
+    assert!(
+        placement
+            .helpers
+            .iter()
+            .all(|helper| helper.tokens <= 450_000)
+    );
+    assert!(placement.helpers.len() <= policy::MOST_HELPERS);
+}
+
+/// A prompt that one engine could hold is not split over memory for want of room.
+#[test]
+fn a_prompt_that_fits_waits_for_an_engine_with_memory() {
+    let full = ServerUse {
+        tokens: 400_000,
+        ..ServerUse::default()
+    };
+    let engines = engines(5, |order| EngineCandidate {
+        load: full,
+        ..idle(order)
+    });
+    assert_eq!(place(&model(), &long(210_000), &engines), None);
+}
+
+/// An engine fails: others take its work while they have room, and it is the last resort.
+#[test]
+fn suspect_engines_come_last() {
+    let mut engines = vec![
+        EngineCandidate {
+            suspect: true,
+            ..idle(0)
+        },
+        idle(1),
+    ];
+    assert_eq!(place(&model(), &draft(), &engines).unwrap().first, 1);
+    engines[1].load.jobs = 16;
+    assert_eq!(place(&model(), &draft(), &engines).unwrap().first, 0);
+}
+
+/// All slots are taken, or the cap on arrivals is reached: the prompt waits.
+#[test]
+fn nothing_is_placed_without_room() {
+    let taken = engines(3, |order| writing(order, 16, ms(200)));
+    assert_eq!(place(&model(), &draft(), &taken), None);
+    let capped = engines(3, |order| EngineCandidate {
+        has_room: false,
+        ..idle(order)
+    });
+    assert_eq!(place(&model(), &draft(), &capped), None);
+    assert_eq!(place(&model(), &long(210_000), &capped), None);
+}
+
+/// Short and long follow from what a read does to a writer beside it, not from a number.
+#[test]
+fn length_is_judged_by_the_pause_that_it_causes() {
+    assert!(is_short(&model(), &draft()));
+    let dossier = EngineNeed {
+        prompt: 45_000,
+        target: ms(1_500),
+        gap: ms(500),
+        ..draft()
+    };
+    assert!(!is_short(&model(), &dossier));
+    assert!(is_short(
+        &model(),
+        &EngineNeed {
+            prompt: 20_000,
+            ..dossier
+        }
+    ));
+}
--- /dev/null
+++ b/crates/policy/tests/server_set.rs
@@ -0,0 +1,81 @@
+//! Which backend servers get new work, through changes and store troubles.
+
+use policy::{LAPSE_GRACE, ServerSet};
+use proto::{BackendEntry, BackendRow};
+use std::time::Duration;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(id: &str, draining: bool) -> BackendRow {
+    BackendRow::Present(BackendEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        domain: "a".into(),
+        slots: 4,
+        draining,
+    })
+}
+
+fn set() -> ServerSet {
+    let mut set = ServerSet::default();
+    assert!(set.on_row("x", entry("x", false), 5, at(0)));
+    assert!(set.is_usable("x", at(0)));
+    set
+}
+
+#[test]
+fn leaving_and_gone_servers_get_nothing() {
+    let mut set = set();
+    set.on_row("x", entry("x", true), 6, at(10));
+    assert!(!set.is_usable("x", at(10)));
+    set.on_row("x", BackendRow::Absent, 7, at(20));
+    assert!(!set.is_usable("x", at(20)));
+}
+
+#[test]
+fn late_news_changes_nothing() {
+    let mut set = set();
+    set.on_row("x", BackendRow::Absent, 9, at(10));
+    assert!(!set.on_row("x", entry("x", false), 8, at(20)));
+    assert!(!set.is_usable("x", at(20)));
+}
+
+#[test]
+fn entries_that_lapsed_with_the_store_are_waited_for() {
+    let mut set = set();
+    set.on_store_returned(at(1_000));
+    set.on_listing(Vec::new(), 9, at(1_000));
+    assert!(set.is_usable("x", at(1_000)));
+    assert!(!set.is_usable("x", at(1_000) + LAPSE_GRACE));
+    set.on_row("x", entry("x", false), 10, at(2_000));
+    assert!(set.is_usable("x", at(9_000)));
+}
+
+#[test]
+fn a_draining_server_is_not_waited_for() {
+    let mut set = set();
+    set.on_row("x", entry("x", true), 6, at(10));
+    set.on_store_returned(at(1_000));
+    set.on_listing(Vec::new(), 9, at(1_000));
+    assert!(!set.is_usable("x", at(1_000)));
+}
+
+#[test]
+fn rows_that_cannot_be_read_name_no_server() {
+    let mut set = set();
+    set.on_row("x", BackendRow::Unreadable, 6, at(10));
+    set.on_row("y", BackendRow::Unreadable, 7, at(10));
+    assert_eq!(set.usable("s", at(10)).count(), 0);
+}
+
+#[test]
+fn a_domain_that_is_out_gets_nothing() {
+    let mut set = set();
+    set.set_evacuated(["a".into()].into());
+    assert!(!set.is_usable("x", at(0)));
+    set.set_evacuated([].into());
+    assert!(set.is_usable("x", at(0)));
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -30,6 +30,8 @@
 mod host_standin;
 mod load_report;
 mod object_standin;
+mod platform_server;
+mod platform_store;
 mod prefix_cache;
 mod service_standin;
 mod table_model;
@@ -48,6 +50,8 @@
 pub use host::{Call, CallError, Hosted, Stand};
 pub use host_standin::{HostStandin, ListedHost, ListedHosts};
 pub use object_standin::ObjectStandin;
+pub use platform_server::{PlatformServer, ServerConduct, ServerKind, ServerRun};
+pub use platform_store::PlatformStore;
 pub use prefix_cache::{CacheEvent, CacheEvents};
 pub use service_standin::{ServiceAnswer, ServiceCounts, ServiceSpec, ServiceStandin};
 pub use table_model::{
--- /dev/null
+++ b/crates/standins/src/platform_store.rs
@@ -0,0 +1,230 @@
+//! The store of the users' platform, by its published calls.
+
+use crate::faults::FaultSwitch;
+use crate::host::{Call, Hosted, Stand, text_answer, typed_answer};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use hyper::{Response, StatusCode};
+use runtime::{Body, Executor};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+type RowKey = (Box<str>, Box<str>);
+
+/// The platform's store.
+#[derive(Debug, Default)]
+pub struct PlatformStore {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<RowKey, Row>,
+    version: u64,
+    /// Polls that ask behind a version below this one are told that the history is gone.
+    history_from: u64,
+    calls: u64,
+    waiting: Vec<Sender<()>>,
+}
+
+#[derive(Debug)]
+struct Row {
+    value: Option<Vec<u8>>,
+    version: u64,
+}
+
+impl PlatformStore {
+    /// Listens on `address`.
+    pub fn bind(executor: &Executor, address: SocketAddr) -> io::Result<Hosted<Self>> {
+        let stand = Arc::new(Self::default());
+        Hosted::start(executor, address, stand, FaultSwitch::default())
+    }
+
+    /// Writes a row as operators and servers do.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.put_bytes(table, key, value.to_string().into_bytes());
+    }
+
+    /// Writes a row of any content.
+    pub fn put_bytes(&self, table: &str, key: &str, value: Vec<u8>) {
+        self.lock().write(table, key, Some(value));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.lock().write(table, key, None);
+    }
+
+    /// Forgets what has changed so far.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.history_from = state.version;
+        state.waiting.clear();
+    }
+
+    /// Keys of a table that have content.
+    pub fn keys(&self, table: &str) -> Vec<Box<str>> {
+        let state = self.lock();
+        let rows = state.rows.iter();
+        let rows = rows.filter(|((found, _), row)| **found == *table && row.value.is_some());
+        rows.map(|((_, key), _)| key.clone()).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn transact(&self, call: &Call) -> Response<Body> {
+        let Ok(body) = call.json::<Value>() else {
+            return text_answer(StatusCode::BAD_REQUEST, "malformed body");
+        };
+        let mut state = self.lock();
+        let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let as_expected = entries("ExpectedRevision").iter().all(|row| {
+            let version = state.rows.get(&row_key(row)).map_or(0, Row::shown_version);
+            row["Ver"].as_u64() == Some(version)
+        });
+        if !as_expected {
+            return answer(StatusCode::PRECONDITION_FAILED, &json!({ "Rows": [] }));
+        }
+        for row in entries("Puts") {
+            let (table, key) = row_key(&row);
+            let value = STANDARD.decode(row["Value"].as_str().unwrap_or_default());
+            state.write(&table, &key, value.ok());
+        }
+        for row in entries("Remove") {
+            let (table, key) = row_key(&row);
+            state.write(&table, &key, None);
+        }
+        answer(StatusCode::OK, &json!({ "Ver": state.version, "NowMs": 0 }))
+    }
+
+    fn list(&self, call: &Call) -> Response<Body> {
+        let query = query(call);
+        let table = query.get("Table").cloned().unwrap_or_default();
+        let state = self.lock();
+        let rows = state.rows.iter();
+        let rows = rows.filter(|((found, _), row)| **found == *table && row.value.is_some());
+        let rows: Vec<_> = rows.map(|(key, row)| row.shown(key)).collect();
+        let body = json!({ "Rows": rows, "Truncated": false, "Ver": state.version, "NowMs": 0 });
+        answer(StatusCode::OK, &body)
+    }
+
+    async fn changes(&self, call: &Call) -> Response<Body> {
+        let query = query(call);
+        let table = query.get("Table").cloned().unwrap_or_default();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
+        let since: u64 = number("AfterRevision").unwrap_or_default();
+        let wait = Duration::from_millis(number("WaitMs").unwrap_or_default());
+        if let Some(rx) = self.waiter(&table, since) {
+            let change = async {
+                let _ = rx.recv().await;
+            };
+            let timer = async {
+                Timer::after(wait).await;
+            };
+            futures_lite::future::or(change, timer).await;
+        }
+        let state = self.lock();
+        if since < state.history_from {
+            return text_answer(StatusCode::GONE, "history gone");
+        }
+        let mut rows: Vec<_> = state.changed(&table, since).collect();
+        rows.sort_by_key(|(_, row)| row.version);
+        let rows: Vec<_> = rows.into_iter().map(|(key, row)| row.shown(key)).collect();
+        answer(
+            StatusCode::OK,
+            &json!({ "Rows": rows, "Ver": state.version, "NowMs": 0 }),
+        )
+    }
+
+    /// What wakes a poll; none where there is something to tell already.
+    fn waiter(&self, table: &str, since: u64) -> Option<Receiver<()>> {
+        let mut state = self.lock();
+        if since < state.history_from || state.changed(table, since).next().is_some() {
+            return None;
+        }
+        let (tx, rx) = async_channel::bounded(1);
+        state.waiting.push(tx);
+        Some(rx)
+    }
+}
+
+impl State {
+    fn write(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+        self.version += 1;
+        let version = self.version;
+        self.rows
+            .insert((table.into(), key.into()), Row { value, version });
+        // The dropped senders wake all polls.
+        self.waiting.clear();
+    }
+
+    fn changed<'a>(
+        &'a self,
+        table: &'a str,
+        since: u64,
+    ) -> impl Iterator<Item = (&'a RowKey, &'a Row)> {
+        let rows = self.rows.iter();
+        rows.filter(move |((found, _), row)| **found == *table && row.version > since)
+    }
+}
+
+impl Row {
+    fn shown(&self, (table, key): &RowKey) -> Value {
+        let row = json!({ "Table": table, "part": "", "Key": key, "Ver": self.version });
+        let mut row = row;
+        match &self.value {
+            Some(value) => row["Value"] = STANDARD.encode(value).into(),
+            None => row["Removed"] = true.into(),
+        }
+        row
+    }
+
+    fn shown_version(&self) -> u64 {
+        if self.value.is_some() {
+            self.version
+        } else {
+            0
+        }
+    }
+}
+
+impl Stand for PlatformStore {
+    async fn call(&self, call: Call) -> Response<Body> {
+        self.lock().calls += 1;
+        match call.uri.path() {
+            "/v1/rows-tx" => self.transact(&call),
+            "/v1/rows-get" => self.list(&call),
+            "/v1/rows-feed" => self.changes(&call).await,
+            _ => text_answer(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn counts(&self) -> Value {
+        json!({ "calls": self.lock().calls })
+    }
+}
+
+fn row_key(row: &Value) -> RowKey {
+    let text = |name: &str| Box::from(row[name].as_str().unwrap_or_default());
+    (text("Table"), text("Key"))
+}
+
+fn query(call: &Call) -> HashMap<String, String> {
+    let pairs = call.uri.query().unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+fn answer(status: StatusCode, body: &Value) -> Response<Body> {
+    typed_answer(status, "application/json", Body::whole(body.to_string()))
+}
--- a/crates/trials/src/binaries.rs
+++ b/crates/trials/src/binaries.rs
@@ -35,7 +35,8 @@
     }
 
     fn are_fresh(&self) -> bool {
-        let newest = newest_source(&workspace().join("crates"));
+        let sources = ["crates", "platform"].map(|part| newest_source(&workspace().join(part)));
+        let newest = sources.into_iter().max().unwrap_or(SystemTime::UNIX_EPOCH);
         [&self.gateway, &self.agent]
             .into_iter()
             .all(|path| modified(path) > newest)
--- /dev/null
+++ b/crates/trials/tests/direct.rs
@@ -0,0 +1,194 @@
+//! A direct gateway as a process, between stand-ins that speak the platform's published calls.
+
+use hyper::StatusCode;
+use runtime::Executor;
+use serde_json::json;
+use standins::{ServerConduct, ServerKind};
+use std::time::Duration;
+use trials::DirectRig;
+
+const KEY: Option<&str> = Some("key-1");
+
+/// Runs a test against a rig that has declarations and is ready.
+fn with_rig(test: impl AsyncFnOnce(&mut DirectRig)) {
+    Executor::run(2, |executor| async move {
+        let mut rig = DirectRig::start(&executor).unwrap();
+        rig.declare(3, &["key-1"]);
+        assert!(rig.until_ready().await, "{}", rig.gateway.log_end());
+        test(&mut rig).await;
+    });
+}
+
+macro_rules! cases {
+    ($($name:ident => $test:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                with_rig($test);
+            }
+        )*
+    };
+}
+
+/// Waits until requests reach a server that was just registered.
+async fn until_served(rig: &DirectRig, path: &str) {
+    let mut asked = 0;
+    let served = rig.until(async || {
+        asked += 1;
+        let answer = rig.call(&format!("probe{path}{asked}"), path, KEY).await;
+        answer.status != StatusCode::SERVICE_UNAVAILABLE
+    });
+    assert!(served.await, "{}", rig.gateway.log_end());
+}
+
+fn events(ids: std::ops::RangeInclusive<u64>) -> String {
+    ids.map(|id| format!("id: {id}\ndata: text {id}\n\n"))
+        .collect()
+}
+
+cases! {
+    each_kind_is_served_whole => async |rig: &mut DirectRig| {
+        let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
+        let registry = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/stream/x").await;
+        until_served(rig, "/lookup/x").await;
+        let stream = rig.call("s1", "/stream/x", KEY).await;
+        assert_eq!(stream.body.unwrap(), events(0..=12));
+        assert_eq!(stream.seal.as_deref(), Some("seal of engine-1"));
+        let once = rig.call("o1", "/once/x", KEY).await;
+        assert_eq!(once.body.unwrap(), "answer of registry-1 to o1");
+        let lookup = rig.call("l1", "/lookup/x", KEY).await;
+        assert_eq!(lookup.body.unwrap(), "answer of registry-1 to l1");
+        let runs = [engine.stand().runs(), registry.stand().runs()].concat();
+        for run in runs {
+            assert_eq!(run.team.as_deref(), Some("team-1"), "a forged team is replaced");
+            assert_eq!(run.key, None, "servers never see a key");
+            assert_eq!(run.body, format!("body of {}", run.id));
+        }
+    };
+    a_broken_stream_goes_on_in_the_same_answer => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2"].map(|name| {
+            rig.server(name, "engines", ServerKind::Engine).unwrap()
+        });
+        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        rig.call("p1", "/stream/x", KEY).await;
+        let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
+        engines[first].stand().conduct(ServerConduct::BreakBehind(4));
+        let resumed = rig.call("s1", "/stream/x", KEY).await;
+        assert_eq!(resumed.body.unwrap(), events(0..=12));
+        assert_eq!(resumed.seal, Some(format!("seal of engine-{}", first + 1).into()));
+        let behind = engines[1 - first].stand().runs().last().and_then(|run| run.behind);
+        assert_eq!(behind, Some(4));
+        engines[1 - first].stand().conduct(ServerConduct::BreakBehind(4));
+        let broken = rig.call("s2", "/stream/x", KEY).await;
+        assert_eq!(broken.body, None, "both engines break off: it must not look whole");
+    };
+    an_unsafe_call_runs_once_and_is_never_called_not_run => async |rig: &mut DirectRig| {
+        let servers = ["registry-1", "registry-2"].map(|name| {
+            rig.server(name, "registry", ServerKind::Plain).unwrap()
+        });
+        until_served(rig, "/lookup/x").await;
+        for server in &servers {
+            server.stand().conduct(ServerConduct::Cut);
+        }
+        let answer = rig.call("once-1", "/once/x", KEY).await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        let runs = servers.iter().flat_map(|server| server.stand().runs());
+        assert_eq!(runs.filter(|run| &*run.id == "once-1").count(), 1);
+    };
+    an_answer_of_another_request_is_not_passed_on => async |rig: &mut DirectRig| {
+        let server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/lookup/x").await;
+        server.stand().conduct(ServerConduct::WrongId);
+        let answer = rig.call("w1", "/once/x", KEY).await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        assert_eq!(answer.seal, None);
+    };
+    a_refusal_is_true_and_says_when_to_come_back => async |rig: &mut DirectRig| {
+        let server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/lookup/x").await;
+        server.stand().conduct(ServerConduct::Full);
+        let answer = rig.call("r1", "/once/x", KEY).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.retry_after.unwrap().parse::<f64>().unwrap() > 0.0);
+        assert!(server.stand().runs().iter().all(|run| &*run.id != "r1"));
+    };
+    a_server_at_a_reused_address_runs_nothing => async |rig: &mut DirectRig| {
+        let other = rig.server("registry-new", "other", ServerKind::Plain).unwrap();
+        rig.register("registry-old", "registry", other.local_addr(), "ready");
+        let answer = rig.call("a1", "/once/x", KEY).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(other.stand().runs(), []);
+    };
+    a_caller_that_leaves_is_cancelled_at_the_engine => async |rig: &mut DirectRig| {
+        let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
+        until_served(rig, "/stream/x").await;
+        engine.stand().conduct(ServerConduct::StallBehind(3));
+        drop(rig.open("g1", "/stream/x", KEY).await.unwrap());
+        assert!(rig.until(async || engine.stand().left() == 1).await);
+    };
+    a_key_that_was_taken_away_is_refused => async |rig: &mut DirectRig| {
+        let _server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/lookup/x").await;
+        rig.declare(5, &["key-2"]);
+        let refused = rig.until(async || {
+            rig.call("k1", "/lookup/x", KEY).await.status == StatusCode::UNAUTHORIZED
+        });
+        assert!(refused.await);
+        rig.declare(4, &["key-1"]);
+        let served = rig.call("k2", "/lookup/x", Some("key-2")).await;
+        assert_eq!(served.status, StatusCode::OK, "an older version changes nothing");
+    };
+    a_draining_server_and_a_domain_out_get_nothing_new => async |rig: &mut DirectRig| {
+        let server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/lookup/x").await;
+        rig.register("registry-1", "registry", server.local_addr(), "draining");
+        let refused = async || {
+            rig.call("d", "/lookup/x", KEY).await.status == StatusCode::SERVICE_UNAVAILABLE
+        };
+        assert!(rig.until(refused).await);
+        rig.register("registry-1", "registry", server.local_addr(), "ready");
+        until_served(rig, "/lookup/x").await;
+        rig.store.stand().put("op", "evacuate/a", &json!({}));
+        assert!(rig.until(refused).await);
+        rig.store.stand().remove("op", "evacuate/a");
+        until_served(rig, "/lookup/x").await;
+    };
+    rows_that_cannot_be_read_harm_no_other => async |rig: &mut DirectRig| {
+        let _server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        rig.store.stand().put_bytes("servers", "junk", b"\xff not json".to_vec());
+        rig.store.stand().put("servers", "half", &json!({ "Service": "registry", "Slots": "x" }));
+        rig.store.stand().put_bytes("op", "config", b"{".to_vec());
+        until_served(rig, "/lookup/x").await;
+        rig.store.stand().forget_history();
+        let answer = rig.call("j1", "/lookup/x", KEY).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(rig.until(async || rig.gateway.log().contains("the last ones stay")).await);
+    };
+    a_drain_cuts_no_answer => async |rig: &mut DirectRig| {
+        let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
+        until_served(rig, "/stream/x").await;
+        let open = rig.open("t1", "/stream/x", KEY).await.unwrap();
+        rig.gateway.terminate().unwrap();
+        assert!(rig.until(async || !rig.is_ready().await).await);
+        let late = rig.call("t2", "/stream/x", KEY).await;
+        assert_eq!(late.body.unwrap(), events(0..=12), "callers still come for a while");
+        let body = http_body_util::BodyExt::collect(open.body).await.unwrap().to_bytes();
+        assert_eq!(body, events(0..=12));
+        assert!(rig.gateway.ended(Duration::from_secs(10)).await);
+        assert_eq!(rig.store.stand().keys("bergamothold"), ["authority".into()]);
+        drop(engine);
+    };
+}
+
+#[test]
+fn a_gateway_without_declarations_refuses_and_is_not_ready() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        let refused = rig.until(async || {
+            rig.call("n1", "/lookup/x", KEY).await.status == StatusCode::SERVICE_UNAVAILABLE
+        });
+        assert!(refused.await);
+        assert!(!rig.is_ready().await);
+    });
+}
