Spend repeats on requests that went out only, give silent engines up sooner, explain failures by id

Ruled out: the bound itself (20 in 100 and 100 were never reached by arrivals). Change: a repeat is taken right before a request goes out to a server that was reached; half of callers' patience is left for another engine; only engines that can read for a prompt are reckoned with when it is told that it is too late.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -21,6 +21,10 @@
         NotRun(server: Box<str>, reason: Box<str>) {
             display("{server} has not run it: {reason}")
         }
+        /// The server was reached, but the budget of repeats is spent.
+        RepeatsSpent {
+            display("the budget of repeats is spent")
+        }
         /// The server may have run it.
         MayHaveRun(server: Box<str>, reason: Box<str>) {
             display("{server} may have run it: {reason}")
@@ -46,6 +50,7 @@
         Ok(_) => (AttemptResult::Answered, "answer"),
         Err(AttemptError::NotRun(_, reason)) if &**reason == FULL => (AttemptResult::Full, "full"),
         Err(AttemptError::NotRun(..)) => (AttemptResult::Silent, "not run"),
+        Err(AttemptError::RepeatsSpent) => return result,
         Err(AttemptError::MayHaveRun(..)) => (AttemptResult::Failed, "failed"),
         Err(AttemptError::Silent(_)) => (AttemptResult::Silent, "silent"),
     };
@@ -102,6 +107,9 @@
     if !shared.knowledge.is_usable(&server.id, shared.clock.now()) {
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
     }
+    if !call.try_send() {
+        return Err(AttemptError::RepeatsSpent);
+    }
     let with = Forward {
         server: &server.id,
         deadline: call.remaining(),
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -13,8 +13,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
-/// Sends for one call at most, with those that servers refused.
-pub const MOST_SENDS: u32 = 4;
+/// Servers at which one call is tried at most, with those that cannot be reached or refuse.
+const MOST_TRIES: u32 = 5;
 
 /// A caller's request, read whole.
 #[derive(Debug)]
@@ -47,6 +47,7 @@
 /// What happened to a call so far, for its last log line.
 #[derive(Debug, Default)]
 struct Progress {
+    tries: AtomicU32,
     sends: AtomicU32,
     runs: AtomicU32,
     lost_runs: AtomicU32,
@@ -105,13 +106,17 @@
         self.ends.saturating_sub(self.shared.clock.now())
     }
 
-    /// Notes a send; the first of a call is free, the others draw on the shared budget. Says
-    /// whether it may go out.
+    /// Whether the call may be tried at one more server.
+    pub fn may_try(&self) -> bool {
+        self.progress.tries.fetch_add(1, Ordering::Relaxed) < MOST_TRIES
+    }
+
+    /// Notes that the request goes out to a server that was reached. The first send of a call is
+    /// free, the others draw on the shared budget. Says whether it may go out.
     pub fn try_send(&self) -> bool {
         let now = self.shared.clock.now();
         let sends = self.sends();
-        let allowed = sends == 0
-            || sends < MOST_SENDS && self.shared.fleet.try_repeat(&self.service.name, now);
+        let allowed = sends == 0 || self.shared.fleet.try_repeat(&self.service.name, now);
         if allowed {
             self.progress.sends.fetch_add(1, Ordering::Relaxed);
         } else {
--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -5,8 +5,8 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use policy::{
-    BackendId, EngineModel, EngineNeed, EnginePlacement, EngineWaiter, ServiceName, ServiceSpec,
-    come_back_after, is_short, place, sort_waiters,
+    BackendId, EngineCandidate, EngineModel, EngineNeed, EnginePlacement, EngineWaiter,
+    ServiceName, ServiceSpec, come_back_after, is_short, place, sort_waiters,
 };
 use proto::BackendEntry;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -201,6 +201,12 @@
     names
 }
 
+/// Whether an engine could read for a prompt without making the writers there pause too long for
+/// the prompt's own kind; others are not to be reckoned with while it waits.
+fn can_read_beside(engine: &EngineCandidate, need: &EngineNeed) -> bool {
+    !engine.suspect && engine.load.tightest_gap >= need.gap
+}
+
 /// One look at the prompts of a service.
 struct Queue<'a> {
     shared: &'a Arc<Shared>,
@@ -226,7 +232,10 @@
             return Some(Err(self.refuse("no server", &[])));
         }
         let engines = self.shared.fleet.engines(self.spec, &servers, self.now);
-        if waiter.is_hopeless(self.model, servers.len(), self.now) {
+        let readers = engines
+            .iter()
+            .filter(|engine| can_read_beside(engine, &waiter.need));
+        if waiter.is_hopeless(self.model, readers.count(), self.now) {
             let loads: Vec<_> = engines.iter().map(|engine| engine.load.reading).collect();
             return Some(Err(self.refuse("too late to be read", &loads)));
         }
--- /dev/null
+++ b/crates/direct/src/explain_command.rs
@@ -0,0 +1,99 @@
+//! `bergamothold explain`: one request's story from the logs of many processes.
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde_json::{Map, Value};
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Name of the subcommand.
+pub const NAME: &str = "explain";
+/// Fields that every line has, shown before the others.
+const COMMON: [&str; 5] = ["ts", "node", "level", "msg", "req"];
+
+/// The subcommand's flags.
+pub fn command() -> Command {
+    Command::new(NAME)
+        .about("Shows what the logs of any number of processes say of one request")
+        .after_help("Exit codes: 0 where a line has the id, 1 where none has, 2 for a wrong call.")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("The request's id"),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs as JSON lines"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints the lines as they are"),
+        )
+}
+
+/// Prints the story.
+pub fn run(matches: &ArgMatches) -> ExitCode {
+    let id = matches.get_one::<String>("id").map_or("", String::as_str);
+    let mut lines = Vec::new();
+    for file in matches.get_many::<PathBuf>("files").into_iter().flatten() {
+        match fs::read(file) {
+            Ok(text) => lines.extend(story(&String::from_utf8_lossy(&text), id)),
+            Err(err) => {
+                eprintln!("bergamothold explain: {}: {err}", file.display());
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    lines.sort_by(|a, b| time(a).cmp(time(b)));
+    for line in &lines {
+        if matches.get_flag("json") {
+            println!("{}", Value::Object(line.clone()));
+        } else {
+            println!("{}", shown(line));
+        }
+    }
+    if lines.is_empty() {
+        eprintln!("bergamothold explain: no line has the id {id}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
+/// Lines of a log that carry a request's id.
+fn story(text: &str, id: &str) -> Vec<Map<String, Value>> {
+    let lines = text
+        .lines()
+        .filter_map(|line| line.find('{').map(|start| &line[start..]));
+    let lines = lines.filter_map(|line| serde_json::from_str::<Map<String, Value>>(line).ok());
+    lines
+        .filter(|line| line.get("req").and_then(Value::as_str) == Some(id))
+        .collect()
+}
+
+fn time(line: &Map<String, Value>) -> &str {
+    line.get("ts").and_then(Value::as_str).unwrap_or_default()
+}
+
+fn shown(line: &Map<String, Value>) -> String {
+    let text = |name: &str| line.get(name).and_then(Value::as_str).unwrap_or_default();
+    let mut shown = format!("{} {} {}", text("ts"), text("node"), text("msg"));
+    for (name, value) in line
+        .iter()
+        .filter(|(name, _)| !COMMON.contains(&name.as_str()))
+    {
+        match value {
+            Value::String(text) if text.is_empty() => {}
+            Value::String(text) => shown.push_str(&format!("  {name}={text}")),
+            Value::Null => {}
+            value => shown.push_str(&format!("  {name}={value}")),
+        }
+    }
+    shown
+}
--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -17,6 +17,9 @@
 /// covers the pass that runs and an engine's stall on a lost helper.
 const FORECASTS: f64 = 2.5;
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700);
+/// Part of callers' patience after which a silent engine is given up, so that another one can
+/// still answer.
+const PATIENCE_PART: f64 = 0.5;
 /// Silence between events: this many times the pause that is on time, and no less than a pass
 /// with a long read.
 const GAPS: u32 = 3;
@@ -37,9 +40,9 @@
             display("{err}")
             from()
         }
-        /// It was not sent once more, since the budget of repeats is spent.
-        RepeatsSpent {
-            display("the budget of repeats is spent")
+        /// It was tried at as many engines as a call may be.
+        TriedEnough {
+            display("it was tried often enough")
         }
         /// The engine gave no answer.
         Attempt(err: AttemptError) {
@@ -114,6 +117,9 @@
         last_event: Option<u64>,
     ) -> Result<Self, LegError> {
         let shared = &call.shared;
+        if !call.may_try() {
+            return Err(LegError::TriedEnough);
+        }
         let assignment = shared.desk.assign(shared, ask(call, tried)).await;
         let assignment = assignment.map_err(LegError::NoEngines)?;
         note_assignment(call, &assignment);
@@ -121,9 +127,6 @@
         let name = format!("{}-{}", call.head.id, call.sends());
         let reserved = Reservations::take(shared, &name, &assignment.helpers).await;
         let (memory, helpers) = reserved?;
-        if !call.try_send() {
-            return Err(LegError::RepeatsSpent);
-        }
         let sent = shared.clock.now();
         let wait = first_event_wait(call, &assignment);
         let answer = send(call, &assignment.server, &helpers, last_event, wait).await?;
@@ -243,5 +246,6 @@
         .forecast
         .mul_f64(FORECASTS)
         .max(call.route.target);
-    forecast + FIRST_EVENT_SLACK
+    let wait = forecast + FIRST_EVENT_SLACK;
+    wait.min(call.route.patience().mul_f64(PATIENCE_PART))
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 mod command;
 mod desk;
 mod event_splitter;
+pub mod explain_command;
 mod fleet;
 mod front;
 mod job;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -38,8 +38,8 @@
         let Some(server) = choose(call, &tried) else {
             break "no server";
         };
-        if !call.try_send() {
-            break "repeats spent";
+        if !call.may_try() {
+            break "tried enough";
         }
         let _job = Job::start_plain(&call.shared, &server);
         tried.push(server.id.clone());
@@ -48,6 +48,7 @@
                 failed = Some(FailedAnswer { server, head, body });
             }
             Ok((head, body)) => return answer(call, &server, &head, body),
+            Err(AttemptError::RepeatsSpent) => break "repeats spent",
             Err(_) if call.remaining().is_zero() || !call.may_run_again() => break "no answer",
             Err(_) => {}
         }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -50,7 +50,10 @@
                 Begun::Failed => None,
             },
             Err(LegError::NoEngines(why)) => Some((why.come_back, why.reason)),
-            Err(LegError::RepeatsSpent) => Some((COME_BACK, "repeats spent")),
+            Err(LegError::TriedEnough) => Some((COME_BACK, "tried enough")),
+            Err(LegError::Attempt(AttemptError::RepeatsSpent)) => {
+                Some((COME_BACK, "repeats spent"))
+            }
             Err(LegError::Memory(_)) if call.remaining() > COME_BACK => None,
             Err(LegError::Memory(_)) => Some((COME_BACK, "no memory")),
             Err(LegError::Attempt(_)) => None,
@@ -183,11 +186,11 @@
                 Some(Err(LegError::NoEngines(_))) => {
                     return Err(RelayEnd::Broken("no engine to go on"));
                 }
-                Some(Err(LegError::RepeatsSpent)) => {
+                Some(Err(LegError::TriedEnough)) => return Err(RelayEnd::Broken("tried enough")),
+                Some(Err(LegError::Attempt(AttemptError::RepeatsSpent))) => {
                     return Err(RelayEnd::Broken("repeats spent"));
                 }
-                Some(Err(LegError::Memory(_) | LegError::Attempt(AttemptError::NotRun(..)))) => {}
-                Some(Err(LegError::Attempt(_))) => {}
+                Some(Err(LegError::Memory(_) | LegError::Attempt(_))) => {}
             }
         }
         Err(RelayEnd::Broken("no server to go on"))
--- /dev/null
+++ b/crates/direct/tests/event_splitter.rs
@@ -0,0 +1,54 @@
+//! Streams of events cut into whole events.
+
+use direct::{EventError, EventSplitter};
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: a\n\n")
+}
+
+/// Whatever pieces a stream arrives in, callers get the same whole events.
+#[test]
+fn events_are_whole_however_they_arrive() {
+    let stream: String = (1..6).map(event).collect();
+    for size in 1..stream.len() {
+        let mut splitter = EventSplitter::behind(None);
+        let mut passed = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            if let Some(events) = splitter.push(piece).unwrap() {
+                assert!(events.ends_with(b"\n\n"));
+                passed.extend_from_slice(&events);
+            }
+        }
+        assert_eq!(passed, stream.as_bytes(), "pieces of {size} bytes");
+        assert_eq!(
+            (splitter.last_event(), splitter.has_partial()),
+            (Some(5), false)
+        );
+    }
+}
+
+#[test]
+fn part_of_an_event_is_held_back() {
+    let mut splitter = EventSplitter::behind(None);
+    let text = format!("{}id: 2\nda", event(1));
+    assert_eq!(splitter.push(text.as_bytes()).unwrap().unwrap(), event(1));
+    assert_eq!(
+        (splitter.last_event(), splitter.has_partial()),
+        (Some(1), true)
+    );
+}
+
+#[test]
+fn events_that_were_passed_on_already_are_refused() {
+    let mut splitter = EventSplitter::behind(Some(4));
+    let result = splitter.push(event(4).as_bytes());
+    assert_eq!(result, Err(EventError::OutOfOrder(4, 4)));
+}
+
+#[test]
+fn lines_may_end_with_carriage_returns() {
+    let mut splitter = EventSplitter::behind(None);
+    let text = "id: 7\r\ndata: a\r\n\r\n";
+    assert_eq!(splitter.push(text.as_bytes()).unwrap().unwrap(), text);
+    assert_eq!(splitter.last_event(), Some(7));
+}
--- a/crates/gateway/src/cli.rs
+++ b/crates/gateway/src/cli.rs
@@ -14,6 +14,7 @@
         .arg_required_else_help(true)
         .subcommand(serve_command::command())
         .subcommand(direct::command())
+        .subcommand(direct::explain_command::command())
         .subcommand(keys_command::command())
         .subcommand(check_command::command())
         .subcommand(apply_command::command())
@@ -25,6 +26,7 @@
     match command().get_matches().subcommand() {
         Some((serve_command::NAME, matches)) => serve_command::run(matches),
         Some((direct::NAME, matches)) => direct::run(matches),
+        Some((direct::explain_command::NAME, matches)) => direct::explain_command::run(matches),
         Some((keys_command::NAME, matches)) => keys_command::run(matches),
         Some((check_command::NAME, matches)) => check_command::run(matches),
         Some((apply_command::NAME, matches)) => apply_command::run(matches),
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -28,6 +28,7 @@
     pub gateway: Process,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
     http: HttpClient,
     directory: TempDir,
 }
@@ -48,16 +49,31 @@
 impl DirectRig {
     /// Starts the gateway before declarations are there.
     pub fn start(executor: &Executor) -> Result<Self, TrialError> {
+        Self::start_bounded(executor, &[])
+    }
+
+    /// Starts the gateway with bounds of its own, by the names of the settings file.
+    pub fn start_bounded(executor: &Executor, bounds: &[(&str, f64)]) -> Result<Self, TrialError> {
         let binaries = Binaries::find()?;
         let directory = TempDir::create()?;
         let store = PlatformStore::bind(executor, loopback(0));
         let store = store.map_err(|err| TrialError::File("platform store".into(), err))?;
         let (callers, ready) = (loopback(free_port()), loopback(free_port()));
-        let settings = settings(callers, ready, store.local_addr());
+        let mut settings = settings(callers, ready, store.local_addr());
+        for (name, value) in bounds {
+            settings.push_str(&format!("  {name}: {value}\n"));
+        }
         let settings = directory.write("settings.yaml", &settings)?;
         let log = directory.path().join("gateway.log");
         let settings: Box<str> = settings.display().to_string().into();
-        let args = ["direct".into(), "--settings".into(), settings];
+        let metrics = loopback(free_port());
+        let args = [
+            "direct".into(),
+            "--settings".into(),
+            settings,
+            "--metrics-port".into(),
+            metrics.port().to_string().into(),
+        ];
         let gateway = Process::start("gateway", &binaries.gateway, &args, log)?;
         Ok(Self {
             executor: executor.clone(),
@@ -66,6 +82,7 @@
             gateway,
             callers,
             ready,
+            metrics,
             directory,
         })
     }
@@ -159,6 +176,18 @@
         exchange.send(request(id, path, key)).await
     }
 
+    /// The metrics as text.
+    pub async fn metrics(&self) -> String {
+        let req = Request::new(Body::empty());
+        let answer = self
+            .http
+            .fetch(self.metrics, req, ANSWER_BYTES, CONNECT_TIME)
+            .await;
+        answer.map_or(String::new(), |(_, body)| {
+            String::from_utf8_lossy(&body).into_owned()
+        })
+    }
+
     /// The settings file's directory, which goes with the rig.
     pub fn directory(&self) -> &TempDir {
         &self.directory
@@ -202,8 +231,8 @@
     let peer_port = peer_port.map_or(0, |address| address.port());
     format!(
         "NodeName: gateway-1\nIp: 127.0.0.1\nZone: a\nBind:\n  Frontend: \"{callers}\"\n  \
-         Ready: \"{ready}\"\nInternalPortRange:\n  - {peer_port}\n  - {peer_port}\nBounds:\n  \
-         GraceS: 6\nPlatform:\n  Address: \"{store}\"\n"
+         Ready: \"{ready}\"\nInternalPortRange:\n  - {peer_port}\n  - {peer_port}\nPlatform:\n  \
+         Address: \"{store}\"\nBounds:\n  GraceS: 6\n"
     )
 }
 
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -4,8 +4,10 @@
 use runtime::Executor;
 use serde_json::json;
 use standins::{ServerConduct, ServerKind};
+use std::collections::BTreeSet;
+use std::process::Command;
 use std::time::Duration;
-use trials::DirectRig;
+use trials::{Binaries, DirectRig, workspace};
 
 const KEY: Option<&str> = Some("key-1");
 
@@ -41,6 +43,31 @@
     assert!(served.await, "{}", rig.gateway.log_end());
 }
 
+/// What `explain` prints of a request, by the gateway's log.
+fn explain(rig: &DirectRig, id: &str) -> String {
+    let gateway = Binaries::find().unwrap().gateway;
+    let log = rig.directory().path().join("gateway.log");
+    let output = Command::new(gateway)
+        .args(["explain", id])
+        .arg(log)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.success(), !output.stdout.is_empty());
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Names of metrics in a text, without the endings of histograms.
+fn names(text: &str) -> BTreeSet<String> {
+    let words = text.split(|letter: char| !(letter.is_alphanumeric() || letter == '_'));
+    let names = words.filter(|word| word.starts_with("bergamothold_direct_"));
+    let bare = |name: &str| {
+        let ends = ["_bucket", "_sum", "_count"];
+        let bare = ends.iter().find_map(|end| name.strip_suffix(end));
+        bare.unwrap_or(name).to_owned()
+    };
+    names.map(bare).collect()
+}
+
 fn events(ids: std::ops::RangeInclusive<u64>) -> String {
     ids.map(|id| format!("id: {id}\ndata: text {id}\n\n"))
         .collect()
@@ -165,6 +192,42 @@
         assert_eq!(answer.status, StatusCode::OK);
         assert!(rig.until(async || rig.gateway.log().contains("the last ones stay")).await);
     };
+    the_cause_of_a_failure_is_found_from_its_id => async |rig: &mut DirectRig| {
+        let registry = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
+        until_served(rig, "/lookup/x").await;
+        until_served(rig, "/stream/x").await;
+        registry.stand().conduct(ServerConduct::Full);
+        rig.call("refused-1", "/once/x", KEY).await;
+        registry.stand().conduct(ServerConduct::Cut);
+        rig.call("unsafe-1", "/once/x", KEY).await;
+        engine.stand().conduct(ServerConduct::BreakBehind(4));
+        rig.call("broken-1", "/stream/x", KEY).await;
+        let cases = [
+            ("refused-1", ["it is full", "outcome=refused"]),
+            ("unsafe-1", ["registry-1 may have run it", "outcome=failed"]),
+            ("broken-1", ["stream: broke off", "outcome=broken off"]),
+        ];
+        for (id, causes) in cases {
+            assert!(rig.until(async || explain(rig, id).contains("call: ended")).await, "{id}");
+            for cause in causes {
+                assert!(explain(rig, id).contains(cause), "{id}: {}", explain(rig, id));
+            }
+        }
+        assert_eq!(explain(rig, "never-sent"), "");
+    };
+    metrics_are_those_of_the_page => async |rig: &mut DirectRig| {
+        let _server = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
+        until_served(rig, "/lookup/x").await;
+        let page = std::fs::read_to_string(workspace().join("docs/OPERATIONS.md")).unwrap();
+        let told = names(&page);
+        let shown = names(&rig.metrics().await);
+        assert!(shown.is_subset(&told), "not on the page: {:?}", shown.difference(&told));
+        let counters = ["requests_total", "attempts_total", "declarations_version", "waiting"];
+        for counter in counters {
+            assert!(shown.contains(&format!("bergamothold_direct_{counter}")), "{counter}");
+        }
+    };
     a_drain_cuts_no_answer => async |rig: &mut DirectRig| {
         let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
         until_served(rig, "/stream/x").await;
@@ -192,3 +255,30 @@
         assert!(!rig.is_ready().await);
     });
 }
+
+/// Each seeded address of a dead server once cost a repeat, and calls were refused for want of
+/// repeats though nothing had been sent.
+#[test]
+fn servers_that_cannot_be_reached_spend_no_repeats() {
+    Executor::run(2, |executor| async move {
+        let bounds = [("RetryBudgetRatio", 0.0), ("RetryBudgetExtra", 0.0)];
+        let rig = DirectRig::start_bounded(&executor, &bounds).unwrap();
+        rig.declare(3, &["key-1"]);
+        assert!(rig.until_ready().await, "{}", rig.gateway.log_end());
+        let _server = rig
+            .server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        until_served(&rig, "/lookup/x").await;
+        let dead = ([127, 0, 0, 1], 1).into();
+        let mut refused = 0;
+        for n in 0..20 {
+            rig.register(&format!("dead-{n}"), "registry", dead, "ready");
+            let known = || rig.gateway.log().contains(&format!("dead-{n}"));
+            assert!(rig.until(async || known()).await);
+            let answer = rig.call(&format!("c{n}"), "/once/x", KEY).await;
+            refused += u32::from(answer.status != StatusCode::OK);
+            rig.store.stand().remove("servers", &format!("dead-{n}"));
+        }
+        assert_eq!(refused, 0, "{}", rig.gateway.log_end());
+    });
+}
