Let no answer end because an engine is silent, where no other may go on

Change: the last engine that may run a request is waited for until the call's end unless a connection shows that it has gone; a silent engine is left only once another one has taken over. The test silence_alone_ends_no_answer fails on the code before.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -74,10 +74,10 @@
     result
 }
 
-/// Looks whether a server that broke off, or was silent, is still there.
-pub async fn note_if_gone(call: &Call, server: &BackendEntry) {
+/// Looks whether a server that broke off, or was silent, has gone.
+pub async fn note_if_gone(call: &Call, server: &BackendEntry) -> bool {
     if !call.route.kind.is_idempotent() {
-        return;
+        return false;
     }
     let shared = &call.shared;
     let reached = SingleExchange::connect(&shared.executor, server.address, PROBE_TIME).await;
@@ -85,7 +85,9 @@
         info!(shared.log, "attempt: the server has gone"; "req" => &*call.head.id,
             "server" => &*server.id, "err" => %err);
         call.note_lost_run();
+        return true;
     }
+    false
 }
 
 /// Time in which a server that is still there takes a connection.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -150,9 +150,19 @@
 
     /// Whether another server may run the request, after those that may have run it.
     pub fn may_run_again(&self) -> bool {
-        let runs = self.runs();
-        let counted = runs - self.progress.lost_runs.load(Ordering::Relaxed).min(runs);
-        runs == 0 || self.route.kind.is_idempotent() && counted < self.route.max_attempts
+        let idempotent = self.route.kind.is_idempotent();
+        self.runs() == 0 || idempotent && self.counted_runs() < self.route.max_attempts
+    }
+
+    /// Whether no other server may run the request after the next one.
+    pub fn is_last_run(&self) -> bool {
+        !self.route.kind.is_idempotent() || self.counted_runs() + 1 >= self.route.max_attempts
+    }
+
+    /// Servers that may have run the request and are still there.
+    fn counted_runs(&self) -> u32 {
+        let lost = self.progress.lost_runs.load(Ordering::Relaxed);
+        self.runs().saturating_sub(lost)
     }
 
     /// Kind of the call, for metrics.
--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -86,6 +86,7 @@
     splitter: EventSplitter,
     sent: Duration,
     first: bool,
+    stays: bool,
 }
 
 /// What a prompt needs of engines.
@@ -128,7 +129,11 @@
         let reserved = Reservations::take(shared, &name, &assignment.helpers).await;
         let (memory, helpers) = reserved?;
         let sent = shared.clock.now();
-        let wait = first_event_wait(call, &assignment);
+        let wait = if call.is_last_run() {
+            call.remaining()
+        } else {
+            first_event_wait(call, &assignment)
+        };
         let answer = send(call, &assignment.server, &helpers, last_event, wait).await?;
         Ok(Self {
             answer,
@@ -137,6 +142,7 @@
             splitter: EventSplitter::behind(last_event.or(call.head.last_event)),
             sent,
             first: true,
+            stays: false,
         })
     }
 
@@ -151,6 +157,7 @@
             let limit = self.silence(call).min(call.remaining());
             let frame = timeout(limit, self.answer.body.frame()).await;
             let data = match frame {
+                Err(_) if self.stays(call).await => continue,
                 Err(_) => break LegEvent::Silent,
                 Ok(None) if self.splitter.has_partial() => {
                     break LegEvent::Broken("it ended within an event".into());
@@ -166,14 +173,29 @@
             }
         };
         self.note(call, &event);
-        if matches!(event, LegEvent::Broken(_) | LegEvent::Silent) {
+        if matches!(event, LegEvent::Broken(_)) {
             note_if_gone(call, &self.assignment.server).await;
         }
         event
     }
 
+    /// Gives up looking for another engine when this one is silent.
+    pub fn stay(&mut self) {
+        self.stays = true;
+    }
+
+    /// Whether to wait on although the engine is silent: silence alone ends no answer where no
+    /// other engine may go on, only the loss of the engine does.
+    async fn stays(&mut self, call: &Call) -> bool {
+        if call.remaining().is_zero() || note_if_gone(call, &self.assignment.server).await {
+            return false;
+        }
+        self.stays |= !call.may_run_again();
+        self.stays
+    }
+
     fn silence(&self, call: &Call) -> Duration {
-        if self.first {
+        if self.first && !self.stays {
             let waited = call.shared.clock.now().saturating_sub(self.sent);
             return first_event_wait(call, &self.assignment).saturating_sub(waited);
         }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -147,20 +147,22 @@
                 Err(_) => return RelayEnd::Broken("time is up"),
             }
             events = loop {
-                match self.unless_gone(leg.next(&self.call)).await {
+                let silent = match self.unless_gone(leg.next(&self.call)).await {
                     None => return RelayEnd::CallerLeft,
                     Some(LegEvent::Events(events)) => break events,
                     Some(LegEvent::End) => return RelayEnd::Whole,
-                    Some(LegEvent::Broken(_) | LegEvent::Silent) => {}
-                }
+                    Some(LegEvent::Broken(_)) => false,
+                    Some(LegEvent::Silent) => true,
+                };
                 if self.call.remaining().is_zero() {
                     return RelayEnd::Broken("time is up");
                 }
-                drop(leg);
-                leg = match self.resume(last).await {
-                    Ok(leg) => leg,
+                match self.resume(last).await {
+                    Ok(next) => leg = next,
+                    // A silent engine may still go on by itself.
+                    Err(RelayEnd::Broken(_)) if silent => leg.stay(),
                     Err(end) => return end,
-                };
+                }
             };
             last = leg.last_event().or(last);
         }
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 const FLUSH_TIME: Duration = Duration::from_millis(30);
+const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Id of the last event of a stream.
 const EVENTS: u64 = 12;
 
@@ -39,6 +40,8 @@
     BreakBehind(u64),
     /// It answers with the id of another request.
     WrongId,
+    /// It is silent for two seconds behind this event, and then goes on.
+    PauseBehind(u64),
     /// It holds streams open behind this event until the caller goes.
     StallBehind(u64),
 }
@@ -172,6 +175,9 @@
                 tx.abort("told to break off").await;
                 return StreamEnd::Written;
             }
+            ServerConduct::PauseBehind(last) if id == last + 1 => {
+                Timer::after(PAUSE_TIME).await;
+            }
             ServerConduct::StallBehind(last) if id > last => {
                 tx.closed().await;
                 return StreamEnd::CallerLeft;
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -161,7 +161,12 @@
             status: answer.head.status,
             seal: text("x-response-seal"),
             retry_after: text("retry-after"),
-            body: answer.body.collect().await.ok().map(|body| body.to_bytes()),
+            body: answer
+                .body
+                .collect()
+                .await
+                .ok()
+                .map(http_body_util::Collected::to_bytes),
         }
     }
 
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -110,6 +110,18 @@
         let broken = rig.call("s2", "/stream/x", KEY).await;
         assert_eq!(broken.body, None, "both engines break off: it must not look whole");
     };
+    silence_alone_ends_no_answer => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2"].map(|name| {
+            rig.server(name, "engines", ServerKind::Engine).unwrap()
+        });
+        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        rig.call("p1", "/stream/x", KEY).await;
+        let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
+        engines[first].stand().conduct(ServerConduct::StallBehind(4));
+        engines[1 - first].stand().conduct(ServerConduct::PauseBehind(6));
+        let answer = rig.call("s1", "/stream/x", KEY).await;
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+    };
     an_unsafe_call_runs_once_and_is_never_called_not_run => async |rig: &mut DirectRig| {
         let servers = ["registry-1", "registry-2"].map(|name| {
             rig.server(name, "registry", ServerKind::Plain).unwrap()
