--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -76,7 +76,7 @@
 
 /// Looks whether a server that broke off, or was silent, has gone.
 pub async fn note_if_gone(call: &Call, server: &BackendEntry) -> bool {
-    if !call.route.kind.is_idempotent() {
+    if !call.admitted.route.kind.is_idempotent() {
         return false;
     }
     let shared = &call.shared;
@@ -115,8 +115,8 @@
     let with = Forward {
         server: &server.id,
         deadline: call.remaining(),
-        team: call.team.as_ref().map(|team| &*team.name),
-        hide_key: call.hide_key,
+        team: call.admitted.team.as_ref().map(|team| &*team.name),
+        hide_key: call.admitted.hide_key,
         last_event: last_event.or(call.head.last_event),
         urgency: None,
         helpers,
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -16,17 +16,9 @@
 /// Servers at which one call is tried at most, with those that cannot be reached or refuse.
 const MOST_TRIES: u32 = 5;
 
-/// A caller's request, read whole.
-#[derive(Debug)]
-pub struct Call {
-    /// State of the process.
-    pub shared: Arc<Shared>,
-    /// What the request says.
-    pub head: CallHead,
-    /// Its head, to be sent on.
-    pub parts: Parts,
-    /// Its body.
-    pub body: Bytes,
+/// What the declarations make of a request.
+#[derive(Debug, Clone)]
+pub struct Admission {
     /// Its route.
     pub route: Arc<Route>,
     /// Its service.
@@ -35,8 +27,25 @@
     pub team: Option<Arc<TeamEntry>>,
     /// Whether callers' keys are kept from servers.
     pub hide_key: bool,
-    /// Version of the declarations by which it is handled.
+    /// Largest body that callers may send.
+    pub body_bytes: usize,
+    /// Version of the declarations.
     pub declarations: u64,
+}
+
+/// A caller's request.
+#[derive(Debug)]
+pub struct Call {
+    /// State of the process.
+    pub shared: Arc<Shared>,
+    /// What the request says.
+    pub head: CallHead,
+    /// Its head, to be sent on.
+    pub parts: Parts,
+    /// Its body, once it has been read.
+    pub body: Bytes,
+    /// What the declarations make of it.
+    pub admitted: Admission,
     /// When it arrived.
     pub arrived: Duration,
     /// When its caller or its route wants it ended.
@@ -54,51 +63,36 @@
     ended: AtomicBool,
 }
 
-/// What a call is made of.
-#[derive(Debug)]
-pub struct CallParts {
-    /// See [`Call::head`].
-    pub head: CallHead,
-    /// See [`Call::parts`].
-    pub parts: Parts,
-    /// See [`Call::route`].
-    pub route: Arc<Route>,
-    /// See [`Call::service`].
-    pub service: Arc<ServiceSpec>,
-    /// See [`Call::team`].
-    pub team: Option<Arc<TeamEntry>>,
-    /// See [`Call::hide_key`].
-    pub hide_key: bool,
-    /// See [`Call::declarations`].
-    pub declarations: u64,
-    /// See [`Call::arrived`].
-    pub arrived: Duration,
-}
-
 impl Call {
-    /// A call whose body has been read.
-    pub fn new(shared: Arc<Shared>, call: CallParts, body: Bytes) -> Self {
-        let ends = ends_at(&call);
+    /// A call whose body has not been read yet. It ends by its caller's word or its route's,
+    /// whichever comes first.
+    pub fn new(
+        shared: Arc<Shared>,
+        head: CallHead,
+        parts: Parts,
+        admitted: Admission,
+        arrived: Duration,
+    ) -> Self {
+        let timeout = admitted.route.timeout;
+        let limit = head
+            .deadline
+            .map_or(timeout, |deadline| deadline.min(timeout));
         Self {
             shared,
-            head: call.head,
-            parts: call.parts,
-            body,
-            route: call.route,
-            service: call.service,
-            team: call.team,
-            hide_key: call.hide_key,
-            declarations: call.declarations,
-            arrived: call.arrived,
-            ends,
+            head,
+            parts,
+            body: Bytes::new(),
+            admitted,
+            arrived,
+            ends: arrived + limit,
             progress: Progress::default(),
         }
     }
 
     /// Rank; 0 goes first. A team's goes before the route's.
     pub fn rank(&self) -> u8 {
-        let team = self.team.as_ref().and_then(|team| team.rank);
-        team.unwrap_or(self.route.rank)
+        let team = self.admitted.team.as_ref().and_then(|team| team.rank);
+        team.unwrap_or(self.admitted.route.rank)
     }
 
     /// Time that is left.
@@ -116,7 +110,11 @@
     pub fn try_send(&self) -> bool {
         let now = self.shared.clock.now();
         let sends = self.sends();
-        let allowed = sends == 0 || self.shared.fleet.try_repeat(&self.service.name, now);
+        let allowed = sends == 0
+            || self
+                .shared
+                .fleet
+                .try_repeat(&self.admitted.service.name, now);
         if allowed {
             self.progress.sends.fetch_add(1, Ordering::Relaxed);
         } else {
@@ -150,13 +148,14 @@
 
     /// Whether another server may run the request, after those that may have run it.
     pub fn may_run_again(&self) -> bool {
-        let idempotent = self.route.kind.is_idempotent();
-        self.runs() == 0 || idempotent && self.counted_runs() < self.route.max_attempts
+        let idempotent = self.admitted.route.kind.is_idempotent();
+        self.runs() == 0 || idempotent && self.counted_runs() < self.admitted.route.max_attempts
     }
 
     /// Whether no other server may run the request after the next one.
     pub fn is_last_run(&self) -> bool {
-        !self.route.kind.is_idempotent() || self.counted_runs() + 1 >= self.route.max_attempts
+        !self.admitted.route.kind.is_idempotent()
+            || self.counted_runs() + 1 >= self.admitted.route.max_attempts
     }
 
     /// Servers that may have run the request and are still there.
@@ -168,7 +167,7 @@
     /// Kind of the call, for metrics.
     pub fn kind(&self) -> &'static str {
         use policy::RouteKind;
-        match self.route.kind {
+        match self.admitted.route.kind {
             RouteKind::Safe => "safe",
             RouteKind::Unsafe => "unsafe",
             RouteKind::Stream { .. } => "stream",
@@ -183,9 +182,9 @@
         let took = self.shared.clock.now().saturating_sub(self.arrived);
         self.shared.metrics.request(self.kind(), outcome);
         info!(self.shared.log, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
-            "detail" => detail, "route" => &*self.route.name, "service" => &*self.service.name,
-            "team" => self.team.as_ref().map(|team| team.name.to_string()),
-            "declarations" => self.declarations, "sends" => self.sends(), "runs" => self.runs(),
+            "detail" => detail, "route" => &*self.admitted.route.name, "service" => &*self.admitted.service.name,
+            "team" => self.admitted.team.as_ref().map(|team| team.name.to_string()),
+            "declarations" => self.admitted.declarations, "sends" => self.sends(), "runs" => self.runs(),
             "took_ms" => took.as_millis() as u64);
     }
 
@@ -215,13 +214,3 @@
         self.note_end("caller left", "");
     }
 }
-
-/// When a call must end: by its caller's word or its route's, whichever comes first.
-pub fn ends_at(call: &CallParts) -> Duration {
-    let timeout = call.route.timeout;
-    call.arrived
-        + call
-            .head
-            .deadline
-            .map_or(timeout, |deadline| deadline.min(timeout))
-}
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -1,14 +1,12 @@
 //! Where callers' requests arrive.
 
-use crate::call::{Call, CallParts, ends_at};
+use crate::call::{Admission, Call};
 use crate::own_answer::OwnAnswer;
 use crate::shared::Shared;
 use crate::{plain, stream};
 use adapter::CallHead;
-use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use policy::Sender;
 use runtime::{Body, Responder, timeout};
@@ -39,19 +37,18 @@
                 return OwnAnswer::BadRequest.response(None);
             }
         };
-        let id = head.id.clone();
-        let call = match self.admit(head, parts, arrived) {
-            Ok(call) => self.read(call, body).await,
-            Err(answer) => Err(answer),
-        };
-        let call = match call {
-            Ok(call) => call,
-            Err(answer) => return answer.response(Some(&id)),
+        let admitted = match self.admit(&head) {
+            Ok(admitted) => admitted,
+            Err(answer) => return answer.response(Some(&head.id)),
         };
+        let mut call = Call::new(self.shared.clone(), head, parts, admitted, arrived);
+        if let Err(answer) = read(&mut call, body).await {
+            return call.answer(answer, "body not read");
+        }
         self.shared
             .fleet
-            .note_first(&call.service.name, self.shared.clock.now());
-        if call.route.kind.is_stream() && call.service.engine.is_some() {
+            .note_first(&call.admitted.service.name, self.shared.clock.now());
+        if call.admitted.route.kind.is_stream() && call.admitted.service.engine.is_some() {
             stream::run(Arc::new(call)).await
         } else {
             plain::run(&call).await
@@ -61,38 +58,31 @@
 
 impl Front {
     /// Finds route, sender and service of a request.
-    fn admit(
-        &self,
-        head: CallHead,
-        parts: Parts,
-        arrived: Duration,
-    ) -> Result<CallParts, OwnAnswer> {
+    fn admit(&self, head: &CallHead) -> Result<Admission, OwnAnswer> {
         let Some(table) = self.shared.knowledge.table() else {
-            return Err(self.turn_away(&head, OwnAnswer::NotRun(UNTIL_DECLARED), 0));
+            return Err(self.turn_away(head, OwnAnswer::NotRun(UNTIL_DECLARED), 0));
         };
         let Some(route) = table.route(&head.host, &head.path) else {
-            return Err(self.turn_away(&head, OwnAnswer::NoRoute, table.version));
+            return Err(self.turn_away(head, OwnAnswer::NoRoute, table.version));
         };
         let team = match table.sender(route, head.key.as_deref()) {
             Sender::Team(team) => Some(team),
             Sender::Anonymous => None,
             Sender::Unknown => {
-                return Err(self.turn_away(&head, OwnAnswer::UnknownKey, table.version));
+                return Err(self.turn_away(head, OwnAnswer::UnknownKey, table.version));
             }
         };
         let service = route.service(xxh3_64(head.id.as_bytes()));
         let Some(service) = service.and_then(|name| table.services.get(name)) else {
-            return Err(self.turn_away(&head, OwnAnswer::NotRun(UNTIL_DECLARED), table.version));
+            return Err(self.turn_away(head, OwnAnswer::NotRun(UNTIL_DECLARED), table.version));
         };
-        Ok(CallParts {
+        Ok(Admission {
             team,
             route: route.clone(),
             service: service.clone(),
             hide_key: table.has_teams(),
+            body_bytes: table.limits.body_bytes,
             declarations: table.version,
-            arrived,
-            head,
-            parts,
         })
     }
 
@@ -103,24 +93,18 @@
         self.shared.metrics.request("none", answer.outcome());
         answer
     }
+}
 
-    async fn read(&self, call: CallParts, body: Incoming) -> Result<Call, OwnAnswer> {
-        let limit = self
-            .shared
-            .knowledge
-            .table()
-            .map_or(0, |table| table.limits.body_bytes);
-        let left = ends_at(&call).saturating_sub(self.shared.clock.now());
-        let body = timeout(left, Limited::new(body, limit).collect()).await;
-        let fault = match body {
-            Ok(Ok(body)) => {
-                let body: Bytes = body.to_bytes();
-                return Ok(Call::new(self.shared.clone(), call, body));
-            }
-            Ok(Err(err)) if err.is::<LengthLimitError>() => OwnAnswer::TooLarge,
-            Ok(Err(_)) => OwnAnswer::BadRequest,
-            Err(_) => OwnAnswer::NotRun(Duration::ZERO),
-        };
-        Err(self.turn_away(&call.head, fault, call.declarations))
+/// Reads a call's body, within the call's time.
+async fn read(call: &mut Call, body: Incoming) -> Result<(), OwnAnswer> {
+    let body = Limited::new(body, call.admitted.body_bytes).collect();
+    match timeout(call.remaining(), body).await {
+        Ok(Ok(body)) => {
+            call.body = body.to_bytes();
+            Ok(())
+        }
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(OwnAnswer::TooLarge),
+        Ok(Err(_)) => Err(OwnAnswer::BadRequest),
+        Err(_) => Err(OwnAnswer::NotRun(Duration::ZERO)),
     }
 }
--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -92,6 +92,7 @@
 /// What a prompt needs of engines.
 pub fn engine_need(call: &Call) -> EngineNeed {
     let usual = call
+        .admitted
         .service
         .engine
         .as_ref()
@@ -104,8 +105,8 @@
     EngineNeed {
         prompt: usage.map_or(1, |usage| usage.prompt),
         answer: usage.map_or(answer, |usage| answer.min(usage.most_answer)),
-        target: call.route.target,
-        gap: call.route.target_gap,
+        target: call.admitted.route.target,
+        gap: call.admitted.route.target_gap,
         waited: Duration::ZERO,
     }
 }
@@ -199,7 +200,7 @@
             let waited = call.shared.clock.now().saturating_sub(self.sent);
             return first_event_wait(call, &self.assignment).saturating_sub(waited);
         }
-        LEAST_SILENCE.max(call.route.target_gap * GAPS)
+        LEAST_SILENCE.max(call.admitted.route.target_gap * GAPS)
     }
 
     fn note(&mut self, call: &Call, event: &LegEvent) {
@@ -238,11 +239,11 @@
     // What goes on midway waits from now; the caller already has part of it.
     let since = if again { now } else { call.arrived };
     DeskAsk {
-        service: call.service.clone(),
+        service: call.admitted.service.clone(),
         need: engine_need(call),
         rank: call.rank(),
         since,
-        gives_up: call.ends.min(since + call.route.patience()),
+        gives_up: call.ends.min(since + call.admitted.route.patience()),
         tried: tried.to_vec(),
     }
 }
@@ -267,7 +268,7 @@
     let forecast = assignment
         .forecast
         .mul_f64(FORECASTS)
-        .max(call.route.target);
+        .max(call.admitted.route.target);
     let wait = forecast + FIRST_EVENT_SLACK;
-    wait.min(call.route.patience().mul_f64(PATIENCE_PART))
+    wait.min(call.admitted.route.patience().mul_f64(PATIENCE_PART))
 }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -22,8 +22,10 @@
 const VALIDITY: Duration = Duration::from_secs(10 * 365 * 86_400);
 /// Time after which a silent link is given up.
 const LINK_IDLE: Duration = Duration::from_secs(2);
-/// Pause before a broken link is opened again.
-const RELINK_PAUSE: Duration = Duration::from_millis(300);
+/// Pauses before a broken link is opened again, the first and the longest: a gateway that left
+/// while the store was away keeps its row.
+const FIRST_RELINK_PAUSE: Duration = Duration::from_millis(300);
+const LONGEST_RELINK_PAUSE: Duration = Duration::from_secs(2);
 /// Pause before a failed call to the store is repeated.
 const STORE_PAUSE: Duration = Duration::from_millis(300);
 /// Frames go out at most this often to few peers.
@@ -321,10 +323,12 @@
     peer: SocketAddr,
     frames: Receiver<Arc<LoadFrame>>,
 ) {
+    let mut pause = FIRST_RELINK_PAUSE;
     while !frames.is_closed() {
         match link.open(peer, Role::Gateway, &Opening::Load).await {
             Ok((mut tx, _rx)) => {
                 info!(shared.log, "peers: link open"; "peer" => %peer);
+                pause = FIRST_RELINK_PAUSE;
                 while let Ok(frame) = frames.recv().await {
                     if let Err(err) = tx.send(&*frame).await {
                         info!(shared.log, "peers: link lost"; "peer" => %peer, "err" => %err);
@@ -336,7 +340,8 @@
                 info!(shared.log, "peers: link not opened"; "peer" => %peer, "err" => %err);
             }
         }
-        Timer::after(RELINK_PAUSE).await;
+        Timer::after(pause).await;
+        pause = (pause * 2).min(LONGEST_RELINK_PAUSE);
     }
 }
 
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -61,9 +61,16 @@
 
 fn choose(call: &Call, tried: &[BackendId]) -> Option<BackendEntry> {
     let now = call.shared.clock.now();
-    let mut servers = call.shared.knowledge.usable(&call.service.name, now);
+    let mut servers = call
+        .shared
+        .knowledge
+        .usable(&call.admitted.service.name, now);
     servers.retain(|server| {
-        !tried.contains(&server.id) && call.shared.fleet.may_send(&call.service, &server.id, now)
+        !tried.contains(&server.id)
+            && call
+                .shared
+                .fleet
+                .may_send(&call.admitted.service, &server.id, now)
     });
     let candidates = call.shared.fleet.plain(&servers, now);
     let chosen = choose_plain(&candidates)?;
@@ -100,13 +107,14 @@
 /// How long to wait for one server before another is asked.
 fn cut_after(call: &Call) -> Duration {
     let left = call.remaining();
-    let may_repeat = call.route.kind.is_idempotent() && call.runs() + 1 < call.route.max_attempts;
+    let may_repeat = call.admitted.route.kind.is_idempotent()
+        && call.runs() + 1 < call.admitted.route.max_attempts;
     if !may_repeat {
         return left;
     }
     left.min(
         left.mul_f64(CUT_PART)
-            .max(call.route.target.mul_f64(CUT_TARGETS)),
+            .max(call.admitted.route.target.mul_f64(CUT_TARGETS)),
     )
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -170,7 +170,7 @@
 
     /// Goes on at another engine, if the route allows.
     async fn resume(&mut self, last: Option<u64>) -> Result<Leg, RelayEnd> {
-        let resumable = self.call.route.kind == RouteKind::Stream { resumable: true };
+        let resumable = self.call.admitted.route.kind == RouteKind::Stream { resumable: true };
         let Some(last) = last.filter(|_| resumable) else {
             return Err(RelayEnd::Broken("it cannot be resumed"));
         };
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -1,9 +1,12 @@
 //! Routes, waiting prompts, load that is told, health, and the choice of plain servers.
 
+mod engine;
+
+use engine::model;
 use policy::{
-    AttemptResult, CallerLimits, EngineModel, EngineNeed, EngineWaiter, FleetLoad, JobPart,
-    PlainCandidate, Route, RouteKind, RouteTable, Sender, ServerHealth, TeamEntry, choose_plain,
-    come_back_after, sort_waiters,
+    AttemptResult, CallerLimits, EngineNeed, EngineWaiter, FleetLoad, JobPart, PlainCandidate,
+    Route, RouteKind, RouteTable, Sender, ServerHealth, TeamEntry, choose_plain, come_back_after,
+    sort_waiters,
 };
 use proto::ServerUse;
 use std::collections::HashMap;
@@ -90,21 +93,6 @@
     }
 }
 
-fn model() -> EngineModel {
-    EngineModel {
-        slots: 16,
-        memory: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        writer_ms: 0.00483,
-        context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        hop_ms: 0.1,
-        usual_answer: 1_500,
-    }
-}
-
 /// A clump of long prompts: those that can be on time go first, the nearest to lateness before.
 #[test]
 fn prompts_that_can_be_on_time_go_first() {
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -1,6 +1,9 @@
 //! Where prompts go, each case with the load that it answers.
 
-use policy::{EngineCandidate, EngineModel, EngineNeed, is_short, place};
+mod engine;
+
+use engine::model;
+use policy::{EngineCandidate, EngineNeed, is_short, place};
 use proto::ServerUse;
 use std::time::Duration;
 
@@ -8,21 +11,6 @@
     Duration::from_millis(millis)
 }
 
-fn model() -> EngineModel {
-    EngineModel {
-        slots: 16,
-        memory: 450_000,
-        stride: 46,
-        step_ms: 0.925,
-        writer_ms: 0.00483,
-        context_ms: 0.00254,
-        read_per_ms: 256.0,
-        pairs_ms: 0.0917,
-        hop_ms: 0.1,
-        usual_answer: 1_500,
-    }
-}
-
 fn idle(order: u64) -> EngineCandidate {
     EngineCandidate {
         order,
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -26,6 +26,8 @@
     pub store: Hosted<PlatformStore>,
     /// The gateway.
     pub gateway: Process,
+    /// Tokens of the prompts that callers send.
+    pub prompt: u64,
     callers: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
@@ -80,6 +82,7 @@
             http: HttpClient::new(executor.clone()),
             store,
             gateway,
+            prompt: 1_000,
             callers,
             ready,
             metrics,
@@ -178,7 +181,7 @@
         key: Option<&str>,
     ) -> Result<runtime::SingleAnswer, runtime::HttpError> {
         let exchange = SingleExchange::connect(&self.executor, self.callers, CONNECT_TIME).await?;
-        exchange.send(request(id, path, key)).await
+        exchange.send(request(id, path, key, self.prompt)).await
     }
 
     /// The metrics as text.
@@ -199,7 +202,7 @@
     }
 }
 
-fn request(id: &str, path: &str, key: Option<&str>) -> Request<Body> {
+fn request(id: &str, path: &str, key: Option<&str>, prompt: u64) -> Request<Body> {
     let mut req = Request::new(Body::whole(format!("body of {id}")));
     *req.method_mut() = Method::POST;
     *req.uri_mut() = path.parse().unwrap_or_default();
@@ -208,7 +211,7 @@
         ("host", HOST.to_owned()),
         ("x-request-id", id.to_owned()),
         ("x-deadline-ms", "8000".to_owned()),
-        ("x-token-usage", "1000,400".to_owned()),
+        ("x-token-usage", format!("{prompt},400")),
         ("x-length-hint", "100".to_owned()),
         ("x-tenant-id", "forged".to_owned()),
     ];
@@ -260,7 +263,7 @@
             {
                 "Name": "engines", "ColdPerS": 36.0, "ColdStartS": 3.0,
                 "Engine": {
-                    "Slots": 16, "KvCapacityTokens": 450_000, "Stride": 46, "step_ms": 0.9,
+                    "Slots": 16, "KvCapacityTokens": 30_000, "Stride": 46, "step_ms": 0.9,
                     "read_per_s": 256_000.0, "pairs_per_m": 0.09, "HopMs": 0.1
                 }
             },
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -122,6 +122,28 @@
         let answer = rig.call("s1", "/stream/x", KEY).await;
         assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
     };
+    memory_reserved_for_a_long_prompt_is_given_back => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2", "engine-3"].map(|name| {
+            rig.server(name, "engines", ServerKind::Engine).unwrap()
+        });
+        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 3).await);
+        rig.prompt = 45_000;
+        let answer = rig.call("m1", "/stream/x", KEY).await;
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+        let orders = || engines.iter().flat_map(|engine| engine.stand().orders());
+        let ids = |operation: &str| -> BTreeSet<String> {
+            let orders = orders().filter(|order| order["Operation"] == *operation);
+            orders.map(|order| order["Id"].as_str().unwrap().to_owned()).collect()
+        };
+        assert!(rig.until(async || ids("reserve") == ids("release")).await);
+        let tokens: u64 = orders().filter_map(|order| order["Tokens"].as_u64()).sum();
+        assert!(tokens >= 45_000 - 30_000, "what the first engine lacks: {tokens}");
+        assert!(orders().all(|order| order["HoldMs"].as_u64().is_none_or(|hold| hold < 4_000)));
+        let runs = engines.iter().flat_map(|engine| engine.stand().runs());
+        let helpers: Vec<_> = runs.filter_map(|run| run.helpers).collect();
+        let ids = ids("reserve");
+        assert!(ids.iter().all(|id| helpers[0].contains(&**id)), "{helpers:?} {ids:?}");
+    };
     an_unsafe_call_runs_once_and_is_never_called_not_run => async |rig: &mut DirectRig| {
         let servers = ["registry-1", "registry-2"].map(|name| {
             rig.server(name, "registry", ServerKind::Plain).unwrap()
