--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -21,8 +21,8 @@
 const MEMORY_PART: f64 = 0.94;
 /// A prompt is short if its read alone fills at most this part of its own pause.
 const SHORT_PART: f64 = 0.5;
-/// How much longer the pauses of others may become while a prompt waits as long as its target.
-const STRETCH: f64 = 0.0;
+/// Fewer parts are enough once the forecast fills only this part of the time that is due.
+const EARLY_PART: f64 = 0.5;
 
 /// An engine that could take work.
 #[derive(Debug, Clone, PartialEq)]
@@ -162,11 +162,15 @@
     work.mul_f64(engine.pace)
 }
 
+/// An engine that may read a part of a long prompt.
 #[derive(Debug, Clone, Copy)]
 struct Reader {
     index: usize,
+    /// Seconds of reading that its writers bear now; negative where they bear none.
     room: f64,
+    /// Tokens of free memory.
     free: u64,
+    /// Whether it may also write the answer.
     writes: bool,
 }
 
@@ -175,68 +179,69 @@
     need: &EngineNeed,
     engines: &[EngineCandidate],
 ) -> Option<EnginePlacement> {
-    let waited = need.waited.as_secs_f64() / need.target.as_secs_f64().max(1e-3);
-    let stretch = 1.0 + STRETCH * waited;
-    let mut readers: Vec<Reader> = engines
-        .iter()
-        .enumerate()
-        .filter(|(_, engine)| !engine.suspect && engine.load.long_reads == 0)
-        .map(|(index, engine)| reader(model, engine, index, stretch))
-        .collect();
-    readers.sort_by(|a, b| {
-        let order = engines[b.index].order.cmp(&engines[a.index].order);
-        b.room.total_cmp(&a.room).then(order)
-    });
-    readers.truncate(MOST_HELPERS + 1);
-    let read = model.read_time(need.prompt).as_secs_f64();
-    let hop = model.hop_ms / 1e3;
-    let due = need.target.as_secs_f64() * TARGET_PART;
-    let target = need.target.as_secs_f64();
-    let best = need.waited + least_time(model, need, engines.len());
-    let may_be_on_time = best.as_secs_f64() <= target;
-    let mut latest = None;
+    let readers = readers(model, engines);
+    let early = need.target.mul_f64(TARGET_PART * EARLY_PART);
+    let mut soonest: Option<EnginePlacement> = None;
     for parts in 1..=readers.len() {
-        let part = read / parts as f64 + hop * (parts - 1) as f64;
-        let chosen = &readers[..parts];
-        let fits = chosen.last().is_some_and(|last| last.room >= part);
-        if !fits {
-            continue;
-        }
-        let Some((first, helpers)) = hold(need, chosen, usable_memory(model)) else {
+        let Some(placement) = place_parts(model, need, engines, &readers[..parts]) else {
             continue;
         };
-        let forecast = forecast(model, engines, chosen, part);
-        let placement = EnginePlacement {
-            first,
-            helpers,
-            part: Duration::from_secs_f64(part),
-            forecast,
-        };
-        if need.waited.as_secs_f64() + forecast.as_secs_f64() <= due * EARLY_PART {
+        if need.waited + placement.forecast <= early {
             return Some(placement);
         }
-        let sooner = |than: &EnginePlacement| forecast < than.forecast;
-        if latest.as_ref().is_none_or(sooner) {
-            latest = Some(placement);
+        let sooner = |than: &EnginePlacement| placement.forecast < than.forecast;
+        if soonest.as_ref().is_none_or(sooner) {
+            soonest = Some(placement);
         }
     }
-    // More engines may be free in time for an answer that is not late.
-    latest.filter(|placement| {
-        let forecast = need.waited + placement.forecast;
-        forecast.as_secs_f64() <= target || !may_be_on_time
-    })
+    // A late start is worth it only where no start would be on time any more; until then more
+    // engines may become free.
+    let may_be_on_time = need.waited + least_time(model, need, engines.len()) <= need.target;
+    soonest.filter(|placement| need.waited + placement.forecast <= need.target || !may_be_on_time)
 }
 
-/// Fewer parts are enough once the forecast fills only this part of the time that is due.
-const EARLY_PART: f64 = 0.5;
+/// Engines that may read a part, those with the most room first.
+fn readers(model: &EngineModel, engines: &[EngineCandidate]) -> Vec<Reader> {
+    let able = engines.iter().enumerate();
+    let able = able.filter(|(_, engine)| !engine.suspect && engine.load.long_reads == 0);
+    let mut readers: Vec<_> = able
+        .map(|(index, engine)| reader(model, engine, index))
+        .collect();
+    readers.sort_by(|a, b| {
+        let order = engines[b.index].order.cmp(&engines[a.index].order);
+        b.room.total_cmp(&a.room).then(order)
+    });
+    readers.truncate(MOST_HELPERS + 1);
+    readers
+}
+
+/// Places even parts on all of these engines, if none of their writers would pause too long.
+fn place_parts(
+    model: &EngineModel,
+    need: &EngineNeed,
+    engines: &[EngineCandidate],
+    chosen: &[Reader],
+) -> Option<EnginePlacement> {
+    let hops = model.hop_ms / 1e3 * (chosen.len() - 1) as f64;
+    let part = model.read_time(need.prompt).as_secs_f64() / chosen.len() as f64 + hops;
+    // The last one has the least room.
+    chosen.last().filter(|last| last.room >= part)?;
+    let (first, helpers) = hold(need, chosen, usable_memory(model))?;
+    Some(EnginePlacement {
+        first,
+        helpers,
+        part: Duration::from_secs_f64(part),
+        forecast: forecast(model, engines, chosen, part),
+    })
+}
 
-fn reader(model: &EngineModel, engine: &EngineCandidate, index: usize, stretch: f64) -> Reader {
+fn reader(model: &EngineModel, engine: &EngineCandidate, index: usize) -> Reader {
     let gap = engine.load.tightest_gap.as_secs_f64();
     let busy = engine.load.reading + model.pass_time(engine.load.jobs);
     let slots_left = engine.load.jobs < model.slots;
     Reader {
         index,
-        room: (gap * GAP_PART * stretch - busy.as_secs_f64()) / engine.pace.max(0.1),
+        room: (gap * GAP_PART - busy.as_secs_f64()) / engine.pace.max(0.1),
         free: usable_memory(model).saturating_sub(engine.load.tokens),
         writes: engine.has_room && slots_left,
     }
@@ -255,7 +260,8 @@
     passes.max().unwrap_or_default()
 }
 
-/// Finds memory for a prompt: at the first engine, and in tickets at helpers for what it lacks.
+/// Finds memory for a prompt: at the first engine, and reserved at helpers for what it lacks.
+/// Nothing is reserved for prompts that fit into the memory `whole` of one engine.
 fn hold(need: &EngineNeed, chosen: &[Reader], whole: u64) -> Option<(usize, Vec<EngineHelper>)> {
     let tokens = need.prompt + need.answer;
     let first = chosen
