Measure engines that never report their warmth against a declared pace

Cause: the scheduler's reference of a warm engine followed slow samples, and the end of any streamed answer counted as a sign of usual pace. An engine in cold start whose reports leave that out was learned as usual and got more than it bears. Ruled out: reports that lag (none say it), the presumed rate (it is the engine's own).

Servers may declare their prefill rate and decode interval. Where reports leave out warmth, the reference never falls below it, and only prefills that were alone and token intervals are evidence of warmth.

Engines that report their warmth are treated as before.

--- a/crates/agent/src/facts.rs
+++ b/crates/agent/src/facts.rs
@@ -3,6 +3,7 @@
 use declarations::{Declarations, Model, Server};
 use node::View;
 use policy::ServerFacts;
+use std::time::Duration;
 
 /// Facts for the scheduler. `stopping` tells whether the process shuts down.
 pub fn server_facts(view: &View, name: &str, epoch: u64, stopping: bool) -> ServerFacts {
@@ -23,6 +24,10 @@
         epoch,
         warm_limit: server.warm_limit,
         cold_limit: server.cold_limit,
+        prefill_rate: server.prefill_rate,
+        decode_interval: server
+            .decode_interval_ms
+            .map(|ms| Duration::from_secs_f64(ms / 1000.0)),
         memory_tokens: memory_tokens(&view.declared, server),
         can_suspend: server.can_suspend,
         domain_out: domain.is_none_or(|domain| domain.out),
--- a/crates/declarations/src/types.rs
+++ b/crates/declarations/src/types.rs
@@ -125,6 +125,12 @@
     /// Requests that it bears at once in cold start.
     #[serde(default = "default_cold_limit")]
     pub cold_limit: u32,
+    /// Prefill rate of the warm engine, in tokens a second.
+    #[serde(default)]
+    pub prefill_rate: Option<f64>,
+    /// Time between tokens of the warm engine, in milliseconds.
+    #[serde(default)]
+    pub decode_interval_ms: Option<f64>,
     /// Whether it refuses an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
--- a/crates/declarations/src/validate.rs
+++ b/crates/declarations/src/validate.rs
@@ -97,6 +97,7 @@
                 let reason = "cold_limit must not be over warm_limit";
                 faults.push(RawFault::new(item.at("cold_limit"), reason));
             }
+            check_pace(item, faults);
             check_kind(item, faults);
         }
     }
@@ -157,6 +158,19 @@
     }
 }
 
+fn check_pace(item: &Item<Server>, faults: &mut Vec<RawFault>) {
+    let fields = [
+        ("prefill_rate", item.value.prefill_rate),
+        ("decode_interval_ms", item.value.decode_interval_ms),
+    ];
+    for (field, value) in fields {
+        if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
+            let reason = format!("{field} must be a number over zero");
+            faults.push(RawFault::new(item.at(field), reason));
+        }
+    }
+}
+
 fn names<T: Named>(items: &[Item<T>]) -> BTreeSet<&str> {
     items.iter().map(|item| item.value.name()).collect()
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -116,6 +116,7 @@
 };
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain};
+pub use rates::WarmPace;
 pub use retry::{
     AttemptEnd, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry, predicted_service,
 };
--- a/crates/policy/src/rates.rs
+++ b/crates/policy/src/rates.rs
@@ -36,10 +36,14 @@
 
 /// Moving averages of prefill rate, time between tokens, residence and answer length.
 ///
-/// A reference of the warm server is kept beside each current value; it follows slow samples only
-/// gradually, so that a fallback shows as a jump and a wrong presumption wears off.
+/// A reference of the warm server is kept beside each current value. Where the server reports its
+/// warmth, the reference follows slow samples gradually, so that a fallback shows as a jump and a
+/// wrong presumption wears off. A server that never reports it could pass a cold start off as its
+/// usual pace: its reference is never slower than the declared pace.
 #[derive(Debug, Clone)]
 pub struct Rates {
+    declared: WarmPace,
+    silent: bool,
     prefill: f64,
     warm_prefill: f64,
     interval: f64,
@@ -48,10 +52,23 @@
     output_ratio: f64,
 }
 
+/// How fast a server is when warm.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmPace {
+    /// Prefill rate, in tokens a second.
+    pub prefill_rate: f64,
+    /// Time between tokens of an answer.
+    pub decode_interval: Duration,
+}
+
 impl Rates {
-    /// Presumptions until anything was measured: tokens a second, and time between tokens.
-    pub fn new(prefill: f64, interval: Duration) -> Self {
+    /// Starts from the declared pace, or the presumed one, until anything was measured.
+    pub fn new(declared: WarmPace) -> Self {
+        let prefill = declared.prefill_rate;
+        let interval = declared.decode_interval;
         Self {
+            declared,
+            silent: false,
             prefill,
             warm_prefill: prefill,
             interval: interval.as_secs_f64(),
@@ -61,6 +78,34 @@
         }
     }
 
+    /// Takes another declared pace. What was learned under the old one is dropped.
+    pub fn declare(&mut self, declared: WarmPace) {
+        if self.declared != declared {
+            let silent = self.silent;
+            *self = Self::new(declared);
+            self.silent = silent;
+        }
+    }
+
+    /// Takes whether the server's reports leave out if it is warm.
+    pub fn set_silent(&mut self, silent: bool) {
+        self.silent = silent;
+        self.bound_references();
+    }
+
+    /// Whether the server's reports leave out if it is warm.
+    pub fn is_silent(&self) -> bool {
+        self.silent
+    }
+
+    fn bound_references(&mut self) {
+        if self.silent {
+            let interval = self.declared.decode_interval.as_secs_f64();
+            self.warm_prefill = self.warm_prefill.max(self.declared.prefill_rate);
+            self.warm_interval = self.warm_interval.min(interval);
+        }
+    }
+
     /// Prefill rate in tokens a second.
     pub fn prefill(&self) -> f64 {
         self.prefill
@@ -108,6 +153,7 @@
         if pace == Pace::Slow {
             self.prefill = self.prefill.min(sample);
             self.warm_prefill = approach(self.warm_prefill, sample, SLOW_REFERENCE_STEP);
+            self.bound_references();
             return pace;
         }
         let weight = (work / TOKENS_OF_FULL_WEIGHT).clamp(LEAST_WEIGHT, MOST_WEIGHT);
@@ -119,6 +165,7 @@
         let weight = if recovers { MOST_WEIGHT } else { weight };
         self.prefill = approach(self.prefill, sample, weight);
         self.warm_prefill = approach(self.warm_prefill, sample, weight * REFERENCE_WEIGHT);
+        self.bound_references();
         pace
     }
 
@@ -149,10 +196,12 @@
         self.interval = approach(self.interval, sample, weight);
         if sample > slow {
             self.warm_interval = approach(self.warm_interval, sample, SLOW_INTERVAL_STEP);
+            self.bound_references();
             let lasts = self.interval > slow;
             return if lasts { Pace::Slow } else { Pace::Strained };
         }
         self.warm_interval = approach(self.warm_interval, sample, INTERVAL_WEIGHT / 10.0);
+        self.bound_references();
         if usual { Pace::Usual } else { Pace::Strained }
     }
 
--- a/crates/policy/src/running.rs
+++ b/crates/policy/src/running.rs
@@ -41,6 +41,7 @@
     pub cancelled_until: Option<Duration>,
     window_tokens: Tokens,
     prefilled_before: f64,
+    prefills_alone: bool,
     flagged: bool,
 }
 
@@ -121,6 +122,7 @@
         let Waiting {
             job, class, level, ..
         } = waiting;
+        let prefills_alone = !self.jobs.values().any(Running::is_in_prefill);
         let running = Running {
             class,
             level,
@@ -135,6 +137,7 @@
             whole: false,
             cancelled_until: None,
             prefilled_before: self.prefilled,
+            prefills_alone,
             flagged: job.granted,
             job,
         };
@@ -195,7 +198,12 @@
         attempt: AttemptId,
         rates: &mut Rates,
     ) -> Option<Pace> {
-        let shared = self.shared_factor(attempt);
+        let is_silent = rates.is_silent();
+        let shared = if is_silent {
+            1.0
+        } else {
+            self.shared_factor(attempt)
+        };
         let running = self.jobs.get_mut(&attempt)?;
         if running.answering {
             return None;
@@ -210,7 +218,10 @@
             return None;
         }
         let elapsed = running.active_time(now).div_f64(shared);
-        Some(rates.on_prefill(work, elapsed))
+        let pace = rates.on_prefill(work, elapsed);
+        // Part of what was in prefill at the dispatch had been done, so the work is overrated.
+        let proves_nothing = is_silent && !running.prefills_alone && pace == Pace::Usual;
+        Some(if proves_nothing { Pace::Strained } else { pace })
     }
 
     /// Takes more tokens of an answer.
--- a/crates/policy/src/scheduler.rs
+++ b/crates/policy/src/scheduler.rs
@@ -5,7 +5,7 @@
 use crate::job::{Job, LengthClass, PrefillLevel, prefill_level};
 use crate::memory_share::{MemoryShare, long_room};
 use crate::queue::{JobQueue, Waiting, seconds_between};
-use crate::rates::{Pace, Rates};
+use crate::rates::{Pace, Rates, WarmPace};
 use crate::running::{Running, RunningJobs};
 use crate::scheduler_types::{Action, EngineReport, Event, SchedulerConfig, ServerFacts};
 use crate::warmth::WarmthLimit;
@@ -38,7 +38,7 @@
     /// A scheduler that presumes cold start and knows no configuration.
     pub fn new(cfg: SchedulerConfig) -> Self {
         Self {
-            rates: Rates::new(cfg.presumed_prefill_rate, cfg.presumed_decode_interval),
+            rates: Rates::new(cfg.presumed_pace),
             cfg,
             facts: ServerFacts::default(),
             queue: JobQueue::default(),
@@ -327,13 +327,21 @@
 
     fn pace_of_end(&self, running: &Running, elapsed: Duration) -> Pace {
         let job = &running.job;
-        if running.answering {
+        if running.answering && self.rates.is_silent() {
+            // That an answer ended proves no warmth; the pace of its tokens did, or did not.
+            Pace::Strained
+        } else if running.answering {
             Pace::Usual
         } else if job.model.is_none() {
             self.rates.pace_of_service(elapsed)
         } else {
+            let output = if self.rates.is_silent() {
+                running.produced
+            } else {
+                job.output_tokens
+            };
             self.rates
-                .pace_of_whole(job.prefill_tokens(), job.output_tokens, elapsed)
+                .pace_of_whole(job.prefill_tokens(), output, elapsed)
         }
     }
 
@@ -372,12 +380,18 @@
     }
 
     fn report(&mut self, now: Duration, report: &EngineReport) {
+        self.rates.set_silent(report.cold.is_none());
         self.limit.on_report(now, report.cold);
     }
 
     fn set_facts(&mut self, facts: ServerFacts) {
         self.limit.configure(facts.warm_limit, facts.cold_limit);
         self.memory.configure(facts.memory_tokens);
+        let presumed = self.cfg.presumed_pace;
+        self.rates.declare(WarmPace {
+            prefill_rate: facts.prefill_rate.unwrap_or(presumed.prefill_rate),
+            decode_interval: facts.decode_interval.unwrap_or(presumed.decode_interval),
+        });
         self.facts = facts;
     }
 
--- a/crates/policy/src/scheduler_types.rs
+++ b/crates/policy/src/scheduler_types.rs
@@ -1,6 +1,7 @@
 //! What goes into a [`Scheduler`](crate::Scheduler), and what comes out.
 
 use crate::job::Job;
+use crate::rates::WarmPace;
 use proto::Refusal;
 use proto::prelude::*;
 
@@ -11,10 +12,8 @@
     pub server: ServerId,
     /// Most jobs that wait.
     pub queue_limit: usize,
-    /// Prefill rate presumed before any was seen, in tokens a second.
-    pub presumed_prefill_rate: f64,
-    /// Time between tokens presumed before any was seen.
-    pub presumed_decode_interval: Duration,
+    /// Pace presumed of a warm server that declares none.
+    pub presumed_pace: WarmPace,
 }
 
 impl SchedulerConfig {
@@ -23,8 +22,10 @@
         Self {
             server: server.into(),
             queue_limit: 1024,
-            presumed_prefill_rate: 20_000.0,
-            presumed_decode_interval: Duration::from_millis(30),
+            presumed_pace: WarmPace {
+                prefill_rate: 20_000.0,
+                decode_interval: Duration::from_millis(30),
+            },
         }
     }
 }
@@ -40,6 +41,10 @@
     pub warm_limit: u32,
     /// Requests that it bears at once in cold start.
     pub cold_limit: u32,
+    /// Declared prefill rate when warm, in tokens a second.
+    pub prefill_rate: Option<f64>,
+    /// Declared time between tokens when warm.
+    pub decode_interval: Option<Duration>,
     /// Engine memory, in tokens of KV cache; none for a plain service.
     pub memory_tokens: Option<Tokens>,
     /// Whether the engine can suspend a prefill.
--- a/crates/policy/tests/scheduler.rs
+++ b/crates/policy/tests/scheduler.rs
@@ -18,6 +18,8 @@
         epoch: 1,
         warm_limit: 32,
         cold_limit: 2,
+        prefill_rate: None,
+        decode_interval: None,
         memory_tokens: Some(400_000),
         can_suspend: true,
         ..ServerFacts::default()
@@ -324,3 +326,53 @@
     let actions = bench.send(at(20), Event::Ended { attempt, ok: false });
     assert_eq!(dispatched(&actions), [2]);
 }
+
+const WARM_PREFILL: Duration = Duration::from_millis(50);
+const COLD_FACTOR: u32 = 4;
+
+/// A server whose reports leave out its warmth, with a declared pace.
+fn silent() -> Bench {
+    let mut bench = Bench::cold();
+    let declared = ServerFacts {
+        prefill_rate: Some(20_000.0),
+        decode_interval: Some(at(15)),
+        ..facts()
+    };
+    bench.send(Duration::ZERO, Event::Facts(declared));
+    let report = EngineReport::default();
+    bench.send(Duration::ZERO, Event::Report(report));
+    bench
+}
+
+/// Serves one request after another at that pace; gives the limit at the end.
+fn limit_after_answers(bench: &mut Bench, count: u64, slower: u32) -> u32 {
+    let token = at(15) * slower;
+    let mut now = Duration::ZERO;
+    for n in 0..count {
+        let job = Job {
+            deadline: now + SECOND * 60,
+            ..job(u128::from(n), "docks", 1_000)
+        };
+        let attempt = job.attempt;
+        assert_eq!(dispatched(&bench.offer(now, job)), [u128::from(n)]);
+        now += WARM_PREFILL * slower;
+        bench.send(now, Event::FirstToken(attempt));
+        for _ in 0..64 {
+            now += token;
+            bench.send(now, Event::Progress { attempt, tokens: 1 });
+        }
+        bench.send(now, Event::Ended { attempt, ok: true });
+    }
+    bench.scheduler.hints(now).limit
+}
+
+#[test]
+fn silent_server_rises_with_the_declared_pace() {
+    // Answers one after another use a limit of two at most, and raise it by one.
+    assert_eq!(limit_after_answers(&mut silent(), 10, 1), 3);
+}
+
+#[test]
+fn silent_server_in_cold_start_stays_at_its_limit() {
+    assert_eq!(limit_after_answers(&mut silent(), 100, COLD_FACTOR), 2);
+}
--- a/crates/replay/src/agent_sim.rs
+++ b/crates/replay/src/agent_sim.rs
@@ -75,11 +75,14 @@
     pub(crate) fn facts(&self, declared: &Declarations, version: ConfigVersion) -> ServerFacts {
         let server = declared.server(&self.spec.name);
         let domain = declared.domain(&self.spec.domain);
+        let is_silent = !self.spec.says_cold;
         ServerFacts {
             config: version,
             epoch: self.epoch,
             warm_limit: self.spec.warm_limit,
             cold_limit: self.spec.cold_limit,
+            prefill_rate: is_silent.then_some(self.spec.prefill_rate),
+            decode_interval: is_silent.then(|| EngineSpec::default().decode_interval(1)),
             memory_tokens: Some(self.spec.memory_tokens),
             can_suspend: true,
             domain_out: domain.is_none_or(|domain| domain.out),
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -209,6 +209,8 @@
             cold_limit: spec.cold_limit,
             checks_fencing: false,
             checks_identity: false,
+            prefill_rate: None,
+            decode_interval_ms: None,
             can_suspend: true,
             drained: false,
         });
--- a/crates/trials/src/capacity_decisions.rs
+++ b/crates/trials/src/capacity_decisions.rs
@@ -72,6 +72,8 @@
             epoch: 1,
             warm_limit: 64,
             cold_limit: 2,
+            prefill_rate: None,
+            decode_interval: None,
             memory_tokens: Some(2_000_000),
             ..ServerFacts::default()
         };
--- a/crates/trials/src/fleet_config.rs
+++ b/crates/trials/src/fleet_config.rs
@@ -164,6 +164,8 @@
         cold_limit: 2,
         checks_fencing: true,
         checks_identity: true,
+        prefill_rate: None,
+        decode_interval_ms: None,
         can_suspend: true,
         drained: false,
     }
--- a/crates/trials/src/sim_gateway.rs
+++ b/crates/trials/src/sim_gateway.rs
@@ -200,6 +200,8 @@
         cold_limit: 2,
         checks_fencing: false,
         checks_identity: false,
+        prefill_rate: None,
+        decode_interval_ms: None,
         can_suspend: true,
         drained: false,
     };
--- a/crates/trials/src/sim_site.rs
+++ b/crates/trials/src/sim_site.rs
@@ -51,6 +51,8 @@
             epoch: 1,
             warm_limit: spec.warm_limit as u32,
             cold_limit: spec.cold_limit as u32,
+            prefill_rate: None,
+            decode_interval: None,
             memory_tokens: Some(spec.memory_tokens),
             can_suspend: spec.can_suspend,
             ..ServerFacts::default()
