Let the learned pace of an engine fade, and measure it against published figures

Cause: after a loss of power engines go on with work that nobody knows of; one read behind it taught a pace of up to 12, which stayed, as nothing was sent there any more. The measured time was also compared with a forecast that held the pace already, so a server that stayed slow was learned too fast by half. Ruled out: the load told by peers (idle), servers that failed (not suspect).

The pace fades by half in a second; one measurement counts 8 at most.

--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -46,6 +46,8 @@
     pub part: Duration,
     /// Forecast of the time to the first event.
     pub forecast: Duration,
+    /// The same by the published figures alone.
+    pub usual: Duration,
 }
 
 /// Why a prompt gets no engines.
@@ -241,7 +243,8 @@
         }
         let need = waiter.need_at(self.now);
         let placement = place(self.model, &need, &engines)?;
-        Some(Ok(self.assign(&need, &placement, &servers)))
+        let pace = engines[placement.first].pace;
+        Some(Ok(self.assign(&need, &placement, &servers, pace)))
     }
 
     fn refuse(&self, reason: &'static str, loads: &[Duration]) -> NoEngines {
@@ -255,6 +258,7 @@
         need: &EngineNeed,
         placement: &EnginePlacement,
         servers: &[BackendEntry],
+        pace: f64,
     ) -> Assignment {
         let helpers = placement.helpers.iter();
         let helpers: Vec<_> = helpers
@@ -269,6 +273,7 @@
             job,
             part: placement.part,
             forecast: placement.forecast,
+            usual: placement.forecast.div_f64(pace),
         }
     }
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -84,7 +84,7 @@
             EngineCandidate {
                 order: key,
                 load: state.load.of(key, now),
-                pace: health.pace(),
+                pace: health.pace(now),
                 has_room: room && !health.is_full(now),
                 suspect: health.is_suspect(now),
             }
@@ -139,14 +139,14 @@
             .on_result(result, now);
     }
 
-    /// Notes how long a first event took against its forecast.
-    pub fn on_pace(&self, server: &str, forecast: Duration, taken: Duration) {
+    /// Notes how long a first event took against the time by the published figures.
+    pub fn on_pace(&self, server: &str, usual: Duration, taken: Duration, now: Duration) {
         let mut state = self.lock();
         state
             .health
             .entry(server.into())
             .or_default()
-            .on_pace(forecast, taken);
+            .on_pace(usual, taken, now);
     }
 
     /// Notes a caller's request for a service.
--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -215,7 +215,7 @@
                 if self.assignment.helpers.is_empty() {
                     shared
                         .fleet
-                        .on_pace(&server.id, self.assignment.forecast, taken);
+                        .on_pace(&server.id, self.assignment.usual, taken, now);
                 }
                 info!(shared.log, "stream: first event"; "req" => &*call.head.id,
                     "server" => &*server.id, "taken_ms" => taken.as_millis() as u64,
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -26,9 +26,12 @@
 const GREY_PART: f64 = 0.2;
 /// Weight of the newest measured time against its forecast.
 const PACE_WEIGHT: f64 = 0.3;
-/// Bounds of the learned pace.
+/// Bounds of the learned pace, and of one measurement.
 const LEAST_PACE: f64 = 1.0;
-const MOST_PACE: f64 = 12.0;
+const MOST_PACE: f64 = 8.0;
+/// Time in which a learned pace fades by half. A server at which a read was slow once may only
+/// have been at work that nobody knew of, and nothing new is learned while it is avoided.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(1);
 
 /// Health of one server, learned from what it does with requests, never from what it says.
 #[derive(Debug, Clone)]
@@ -38,6 +41,7 @@
     avoided_until: Duration,
     full_until: Duration,
     pace: f64,
+    paced: Duration,
 }
 
 impl Default for ServerHealth {
@@ -47,7 +51,8 @@
             pause: Duration::ZERO,
             avoided_until: Duration::ZERO,
             full_until: Duration::ZERO,
-            pace: 1.0,
+            pace: LEAST_PACE,
+            paced: Duration::ZERO,
         }
     }
 }
@@ -76,11 +81,13 @@
         }
     }
 
-    /// Takes in how long a first event took against its forecast.
-    pub fn on_pace(&mut self, forecast: Duration, taken: Duration) {
-        let ratio = taken.as_secs_f64() / forecast.as_secs_f64().max(1e-3);
-        self.pace += PACE_WEIGHT * (ratio - self.pace);
-        self.pace = self.pace.clamp(LEAST_PACE, MOST_PACE);
+    /// Takes in how long a first event took against the time by the published figures.
+    pub fn on_pace(&mut self, usual: Duration, taken: Duration, now: Duration) {
+        let ratio = taken.as_secs_f64() / usual.as_secs_f64().max(1e-3);
+        let ratio = ratio.clamp(LEAST_PACE, MOST_PACE);
+        let before = self.pace(now);
+        self.pace = before + PACE_WEIGHT * (ratio - before);
+        self.paced = now;
     }
 
     /// Whether the server should be avoided while there are others.
@@ -93,9 +100,11 @@
         now < self.full_until
     }
 
-    /// How much slower it is than foreseen.
-    pub fn pace(&self) -> f64 {
-        self.pace
+    /// How much slower it is than its published figures; 1 is as fast.
+    pub fn pace(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.paced);
+        let faded = 0.5_f64.powf(age.as_secs_f64() / PACE_HALF_LIFE.as_secs_f64());
+        LEAST_PACE + (self.pace - LEAST_PACE) * faded
     }
 
     fn avoid(&mut self, now: Duration) {
