Fill engines to their last slot with short prompts, and begin no late read that would be interrupted

Load pattern: the crowd after an outage. Ruled out: the learned pace (mended before).

Engines are filled to the last slot before the next is opened; a late read is begun only if it fills 0.4 of the time until its caller gives up.

--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -108,6 +108,7 @@
         target: call.admitted.route.target,
         gap: call.admitted.route.target_gap,
         waited: Duration::ZERO,
+        left: call.admitted.route.patience(),
     }
 }
 
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -16,7 +16,7 @@
 /// Part of the time to the first event that a placement may fill by its own forecast.
 const TARGET_PART: f64 = 0.8;
 /// Part of an engine's slots that is filled before the next engine in the order is opened.
-const PACKED_PART: f64 = 0.75;
+const PACKED_PART: f64 = 1.0;
 /// Part of an engine's memory that is given out; the rest covers answers longer than foreseen.
 const MEMORY_PART: f64 = 0.94;
 /// A prompt is short if its read alone fills at most this part of its own pause.
@@ -24,6 +24,10 @@
 /// Fewer parts are enough once the forecast fills only this part of the time that is due.
 const EARLY_PART: f64 = 0.5;
 
+/// A late read is begun only if it fills at most this part of the time until the caller gives up:
+/// one that takes longer is interrupted more often than not, and holds its engine in vain.
+const LATE_PART: f64 = 0.4;
+
 /// An engine that could take work.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineCandidate {
@@ -52,6 +56,8 @@
     pub gap: Duration,
     /// Time that it has waited.
     pub waited: Duration,
+    /// Time until its caller gives up.
+    pub left: Duration,
 }
 
 /// Where a prompt goes; indices are those of the candidates.
@@ -197,7 +203,11 @@
     // A late start is worth it only where no start would be on time any more; until then more
     // engines may become free.
     let may_be_on_time = need.waited + least_time(model, need, engines.len()) <= need.target;
-    soonest.filter(|placement| need.waited + placement.forecast <= need.target || !may_be_on_time)
+    let longest = need.left.mul_f64(LATE_PART);
+    soonest.filter(|placement| {
+        let on_time = need.waited + placement.forecast <= need.target;
+        on_time || !may_be_on_time && placement.forecast <= longest
+    })
 }
 
 /// Engines that may read a part, those with the most room first.
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -14,7 +14,7 @@
     pub id: WaiterId,
     /// Rank; 0 goes first.
     pub rank: u8,
-    /// What it needs; the time waited counts from `since`.
+    /// What it needs, as at its arrival.
     pub need: EngineNeed,
     /// When it began to wait.
     pub since: Duration,
@@ -25,9 +25,9 @@
 impl EngineWaiter {
     /// What it needs by now.
     pub fn need_at(&self, now: Duration) -> EngineNeed {
-        let waited = now.saturating_sub(self.since);
         EngineNeed {
-            waited,
+            waited: now.saturating_sub(self.since),
+            left: self.gives_up.saturating_sub(now),
             ..self.need.clone()
         }
     }
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -83,6 +83,7 @@
         target: ms(3_000),
         gap: ms(800),
         waited: ms(0),
+        left: ms(12_000),
     };
     EngineWaiter {
         id,
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -52,6 +52,7 @@
         target: ms(300),
         gap: ms(200),
         waited: ms(0),
+        left: ms(12_000),
     }
 }
 
@@ -62,6 +63,7 @@
         target: ms(3_000),
         gap: ms(800),
         waited: ms(0),
+        left: ms(12_000),
     }
 }
 
@@ -105,6 +107,7 @@
     let engines = engines(4, |order| writing(order, 8, ms(200)));
     let need = EngineNeed {
         waited: ms(10_000),
+        left: ms(12_000),
         ..long(210_000)
     };
     assert_eq!(place(&model(), &need, &engines), None);
@@ -135,6 +138,7 @@
     assert_eq!(place(&model(), &long(300_000), &engines), None);
     let need = EngineNeed {
         waited: ms(2_900),
+        left: ms(12_000),
         ..long(300_000)
     };
     assert!(place(&model(), &need, &engines).is_some());
