Scatter placements over as many engines as prompts are unheard of

Load pattern: many gateways. Ruled out: slots and memory (a third in use), the engines' pace (near 1).

A gateway expects its peers' arrivals by its own rate, and draws one among as many of the best engines as prompts are unheard of; long reads then take idle engines in an order of their own. With four gateways nothing is unheard of and the common order stays.

--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -242,7 +242,8 @@
             return Some(Err(self.refuse("too late to be read", &loads)));
         }
         let need = waiter.need_at(self.now);
-        let placement = place(self.model, &need, &engines)?;
+        let scatter = self.shared.fleet.scatter(self.spec, self.now);
+        let placement = place(self.model, &need, &engines, scatter)?;
         let pace = engines[placement.first].pace;
         Some(Ok(self.assign(&need, &placement, &servers, pace)))
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,7 +4,7 @@
 use async_channel::{Receiver, Sender};
 use policy::{
     ArrivalCap, AttemptResult, BackendId, EngineCandidate, FleetLoad, JobId, JobPart,
-    PlainCandidate, RepeatBudget, RepeatLimits, ServerHealth, ServiceName, ServiceSpec,
+    PlainCandidate, RepeatBudget, RepeatLimits, Scatter, ServerHealth, ServiceName, ServiceSpec,
     arrivals_share, server_key,
 };
 use proto::{BackendEntry, ServerKey, ServerUse};
@@ -22,6 +22,7 @@
 pub struct Fleet {
     state: Mutex<State>,
     gateways: AtomicUsize,
+    news_micros: AtomicU64,
     next_job: AtomicU64,
     changed_tx: Sender<()>,
     changed_rx: Receiver<()>,
@@ -49,6 +50,7 @@
             changed_rx,
             state: Mutex::default(),
             gateways: AtomicUsize::new(1),
+            news_micros: AtomicU64::new(0),
             next_job: AtomicU64::new(1),
             domain: settings.domain.clone(),
             repeats: bounds.repeats,
@@ -62,6 +64,26 @@
         self.gateways.store(gateways.max(1), Ordering::Relaxed);
     }
 
+    /// Sets how often peers hear of this gateway's work, and it of theirs.
+    pub fn set_news_interval(&self, interval: Duration) {
+        self.news_micros
+            .store(interval.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    /// How far this gateway places prompts without knowing of its peers' latest.
+    pub fn scatter(&self, service: &ServiceSpec, now: Duration) -> Scatter {
+        let peers = self.gateways.load(Ordering::Relaxed).saturating_sub(1);
+        let window = self.repeats.window.as_secs_f64();
+        let own = self.with_budget(&service.name, |budget| budget.first_count(now));
+        let rate = own as f64 / window.max(1.0);
+        // What arrived since the last news is known half an interval late on average.
+        let age = self.news_micros.load(Ordering::Relaxed) as f64 / 2e6;
+        Scatter {
+            unheard: rate * peers as f64 * age,
+            draw: rand::rng().random(),
+        }
+    }
+
     /// A number for a new job.
     pub fn next_job(&self) -> JobId {
         self.next_job.fetch_add(1, Ordering::Relaxed)
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -124,7 +124,9 @@
             let peers = self.send_frame();
             self.count_gateways();
             let paced = Duration::from_secs(1) * peers / FRAMES_PER_SECOND;
-            Timer::after(paced.max(LEAST_FRAME_INTERVAL)).await;
+            let interval = paced.max(LEAST_FRAME_INTERVAL);
+            self.shared.fleet.set_news_interval(interval);
+            Timer::after(interval).await;
         }
     }
 
--- a/crates/policy/src/arrival_window.rs
+++ b/crates/policy/src/arrival_window.rs
@@ -116,6 +116,11 @@
         self.first.note(now);
     }
 
+    /// Requests of callers in the window that ends now.
+    pub fn first_count(&mut self, now: Duration) -> usize {
+        self.first.count(now)
+    }
+
     /// Takes one repeat, if there is one.
     pub fn try_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
         let earned = limits.ratio * self.first.count(now) as f64;
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -8,6 +8,7 @@
 use crate::engine_model::EngineModel;
 use proto::ServerUse;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most servers that may help the first one, as engines state it.
 pub const MOST_HELPERS: usize = 16;
@@ -15,8 +16,6 @@
 const GAP_PART: f64 = 0.75;
 /// Part of the time to the first event that a placement may fill by its own forecast.
 const TARGET_PART: f64 = 0.8;
-/// Part of an engine's slots that is filled before the next engine in the order is opened.
-const PACKED_PART: f64 = 1.0;
 /// Part of an engine's memory that is given out; the rest covers answers longer than foreseen.
 const MEMORY_PART: f64 = 0.94;
 /// A prompt is short if its read alone fills at most this part of its own pause.
@@ -82,6 +81,41 @@
     pub tokens: u64,
 }
 
+/// How far gateways decide without knowing of each other's latest decisions.
+///
+/// Load pattern: many gateways, whose news arrive late. Each would choose the engine that is best
+/// by what it knows, and all would choose the same one.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Scatter {
+    /// Prompts that other gateways are expected to have placed unheard.
+    pub unheard: f64,
+    /// A draw for this decision.
+    pub draw: u64,
+}
+
+impl Scatter {
+    /// One of `count` choices, of which the first are the best: the more prompts are unheard of,
+    /// the farther down.
+    fn choose(&self, count: usize) -> usize {
+        let window = 1 + self.unheard.max(0.0).round() as usize;
+        (self.draw % window.min(count).max(1) as u64) as usize
+    }
+
+    /// The place of an engine among equals: the common order, or one of this decision's own where
+    /// another gateway is likely to choose by the common one meanwhile.
+    fn order(&self, engine: &EngineCandidate) -> u64 {
+        if self.unheard < OWN_ORDER_FROM {
+            u64::MAX - engine.order
+        } else {
+            xxh3_64(&(engine.order ^ self.draw).to_le_bytes())
+        }
+    }
+}
+
+/// Prompts unheard of from which long reads are placed in an order of their own: then a long one
+/// among them is likely enough.
+const OWN_ORDER_FROM: f64 = 2.0;
+
 /// Whether a prompt is short: one engine reads it without disturbing the others there.
 pub fn is_short(model: &EngineModel, need: &EngineNeed) -> bool {
     model.read_time(need.prompt) <= need.gap.mul_f64(SHORT_PART)
@@ -92,12 +126,13 @@
     model: &EngineModel,
     need: &EngineNeed,
     engines: &[EngineCandidate],
+    scatter: Scatter,
 ) -> Option<EnginePlacement> {
     let fits = need.prompt + need.answer <= usable_memory(model);
     if fits && is_short(model, need) {
-        place_short(model, need, engines)
+        place_short(model, need, engines, scatter)
     } else {
-        place_long(model, need, engines)
+        place_long(model, need, engines, scatter)
     }
 }
 
@@ -119,37 +154,47 @@
     model: &EngineModel,
     need: &EngineNeed,
     engines: &[EngineCandidate],
+    scatter: Scatter,
 ) -> Option<EnginePlacement> {
     let read = model.read_time(need.prompt);
-    let tokens = need.prompt + need.answer;
-    let packed = (f64::from(model.slots) * PACKED_PART) as u32;
-    let mut best: Option<(ShortRank, EnginePlacement)> = None;
-    for (index, engine) in engines.iter().enumerate() {
-        let free = usable_memory(model).saturating_sub(engine.load.tokens);
-        if !engine.has_room || engine.load.jobs >= model.slots || free < tokens {
-            continue;
-        }
-        let pass = pass_with(model, engine, read);
-        let gap = need.gap.min(engine.load.tightest_gap).mul_f64(GAP_PART);
-        let calm = pass <= gap && pass <= need.target.mul_f64(TARGET_PART);
-        let rank = ShortRank {
-            suspect: engine.suspect,
-            harms: !calm,
-            over_packed: engine.load.jobs >= packed,
-            forecast: if calm { Duration::ZERO } else { pass },
-            order: engine.order,
-        };
-        let placement = EnginePlacement {
-            first: index,
-            helpers: Vec::new(),
-            part: read,
-            forecast: pass,
-        };
-        if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-            best = Some((rank, placement));
-        }
+    let mut choices: Vec<_> = engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| may_write(model, need, engine))
+        .map(|(index, engine)| (short_rank(model, need, engine, read), index))
+        .collect();
+    choices.sort();
+    let (best, _) = choices.first()?;
+    let equals = choices.partition_point(|(rank, _)| rank.is_like(best));
+    let (_, first) = choices[scatter.choose(equals)];
+    Some(EnginePlacement {
+        first,
+        helpers: Vec::new(),
+        part: read,
+        forecast: pass_with(model, &engines[first], read),
+    })
+}
+
+fn may_write(model: &EngineModel, need: &EngineNeed, engine: &EngineCandidate) -> bool {
+    let free = usable_memory(model).saturating_sub(engine.load.tokens);
+    engine.has_room && engine.load.jobs < model.slots && free >= need.prompt + need.answer
+}
+
+fn short_rank(
+    model: &EngineModel,
+    need: &EngineNeed,
+    engine: &EngineCandidate,
+    read: Duration,
+) -> ShortRank {
+    let pass = pass_with(model, engine, read);
+    let gap = need.gap.min(engine.load.tightest_gap).mul_f64(GAP_PART);
+    let calm = pass <= gap && pass <= need.target.mul_f64(TARGET_PART);
+    ShortRank {
+        suspect: engine.suspect,
+        harms: !calm,
+        forecast: if calm { Duration::ZERO } else { pass },
+        order: engine.order,
     }
-    best.map(|(_, placement)| placement)
 }
 
 /// What speaks against an engine for a short prompt, the weightiest first.
@@ -157,11 +202,17 @@
 struct ShortRank {
     suspect: bool,
     harms: bool,
-    over_packed: bool,
     forecast: Duration,
     order: u64,
 }
 
+impl ShortRank {
+    /// Whether the same speaks against both, but for their place in the order.
+    fn is_like(&self, other: &Self) -> bool {
+        self.suspect == other.suspect && self.harms == other.harms
+    }
+}
+
 /// Time of a pass of this engine that reads what waits there and `read` besides.
 fn pass_with(model: &EngineModel, engine: &EngineCandidate, read: Duration) -> Duration {
     let work = engine.load.reading + read + model.pass_time(engine.load.jobs + 1);
@@ -184,8 +235,9 @@
     model: &EngineModel,
     need: &EngineNeed,
     engines: &[EngineCandidate],
+    scatter: Scatter,
 ) -> Option<EnginePlacement> {
-    let readers = readers(model, engines);
+    let readers = readers(model, engines, scatter);
     let early = need.target.mul_f64(TARGET_PART * EARLY_PART);
     let mut soonest: Option<EnginePlacement> = None;
     for parts in 1..=readers.len() {
@@ -211,15 +263,17 @@
 }
 
 /// Engines that may read a part, those with the most room first.
-fn readers(model: &EngineModel, engines: &[EngineCandidate]) -> Vec<Reader> {
+fn readers(model: &EngineModel, engines: &[EngineCandidate], scatter: Scatter) -> Vec<Reader> {
     let able = engines.iter().enumerate();
     let able = able.filter(|(_, engine)| !engine.suspect && engine.load.long_reads == 0);
     let mut readers: Vec<_> = able
         .map(|(index, engine)| reader(model, engine, index))
         .collect();
     readers.sort_by(|a, b| {
-        let order = engines[b.index].order.cmp(&engines[a.index].order);
-        b.room.total_cmp(&a.room).then(order)
+        let order = |reader: &Reader| scatter.order(&engines[reader.index]);
+        b.room
+            .total_cmp(&a.room)
+            .then_with(|| order(a).cmp(&order(b)))
     });
     readers.truncate(MOST_HELPERS + 1);
     readers
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -92,8 +92,8 @@
 };
 pub use domain_moves::{DomainMove, DomainMoves, DomainMovesConfig};
 pub use engine_choice::{
-    EngineCandidate, EngineHelper, EngineNeed, EnginePlacement, MOST_HELPERS, is_short, least_time,
-    place,
+    EngineCandidate, EngineHelper, EngineNeed, EnginePlacement, MOST_HELPERS, Scatter, is_short,
+    least_time, place,
 };
 pub use engine_model::EngineModel;
 pub use engine_queue::{EngineWaiter, WaiterId, come_back_after, sort_waiters};
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -3,9 +3,10 @@
 mod engine;
 
 use engine::model;
-use policy::{EngineCandidate, EngineNeed, is_short, place};
+use policy::{EngineCandidate, EngineNeed, Scatter, is_short, place};
 use proto::ServerUse;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -85,7 +86,7 @@
 fn short_prompts_are_packed_from_one_end() {
     let mut engines = engines(14, idle);
     for _ in 0..24 {
-        let placement = place(&model(), &draft(), &engines).unwrap();
+        let placement = place(&model(), &draft(), &engines, Scatter::default()).unwrap();
         let load = &mut engines[placement.first].load;
         load.jobs += 1;
         load.tightest_gap = draft().gap;
@@ -100,7 +101,7 @@
 fn long_prompts_keep_off_engines_with_tight_writers() {
     let mut engines = engines(6, |order| writing(order, 8, ms(200)));
     engines.extend((6..14).map(idle));
-    let placement = place(&model(), &long(210_000), &engines).unwrap();
+    let placement = place(&model(), &long(210_000), &engines, Scatter::default()).unwrap();
     let used = placement
         .helpers
         .iter()
@@ -119,7 +120,7 @@
         left: ms(12_000),
         ..long(210_000)
     };
-    assert_eq!(place(&model(), &need, &engines), None);
+    assert_eq!(place(&model(), &need, &engines, Scatter::default()), None);
 }
 
 /// A clump of long prompts: an engine puts a further part before the one that it reads, so
@@ -127,9 +128,12 @@
 #[test]
 fn a_long_read_is_never_interrupted_by_a_further_part() {
     let mut engines = engines(7, |order| reading(order, ms(400)));
-    assert_eq!(place(&model(), &long(210_000), &engines), None);
+    assert_eq!(
+        place(&model(), &long(210_000), &engines, Scatter::default()),
+        None
+    );
     engines.extend((7..14).map(idle));
-    let placement = place(&model(), &long(210_000), &engines).unwrap();
+    let placement = place(&model(), &long(210_000), &engines, Scatter::default()).unwrap();
     let used = placement
         .helpers
         .iter()
@@ -144,8 +148,11 @@
 fn a_late_start_waits_while_an_early_one_may_come() {
     let mut engines = engines(13, |order| reading(order, ms(200)));
     engines.push(idle(13));
-    assert_eq!(place(&model(), &long(230_000), &engines), None);
-    assert!(place(&model(), &late(230_000), &engines).is_some());
+    assert_eq!(
+        place(&model(), &long(230_000), &engines, Scatter::default()),
+        None
+    );
+    assert!(place(&model(), &late(230_000), &engines, Scatter::default()).is_some());
 }
 
 /// The crowd after an outage leaves one engine free: a read that its caller would not wait for is
@@ -154,9 +161,12 @@
 fn a_late_read_that_would_be_interrupted_is_not_begun() {
     let mut engines = engines(13, |order| reading(order, ms(200)));
     engines.push(idle(13));
-    assert_eq!(place(&model(), &late(400_000), &engines), None);
+    assert_eq!(
+        place(&model(), &late(400_000), &engines, Scatter::default()),
+        None
+    );
     engines.extend((14..16).map(idle));
-    let placement = place(&model(), &late(400_000), &engines).unwrap();
+    let placement = place(&model(), &late(400_000), &engines, Scatter::default()).unwrap();
     assert!(placement.forecast <= ms(3_600), "{placement:?}");
 }
 
@@ -164,7 +174,7 @@
 #[test]
 fn the_longest_prompts_are_held_by_several_engines() {
     let engines = engines(14, idle);
-    let placement = place(&model(), &long(900_000), &engines).unwrap();
+    let placement = place(&model(), &long(900_000), &engines, Scatter::default()).unwrap();
     let held: u64 = placement.helpers.iter().map(|helper| helper.tokens).sum();
     assert!(held + 450_000 >= 900_800, "{placement:?}");
     assert!(
@@ -187,7 +197,10 @@
         load: full,
         ..idle(order)
     });
-    assert_eq!(place(&model(), &long(210_000), &engines), None);
+    assert_eq!(
+        place(&model(), &long(210_000), &engines, Scatter::default()),
+        None
+    );
 }
 
 /// An engine fails: others take its work while they have room, and it is the last resort.
@@ -200,22 +213,35 @@
         },
         idle(1),
     ];
-    assert_eq!(place(&model(), &draft(), &engines).unwrap().first, 1);
+    assert_eq!(
+        place(&model(), &draft(), &engines, Scatter::default())
+            .unwrap()
+            .first,
+        1
+    );
     engines[1].load.jobs = 16;
-    assert_eq!(place(&model(), &draft(), &engines).unwrap().first, 0);
+    assert_eq!(
+        place(&model(), &draft(), &engines, Scatter::default())
+            .unwrap()
+            .first,
+        0
+    );
 }
 
 /// All slots are taken, or the cap on arrivals is reached: the prompt waits.
 #[test]
 fn nothing_is_placed_without_room() {
     let taken = engines(3, |order| writing(order, 16, ms(200)));
-    assert_eq!(place(&model(), &draft(), &taken), None);
+    assert_eq!(place(&model(), &draft(), &taken, Scatter::default()), None);
     let capped = engines(3, |order| EngineCandidate {
         has_room: false,
         ..idle(order)
     });
-    assert_eq!(place(&model(), &draft(), &capped), None);
-    assert_eq!(place(&model(), &long(210_000), &capped), None);
+    assert_eq!(place(&model(), &draft(), &capped, Scatter::default()), None);
+    assert_eq!(
+        place(&model(), &long(210_000), &capped, Scatter::default()),
+        None
+    );
 }
 
 /// Short and long follow from what a read does to a writer beside it, not from a number.
@@ -237,3 +263,48 @@
         }
     ));
 }
+
+/// Prompts that so many gateways place on the same knowledge, by engine.
+fn placed_unheard(gateways: u64, need: &EngineNeed, engines: &[EngineCandidate]) -> Vec<u64> {
+    let mut reads = vec![0; engines.len()];
+    for gateway in 0..gateways {
+        let scatter = Scatter {
+            unheard: (gateways - 1) as f64 / 2.0,
+            draw: xxh3_64(&gateway.to_le_bytes()),
+        };
+        let placement = place(&model(), need, engines, scatter).unwrap();
+        let helpers = placement.helpers.iter().map(|helper| helper.index);
+        for index in helpers.chain([placement.first]) {
+            reads[index] += 1;
+        }
+    }
+    reads
+}
+
+/// Thirty gateways, each with a prompt before any of them hears of another's: an engine reads
+/// about five short prompts before its writers pause too long.
+#[test]
+fn gateways_that_do_not_hear_each_other_scatter_short_prompts() {
+    let engines = engines(69, |order| {
+        if order < 17 {
+            writing(order, 8, ms(200))
+        } else {
+            idle(order)
+        }
+    });
+    let reads = placed_unheard(30, &draft(), &engines);
+    assert!(reads.iter().all(|reads| *reads <= 5), "{reads:?}");
+    let opened: u64 = reads[17..].iter().sum();
+    assert_eq!(opened, 0, "{reads:?}");
+}
+
+/// Three long prompts at once at gateways that do not hear each other: idle engines are many, and
+/// a part that is put before another's makes that one late.
+#[test]
+fn gateways_that_do_not_hear_each_other_scatter_long_prompts() {
+    let engines = engines(69, idle);
+    let need = long(210_000);
+    let scattered = placed_unheard(8, &need, &engines);
+    let shared = scattered.iter().filter(|reads| **reads > 1).count();
+    assert!(shared <= 8, "{scattered:?}");
+}
