--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -31,7 +31,7 @@
 /// Frames go out at most this often to few peers.
 const LEAST_FRAME_INTERVAL: Duration = Duration::from_millis(10);
 /// Frames that one gateway sends in a second at most, over all peers.
-const FRAMES_PER_SECOND: u32 = 600;
+const FRAMES_PER_SECOND: u32 = 80;
 /// Frames go out at least this often, so that a silent link shows.
 const MOST_FRAME_INTERVAL: Duration = Duration::from_millis(500);
 /// A gateway that has not been heard for this long no longer counts for shared limits: longer
