Tell peers of long reads at once, other changes paced

Load pattern: long prompts at many gateways. An engine puts a further part before the one that it reads, so a long read that peers do not know of for 124 ms makes others late.

A long read that starts or ends is told at once. The wake-ups of fleet and desk are one type, Signal.

--- a/crates/direct/src/desk.rs
+++ b/crates/direct/src/desk.rs
@@ -2,7 +2,8 @@
 
 use crate::job::Job;
 use crate::shared::Shared;
-use async_channel::{Receiver, Sender};
+use crate::signal::Signal;
+use async_channel::Sender;
 use async_io::Timer;
 use policy::{
     BackendId, EngineCandidate, EngineModel, EngineNeed, EnginePlacement, EngineWaiter,
@@ -67,24 +68,11 @@
 }
 
 /// Prompts that wait, by service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Desk {
     waiting: Mutex<Vec<Waiting>>,
     next: AtomicU64,
-    wake_tx: Sender<()>,
-    wake_rx: Receiver<()>,
-}
-
-impl Default for Desk {
-    fn default() -> Self {
-        let (wake_tx, wake_rx) = async_channel::bounded(1);
-        Self {
-            waiting: Mutex::default(),
-            next: AtomicU64::new(0),
-            wake_tx,
-            wake_rx,
-        }
-    }
+    woken: Signal,
 }
 
 impl Desk {
@@ -112,16 +100,13 @@
 
     /// Looks soon whether a waiting prompt can start.
     pub fn wake(&self) {
-        // A full channel means that a look is due already.
-        let _ = self.wake_tx.try_send(());
+        self.woken.notify();
     }
 
     /// Looks again whenever work ends, and at intervals while prompts wait.
     pub async fn run(shared: Arc<Shared>) {
         loop {
-            let woken = async {
-                let _ = shared.desk.wake_rx.recv().await;
-            };
+            let woken = shared.desk.woken.notified();
             if shared.desk.is_empty() {
                 woken.await;
             } else {
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Load, health and limits of the backend servers, as this gateway keeps them.
 
+use crate::signal::Signal;
 use adapter::HostSettings;
-use async_channel::{Receiver, Sender};
 use policy::{
     ArrivalCap, AttemptResult, BackendId, EngineCandidate, FleetLoad, JobId, JobPart,
     PlainCandidate, RepeatBudget, RepeatLimits, Scatter, ServerHealth, ServiceName, ServiceSpec,
@@ -24,8 +24,8 @@
     gateways: AtomicUsize,
     news_micros: AtomicU64,
     next_job: AtomicU64,
-    changed_tx: Sender<()>,
-    changed_rx: Receiver<()>,
+    changed: Signal,
+    long_changed: Signal,
     domain: Box<str>,
     repeats: RepeatLimits,
     cold_overage: f64,
@@ -44,10 +44,9 @@
     /// An idle fleet.
     pub fn new(settings: &HostSettings) -> Self {
         let bounds = &settings.bounds;
-        let (changed_tx, changed_rx) = async_channel::bounded(1);
         Self {
-            changed_tx,
-            changed_rx,
+            changed: Signal::default(),
+            long_changed: Signal::default(),
             state: Mutex::default(),
             gateways: AtomicUsize::new(1),
             news_micros: AtomicU64::new(0),
@@ -187,19 +186,19 @@
     /// Notes that a job starts.
     pub fn start(&self, job: JobId, parts: &[JobPart], now: Duration) {
         self.lock().load.start(job, parts, now);
-        self.note_change();
+        self.note_change(parts);
     }
 
     /// Notes that a job's prompt has been read.
     pub fn on_read(&self, job: JobId, parts: &[JobPart]) {
         self.lock().load.on_read(job, parts);
-        self.note_change();
+        self.note_change(parts);
     }
 
     /// Notes that a job has ended.
     pub fn end(&self, job: JobId, parts: &[JobPart]) {
         self.lock().load.end(job, parts);
-        self.note_change();
+        self.changed.notify();
     }
 
     /// All that this gateway has given to servers.
@@ -212,15 +211,21 @@
         self.lock().load.on_peer(peer, servers, now);
     }
 
-    /// Waits until this gateway's work has changed since the last call.
-    pub async fn changed(&self) {
-        // The sender lives as long as the receiver.
-        let _ = self.changed_rx.recv().await;
+    /// Told of each change of this gateway's work.
+    pub fn changed(&self) -> &Signal {
+        &self.changed
     }
 
-    fn note_change(&self) {
-        // A full channel holds the news already.
-        let _ = self.changed_tx.try_send(());
+    /// Told when a long read has started or ended.
+    pub fn long_changed(&self) -> &Signal {
+        &self.long_changed
+    }
+
+    fn note_change(&self, parts: &[JobPart]) {
+        self.changed.notify();
+        if parts.iter().any(|part| part.long) {
+            self.long_changed.notify();
+        }
     }
 
     fn with_budget<T>(&self, service: &str, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod process;
 mod reservation;
 mod shared;
+mod signal;
 mod store_watch;
 mod stream;
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -5,6 +5,7 @@
 use adapter::{ChangedRow, Changes, Listing, Store, StoreError, StoreTable, keys};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future::or;
 use proto::{Knowledge, KnownVersions, LoadFrame, Opening};
 use rand::random;
 use runtime::{
@@ -31,7 +32,7 @@
 /// Frames go out at most this often to few peers.
 const LEAST_FRAME_INTERVAL: Duration = Duration::from_millis(10);
 /// Frames that one gateway sends in a second at most, over all peers.
-const FRAMES_PER_SECOND: u32 = 80;
+const FRAMES_PER_SECOND: u32 = 250;
 /// Frames go out at least this often, so that a silent link shows.
 const MOST_FRAME_INTERVAL: Duration = Duration::from_millis(500);
 /// A gateway that has not been heard for this long no longer counts for shared limits: longer
@@ -113,20 +114,27 @@
         Ok(peers)
     }
 
-    /// Sends what this gateway has given to servers, whenever it changes.
+    /// Sends what this gateway has given to servers: a long read at once, other changes paced.
     pub async fn tell(self: Arc<Self>) {
+        let fleet = &self.shared.fleet;
         loop {
-            let changed = self.shared.fleet.changed();
-            let due = async {
-                Timer::after(MOST_FRAME_INTERVAL).await;
-            };
-            futures_lite::future::or(changed, due).await;
             let peers = self.send_frame();
             self.count_gateways();
             let paced = Duration::from_secs(1) * peers / FRAMES_PER_SECOND;
             let interval = paced.max(LEAST_FRAME_INTERVAL);
-            self.shared.fleet.set_news_interval(interval);
-            Timer::after(interval).await;
+            fleet.set_news_interval(interval);
+            let changed = async {
+                Timer::after(interval).await;
+                fleet.changed().notified().await;
+            };
+            let long_changed = async {
+                Timer::after(LEAST_FRAME_INTERVAL).await;
+                fleet.long_changed().notified().await;
+            };
+            let due = async {
+                Timer::after(MOST_FRAME_INTERVAL).await;
+            };
+            or(or(long_changed, changed), due).await;
         }
     }
 
