Follow a silent engine that goes on before its substitute does

Both are waited for, and whichever gives the next events is followed; the other is dropped and cancelled. An engine that breaks off is dropped before the next is looked for. A run that is dropped midway counts as one that may have run.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -127,13 +127,24 @@
     info!(shared.log, "attempt: sent"; "req" => &*call.head.id, "server" => &*server.id,
         "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
         "left_ms" => with.deadline.as_millis() as u64);
+    let abandoned = AbandonedRun(call);
     let answer = timeout(wait.min(call.remaining()), exchange.send(req)).await;
+    std::mem::forget(abandoned);
     let answer = answer.map_err(|_| AttemptError::Silent(name()))?;
     let answer = answer.map_err(|err| AttemptError::MayHaveRun(name(), text(&err)))?;
     check(call, server, &answer.head)?;
     Ok(answer)
 }
 
+/// Counts a run whose outcome nobody waits for any more.
+struct AbandonedRun<'a>(&'a Call);
+
+impl Drop for AbandonedRun<'_> {
+    fn drop(&mut self) {
+        self.0.note_run();
+    }
+}
+
 fn check(call: &Call, server: &BackendEntry, parts: &Parts) -> Result<(), AttemptError> {
     let head = ServerHead::read(parts, &call.head.id);
     let name = || server.id.clone();
--- a/crates/direct/src/leg.rs
+++ b/crates/direct/src/leg.rs
@@ -157,28 +157,44 @@
     pub async fn next(&mut self, call: &Call) -> LegEvent {
         let event = loop {
             let limit = self.silence(call).min(call.remaining());
+            match self.next_within(limit).await {
+                LegEvent::Silent if self.stays(call).await => {}
+                event => break event,
+            }
+        };
+        self.note(call, &event);
+        if matches!(event, LegEvent::Broken(_)) {
+            note_if_gone(call, &self.assignment.server).await;
+        }
+        event
+    }
+
+    /// Waits for what comes next of an engine that was silent for too long already.
+    pub async fn next_late(&mut self, call: &Call) -> LegEvent {
+        let event = self.next_within(call.remaining()).await;
+        info!(call.shared.log, "stream: the silent engine goes on"; "req" => &*call.head.id,
+            "server" => &*self.assignment.server.id, "how" => event.how());
+        event
+    }
+
+    async fn next_within(&mut self, limit: Duration) -> LegEvent {
+        loop {
             let frame = timeout(limit, self.answer.body.frame()).await;
             let data = match frame {
-                Err(_) if self.stays(call).await => continue,
-                Err(_) => break LegEvent::Silent,
+                Err(_) => return LegEvent::Silent,
                 Ok(None) if self.splitter.has_partial() => {
-                    break LegEvent::Broken("it ended within an event".into());
+                    return LegEvent::Broken("it ended within an event".into());
                 }
-                Ok(None) => break LegEvent::End,
-                Ok(Some(Err(err))) => break LegEvent::Broken(err.to_string().into()),
+                Ok(None) => return LegEvent::End,
+                Ok(Some(Err(err))) => return LegEvent::Broken(err.to_string().into()),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             match self.splitter.push(&data) {
-                Ok(Some(events)) => break LegEvent::Events(events),
+                Ok(Some(events)) => return LegEvent::Events(events),
                 Ok(None) => {}
-                Err(err) => break LegEvent::Broken(err.to_string().into()),
+                Err(err) => return LegEvent::Broken(err.to_string().into()),
             }
-        };
-        self.note(call, &event);
-        if matches!(event, LegEvent::Broken(_)) {
-            note_if_gone(call, &self.assignment.server).await;
         }
-        event
     }
 
     /// Gives up looking for another engine when this one is silent.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -6,6 +6,7 @@
 use crate::plain::whole;
 use adapter::answer_headers;
 use bytes::Bytes;
+use futures_lite::future::or;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::Response;
 use policy::{BackendId, RouteKind};
@@ -146,28 +147,88 @@
                 Ok(Err(_)) => return RelayEnd::CallerLeft,
                 Err(_) => return RelayEnd::Broken("time is up"),
             }
-            events = loop {
-                let silent = match self.unless_gone(leg.next(&self.call)).await {
-                    None => return RelayEnd::CallerLeft,
-                    Some(LegEvent::Events(events)) => break events,
-                    Some(LegEvent::End) => return RelayEnd::Whole,
-                    Some(LegEvent::Broken(_)) => false,
-                    Some(LegEvent::Silent) => true,
-                };
-                if self.call.remaining().is_zero() {
-                    return RelayEnd::Broken("time is up");
-                }
-                match self.resume(last).await {
-                    Ok(next) => leg = next,
-                    // A silent engine may still go on by itself.
-                    Err(RelayEnd::Broken(_)) if silent => leg.stay(),
-                    Err(end) => return end,
-                }
+            (leg, events) = match self.next_events(leg, last).await {
+                Ok(next) => next,
+                Err(end) => return end,
             };
             last = leg.last_event().or(last);
         }
     }
 
+    /// The next events, of this leg or of one that takes its place.
+    async fn next_events(
+        &mut self,
+        mut leg: Leg,
+        last: Option<u64>,
+    ) -> Result<(Leg, Bytes), RelayEnd> {
+        loop {
+            let next = unless_gone(&self.tx, leg.next(&self.call)).await;
+            let silent = match next.ok_or(RelayEnd::CallerLeft)? {
+                LegEvent::Events(events) => return Ok((leg, events)),
+                LegEvent::End => return Err(RelayEnd::Whole),
+                LegEvent::Broken(_) => false,
+                LegEvent::Silent => true,
+            };
+            if self.call.remaining().is_zero() {
+                return Err(RelayEnd::Broken("time is up"));
+            }
+            if !silent {
+                drop(leg);
+                return self.go_on(last).await;
+            }
+            leg = match self.go_on_beside(leg, last).await? {
+                Followed::Events(leg, events) => return Ok((leg, events)),
+                Followed::Silent(leg) => leg,
+            };
+        }
+    }
+
+    /// Follows another engine while the silent one may still go on by itself, whichever is first.
+    async fn go_on_beside(&mut self, leg: Leg, last: Option<u64>) -> Result<Followed, RelayEnd> {
+        let call = self.call.clone();
+        let mut silent = Some(leg);
+        let same = async {
+            let event = match &mut silent {
+                Some(leg) => leg.next_late(&call).await,
+                None => LegEvent::Silent,
+            };
+            if matches!(event, LegEvent::Broken(_)) {
+                // What it holds is given back while the other one is waited for.
+                silent = None;
+            }
+            match event {
+                LegEvent::Events(events) => First::Same(events),
+                LegEvent::End => First::Ended,
+                LegEvent::Broken(_) | LegEvent::Silent => std::future::pending().await,
+            }
+        };
+        let other = async { First::Other(self.go_on(last).await) };
+        let first = or(same, other).await;
+        match (first, silent) {
+            (First::Same(events), Some(leg)) => Ok(Followed::Events(leg, events)),
+            (First::Same(_) | First::Ended, _) => Err(RelayEnd::Whole),
+            (First::Other(Ok((leg, events))), _) => Ok(Followed::Events(leg, events)),
+            (First::Other(Err(RelayEnd::Broken(_))), Some(mut leg)) => {
+                leg.stay();
+                Ok(Followed::Silent(leg))
+            }
+            (First::Other(Err(end)), _) => Err(end),
+        }
+    }
+
+    /// The next events, of another engine.
+    async fn go_on(&mut self, last: Option<u64>) -> Result<(Leg, Bytes), RelayEnd> {
+        loop {
+            let mut leg = self.resume(last).await?;
+            let next = unless_gone(&self.tx, leg.next(&self.call)).await;
+            match next.ok_or(RelayEnd::CallerLeft)? {
+                LegEvent::Events(events) => return Ok((leg, events)),
+                LegEvent::End => return Err(RelayEnd::Whole),
+                LegEvent::Broken(_) | LegEvent::Silent => {}
+            }
+        }
+    }
+
     /// Goes on at another engine, if the route allows.
     async fn resume(&mut self, last: Option<u64>) -> Result<Leg, RelayEnd> {
         let resumable = self.call.admitted.route.kind == RouteKind::Stream { resumable: true };
@@ -175,13 +236,8 @@
             return Err(RelayEnd::Broken("it cannot be resumed"));
         };
         while self.call.may_run_again() && !self.call.remaining().is_zero() {
-            let call = self.call.clone();
-            let mut tried = std::mem::take(&mut self.tried);
-            let opened = self
-                .unless_gone(Leg::open(&call, &mut tried, Some(last)))
-                .await;
-            self.tried = tried;
-            match opened {
+            let opened = Leg::open(&self.call, &mut self.tried, Some(last));
+            match unless_gone(&self.tx, opened).await {
                 None => return Err(RelayEnd::CallerLeft),
                 Some(Ok(leg)) if leg.answer.head.status.is_success() => return Ok(leg),
                 Some(Ok(_)) => {}
@@ -197,13 +253,27 @@
         }
         Err(RelayEnd::Broken("no server to go on"))
     }
+}
 
-    async fn unless_gone<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        let work = async { Some(work.await) };
-        let gone = async {
-            self.tx.closed().await;
-            None
-        };
-        futures_lite::future::or(work, gone).await
-    }
+/// What a stream is followed at after a silence.
+enum Followed {
+    Events(Leg, Bytes),
+    /// No other engine goes on; the silent one is waited for.
+    Silent(Leg),
+}
+
+/// What came first after a silence.
+enum First {
+    Same(Bytes),
+    Ended,
+    Other(Result<(Leg, Bytes), RelayEnd>),
+}
+
+async fn unless_gone<T>(caller: &BodySender, work: impl Future<Output = T>) -> Option<T> {
+    let work = async { Some(work.await) };
+    let gone = async {
+        caller.closed().await;
+        None
+    };
+    or(work, gone).await
 }
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -122,6 +122,19 @@
         let answer = rig.call("s1", "/stream/x", KEY).await;
         assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
     };
+    a_silent_engine_that_goes_on_first_is_followed => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2"].map(|name| {
+            rig.server(name, "engines", ServerKind::Engine).unwrap()
+        });
+        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        rig.call("p1", "/stream/x", KEY).await;
+        let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
+        engines[first].stand().conduct(ServerConduct::PauseBehind(4));
+        engines[1 - first].stand().conduct(ServerConduct::StallBehind(0));
+        let answer = rig.call("s1", "/stream/x", KEY).await;
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+        assert_eq!(engines[1 - first].stand().runs().len(), 1, "it was asked to go on");
+    };
     memory_reserved_for_a_long_prompt_is_given_back => async |rig: &mut DirectRig| {
         let engines = ["engine-1", "engine-2", "engine-3"].map(|name| {
             rig.server(name, "engines", ServerKind::Engine).unwrap()
