Let six gateways follow the store, and the others hear of changes from them

Ruled out: the pause between polls (already paced), the gateways' own table (0.2 calls a second each).

Of a common order of gateways the first six follow the store; a gateway that is silent for a second, or that the store does not answer, is not counted. News go out at once, and a table that is not newer is left out of the answer. The others look for a change ten times a second and never rest while their own calls fail.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -25,7 +25,7 @@
     news_micros: AtomicU64,
     next_job: AtomicU64,
     changed: Signal,
-    long_changed: Signal,
+    urgent: Signal,
     domain: Box<str>,
     repeats: RepeatLimits,
     cold_overage: f64,
@@ -46,7 +46,7 @@
         let bounds = &settings.bounds;
         Self {
             changed: Signal::default(),
-            long_changed: Signal::default(),
+            urgent: Signal::default(),
             state: Mutex::default(),
             gateways: AtomicUsize::new(1),
             news_micros: AtomicU64::new(0),
@@ -216,15 +216,16 @@
         &self.changed
     }
 
-    /// Told when a long read has started or ended.
-    pub fn long_changed(&self) -> &Signal {
-        &self.long_changed
+    /// Told when peers should hear at once: a long read has started or ended, or the store has
+    /// changed.
+    pub fn urgent(&self) -> &Signal {
+        &self.urgent
     }
 
     fn note_change(&self, parts: &[JobPart]) {
         self.changed.notify();
         if parts.iter().any(|part| part.long) {
-            self.long_changed.notify();
+            self.urgent.notify();
         }
     }
 
--- a/crates/direct/src/knowledge.rs
+++ b/crates/direct/src/knowledge.rs
@@ -115,15 +115,19 @@
             "version" => listing.version);
     }
 
-    /// All that is known, for a peer.
-    pub fn export(&self) -> Knowledge {
+    /// What is known, for a peer that knows the store so far. A table that is not newer is left
+    /// out whole.
+    pub fn export(&self, peer: &KnownVersions) -> Knowledge {
         let state = self.lock();
+        let operators_newer = state.known.operators > peer.operators;
+        let declarations = state.declarations.clone().filter(|_| operators_newer);
         let evacuated = state.evacuated().into_iter().collect();
         let servers = state.servers.rows();
+        let servers = servers.filter(|_| state.known.servers > peer.servers);
         let servers = servers.map(|(id, row, version)| (id.clone(), row.clone(), version));
         Knowledge {
             known: state.known,
-            declarations: state.declarations.clone(),
+            declarations,
             evacuated,
             servers: servers.collect(),
         }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -6,6 +6,7 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
+use policy::{StoreWatcher, follows_store};
 use proto::{Knowledge, KnownVersions, LoadFrame, Opening};
 use rand::random;
 use runtime::{
@@ -38,12 +39,10 @@
 /// A gateway that has not been heard for this long no longer counts for shared limits: longer
 /// than their windows.
 const COUNTED_FOR: Duration = Duration::from_secs(15);
-/// The store counts as out of reach after this time without an answer: one poll and a pause.
-const STORE_SILENT: Duration = Duration::from_millis(1_900);
 /// Time for a peer to send all that it knows.
 const KNOWLEDGE_TIME: Duration = Duration::from_secs(1);
-/// Pause between questions for what peers know.
-const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between questions for what peers know, which covers the answer.
+const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(40);
 
 /// Row of a gateway in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +64,7 @@
     row: GatewayRow,
     version: u64,
     heard: Duration,
+    reaches_store: bool,
     frames: Option<Sender<Arc<LoadFrame>>>,
 }
 
@@ -120,6 +120,7 @@
         loop {
             let peers = self.send_frame();
             self.count_gateways();
+            self.choose_watchers();
             let paced = Duration::from_secs(1) * peers / FRAMES_PER_SECOND;
             let interval = paced.max(LEAST_FRAME_INTERVAL);
             fleet.set_news_interval(interval);
@@ -127,14 +128,14 @@
                 Timer::after(interval).await;
                 fleet.changed().notified().await;
             };
-            let long_changed = async {
+            let urgent = async {
                 Timer::after(LEAST_FRAME_INTERVAL).await;
-                fleet.long_changed().notified().await;
+                fleet.urgent().notified().await;
             };
             let due = async {
                 Timer::after(MOST_FRAME_INTERVAL).await;
             };
-            or(or(long_changed, changed), due).await;
+            or(or(urgent, changed), due).await;
         }
     }
 
@@ -147,6 +148,7 @@
         let frame = Arc::new(LoadFrame {
             servers: self.shared.fleet.own(self.shared.clock.now()),
             known: self.shared.knowledge.known(),
+            reaches_store: self.shared.follows_store() && self.shared.reaches_store(),
         });
         let peers = self.lock();
         for frames in peers.values().filter_map(|peer| peer.frames.as_ref()) {
@@ -195,6 +197,7 @@
         let (tx, rx) = async_channel::bounded(1);
         let peer = KnownPeer {
             heard: self.shared.clock.now(),
+            reaches_store: false,
             version: row.version,
             frames: Some(tx),
             row: found.clone(),
@@ -209,6 +212,7 @@
 
     fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
         let now = self.shared.clock.now();
+        let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer(peer, frame.servers, now);
         self.shared.desk.wake();
         let address = {
@@ -216,6 +220,7 @@
             let known = peers.get_mut(peer);
             known.map(|known| {
                 known.heard = now;
+                known.reaches_store = reaches_store;
                 known.row.address
             })
         };
@@ -228,11 +233,10 @@
         }
     }
 
-    /// Whether the store is out of reach and a peer knows more of it.
+    /// Whether a peer knows more of the store, and this gateway does not follow it itself.
     fn needs_knowledge(&self, known: &KnownVersions, now: Duration) -> bool {
-        let silent = now.saturating_sub(self.shared.store_heard()) > STORE_SILENT;
-        let lost = silent || self.shared.is_store_lost();
-        if !lost || !known.is_ahead_of(&self.shared.knowledge.known()) {
+        let follows = self.shared.follows_store() && self.shared.reaches_store();
+        if follows || !known.is_ahead_of(&self.shared.knowledge.known()) {
             return false;
         }
         let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
@@ -243,11 +247,28 @@
         due
     }
 
+    /// Settles whether this gateway follows the store itself.
+    fn choose_watchers(&self) {
+        let now = self.shared.clock.now();
+        let peers = self.lock();
+        let watchers = peers.iter().map(|(name, peer)| StoreWatcher {
+            name,
+            heard_ago: now.saturating_sub(peer.heard),
+            reaches_store: peer.reaches_store,
+        });
+        let follows = follows_store(&self.shared.settings.name, watchers);
+        if self.shared.set_follows_store(follows) != follows {
+            info!(self.shared.log, "store: who follows it has changed"; "follows" => follows,
+                "peers" => peers.len());
+        }
+    }
+
     async fn fetch_knowledge(&self, peer: &str, address: SocketAddr) {
+        let known = self.shared.knowledge.known();
         let fetch = async {
             let opened = self
                 .link
-                .open(address, Role::Gateway, &Opening::Knowledge)
+                .open(address, Role::Gateway, &Opening::Knowledge(known))
                 .await;
             let (_tx, mut rx) = opened?;
             rx.receive::<Knowledge>().await
@@ -291,9 +312,9 @@
                     self.0.on_frame(&peer.node, frame);
                 }
             }
-            Opening::Knowledge => {
+            Opening::Knowledge(known) => {
                 let shared = &self.0.shared;
-                let sent = tx.send(&shared.knowledge.export()).await;
+                let sent = tx.send(&shared.knowledge.export(&known)).await;
                 if let Err(err) = sent {
                     warn!(shared.log, "peers: knowledge not sent"; "err" => %err);
                 }
@@ -312,6 +333,11 @@
     const TABLE: StoreTable = StoreTable::Gateways;
     /// Gateways come and go seldom, and a missed one only makes shares too large for a moment.
     const WAIT: Duration = Duration::from_secs(5);
+    const TOLD_BY_PEERS: bool = false;
+
+    fn told_version(&self, _shared: &Shared) -> u64 {
+        0
+    }
 
     fn on_listing(&self, _shared: &Shared, listing: Listing) {
         for row in &listing.rows {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -7,7 +7,7 @@
 use adapter::HostSettings;
 use runtime::{Clock, Executor, HttpClient, ShutdownSignal};
 use slog::Logger;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// State of one process, shared by its tasks.
@@ -35,8 +35,12 @@
     pub draining: ShutdownSignal,
     store_heard_ms: AtomicU64,
     lost_tables: AtomicUsize,
+    leaves_store: AtomicBool,
 }
 
+/// The store counts as out of reach after this time without an answer: one poll and a pause.
+const STORE_SILENT: Duration = Duration::from_millis(1_900);
+
 impl Shared {
     /// The state at the start.
     pub fn new(
@@ -54,6 +58,7 @@
             draining: ShutdownSignal::default(),
             store_heard_ms: AtomicU64::new(0),
             lost_tables: AtomicUsize::new(0),
+            leaves_store: AtomicBool::new(false),
             settings,
             executor,
             log,
@@ -66,9 +71,21 @@
             .store(now.as_millis() as u64, Ordering::Relaxed);
     }
 
-    /// When the store answered last.
-    pub fn store_heard(&self) -> Duration {
-        Duration::from_millis(self.store_heard_ms.load(Ordering::Relaxed))
+    /// Whether the store answers this gateway.
+    pub fn reaches_store(&self) -> bool {
+        let heard = Duration::from_millis(self.store_heard_ms.load(Ordering::Relaxed));
+        let silent = self.clock.now().saturating_sub(heard);
+        silent < STORE_SILENT && self.lost_tables.load(Ordering::Relaxed) == 0
+    }
+
+    /// Settles whether this gateway follows the store, and says whether it did.
+    pub fn set_follows_store(&self, follows: bool) -> bool {
+        !self.leaves_store.swap(!follows, Ordering::Relaxed)
+    }
+
+    /// Whether this gateway follows the store; otherwise it hears of changes from peers that do.
+    pub fn follows_store(&self) -> bool {
+        !self.leaves_store.load(Ordering::Relaxed)
     }
 
     /// Notes that calls for one table began to fail, or succeed again.
@@ -80,11 +97,6 @@
         }
     }
 
-    /// Whether calls to the store fail.
-    pub fn is_store_lost(&self) -> bool {
-        self.lost_tables.load(Ordering::Relaxed) > 0
-    }
-
     /// Shows the declarations in force in the metrics.
     pub fn note_declarations(&self) {
         if let Some(table) = self.knowledge.table() {
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -12,6 +12,9 @@
 const POLL_WAIT: Duration = Duration::from_millis(1_200);
 /// Pause between polls, which bounds the calls while changes come fast.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
+/// Time between looks whether this gateway has to follow the store: a small part of the second
+/// after which a silent peer is replaced.
+const REST_LOOK: Duration = Duration::from_millis(100);
 /// Pauses after failed calls, the first and the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -22,6 +25,11 @@
     const TABLE: StoreTable;
     /// Longest wait for a change.
     const WAIT: Duration = POLL_WAIT;
+    /// Whether peers tell what this table holds.
+    const TOLD_BY_PEERS: bool = true;
+
+    /// How far the table is known by what peers told.
+    fn told_version(&self, shared: &Shared) -> u64;
 
     /// Takes in the whole table.
     fn on_listing(&self, shared: &Shared, listing: Listing);
@@ -41,6 +49,10 @@
 impl TableReader for OperatorsReader {
     const TABLE: StoreTable = StoreTable::Operators;
 
+    fn told_version(&self, shared: &Shared) -> u64 {
+        shared.knowledge.known().operators
+    }
+
     fn on_listing(&self, shared: &Shared, listing: Listing) {
         shared.knowledge.on_operator_listing(&listing);
         shared.note_declarations();
@@ -57,6 +69,10 @@
 impl TableReader for ServersReader {
     const TABLE: StoreTable = StoreTable::Servers;
 
+    fn told_version(&self, shared: &Shared) -> u64 {
+        shared.knowledge.known().servers
+    }
+
     fn on_listing(&self, shared: &Shared, listing: Listing) {
         shared
             .knowledge
@@ -81,6 +97,12 @@
     };
     let mut since = None;
     loop {
+        if watch.rests() {
+            Timer::after(REST_LOOK).await;
+            // What peers told meanwhile need not be read again.
+            since = since.map(|version: u64| version.max(watch.told_version()));
+            continue;
+        }
         let step = match since {
             None => watch.list().await,
             Some(version) => watch.poll(version).await,
@@ -114,6 +136,16 @@
 }
 
 impl<R: TableReader> TableWatch<R> {
+    /// Whether this table is left to peers: never while the store is lost, or its return would be
+    /// missed.
+    fn rests(&self) -> bool {
+        R::TOLD_BY_PEERS && self.lost.is_none() && !self.shared.follows_store()
+    }
+
+    fn told_version(&self) -> u64 {
+        self.reader.told_version(&self.shared)
+    }
+
     async fn list(&self) -> Result<u64, StoreError> {
         let listing = self.store.list(R::TABLE).await?;
         let version = listing.version;
@@ -127,7 +159,11 @@
         self.shared.metrics.store_call("changes", "ok");
         // A version behind the one that was asked for would move the poll backwards.
         let version = changes.version.max(since);
+        let changed = !changes.rows.is_empty();
         self.reader.on_changes(&self.shared, changes);
+        if changed {
+            self.shared.fleet.urgent().notify();
+        }
         Ok(version)
     }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -109,7 +109,7 @@
     *answer.headers_mut() = answer_headers(&leg.answer.head);
     let executor = call.shared.executor.clone();
     let relay = Relay { call, tx, tried };
-    executor.detach(relay.run(*leg, events));
+    executor.detach(relay.run(leg, events));
     answer
 }
 
@@ -127,7 +127,7 @@
 }
 
 impl Relay {
-    async fn run(mut self, leg: Leg, events: Bytes) {
+    async fn run(mut self, leg: Box<Leg>, events: Bytes) {
         let end = self.pass_on(leg, events).await;
         match end {
             RelayEnd::Whole => self.call.note_end("served", ""),
@@ -139,7 +139,7 @@
         }
     }
 
-    async fn pass_on(&mut self, mut leg: Leg, mut events: Bytes) -> RelayEnd {
+    async fn pass_on(&mut self, mut leg: Box<Leg>, mut events: Bytes) -> RelayEnd {
         let mut last = leg.last_event();
         loop {
             match timeout(self.call.remaining(), self.tx.send(events)).await {
@@ -158,9 +158,9 @@
     /// The next events, of this leg or of one that takes its place.
     async fn next_events(
         &mut self,
-        mut leg: Leg,
+        mut leg: Box<Leg>,
         last: Option<u64>,
-    ) -> Result<(Leg, Bytes), RelayEnd> {
+    ) -> Result<(Box<Leg>, Bytes), RelayEnd> {
         loop {
             let next = unless_gone(&self.tx, leg.next(&self.call)).await;
             let silent = match next.ok_or(RelayEnd::CallerLeft)? {
@@ -184,7 +184,11 @@
     }
 
     /// Follows another engine while the silent one may still go on by itself, whichever is first.
-    async fn go_on_beside(&mut self, leg: Leg, last: Option<u64>) -> Result<Followed, RelayEnd> {
+    async fn go_on_beside(
+        &mut self,
+        leg: Box<Leg>,
+        last: Option<u64>,
+    ) -> Result<Followed, RelayEnd> {
         let call = self.call.clone();
         let mut silent = Some(leg);
         let same = async {
@@ -217,7 +221,7 @@
     }
 
     /// The next events, of another engine.
-    async fn go_on(&mut self, last: Option<u64>) -> Result<(Leg, Bytes), RelayEnd> {
+    async fn go_on(&mut self, last: Option<u64>) -> Result<(Box<Leg>, Bytes), RelayEnd> {
         loop {
             let mut leg = self.resume(last).await?;
             let next = unless_gone(&self.tx, leg.next(&self.call)).await;
@@ -230,7 +234,7 @@
     }
 
     /// Goes on at another engine, if the route allows.
-    async fn resume(&mut self, last: Option<u64>) -> Result<Leg, RelayEnd> {
+    async fn resume(&mut self, last: Option<u64>) -> Result<Box<Leg>, RelayEnd> {
         let resumable = self.call.admitted.route.kind == RouteKind::Stream { resumable: true };
         let Some(last) = last.filter(|_| resumable) else {
             return Err(RelayEnd::Broken("it cannot be resumed"));
@@ -239,7 +243,9 @@
             let opened = Leg::open(&self.call, &mut self.tried, Some(last));
             match unless_gone(&self.tx, opened).await {
                 None => return Err(RelayEnd::CallerLeft),
-                Some(Ok(leg)) if leg.answer.head.status.is_success() => return Ok(leg),
+                Some(Ok(leg)) if leg.answer.head.status.is_success() => {
+                    return Ok(Box::new(leg));
+                }
                 Some(Ok(_)) => {}
                 Some(Err(LegError::NoEngines(_))) => {
                     return Err(RelayEnd::Broken("no engine to go on"));
@@ -257,16 +263,16 @@
 
 /// What a stream is followed at after a silence.
 enum Followed {
-    Events(Leg, Bytes),
+    Events(Box<Leg>, Bytes),
     /// No other engine goes on; the silent one is waited for.
-    Silent(Leg),
+    Silent(Box<Leg>),
 }
 
 /// What came first after a silence.
 enum First {
     Same(Bytes),
     Ended,
-    Other(Result<(Leg, Bytes), RelayEnd>),
+    Other(Result<(Box<Leg>, Bytes), RelayEnd>),
 }
 
 async fn unless_gone<T>(caller: &BodySender, work: impl Future<Output = T>) -> Option<T> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -70,6 +70,7 @@
 mod spread;
 mod spread_content;
 mod spread_event;
+mod store_watchers;
 mod trace;
 mod warmth;
 
@@ -141,6 +142,7 @@
 pub use spread::Spread;
 pub use spread_content::InForce;
 pub use spread_event::{SpreadAction, SpreadConfig, SpreadEvent, Ticket};
+pub use store_watchers::{STORE_WATCHERS, StoreWatcher, follows_store};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
     TraceHead, TraceLine, TraceOutcome, TraceRequest, TraceServer,
--- /dev/null
+++ b/crates/policy/tests/store_watchers.rs
@@ -0,0 +1,85 @@
+//! Which gateways follow the store, as some of them lose it or are lost.
+
+use policy::{STORE_WATCHERS, StoreWatcher, follows_store};
+use std::time::Duration;
+
+/// A gateway of the test's fleet.
+#[derive(Debug, Clone)]
+struct Gateway {
+    name: String,
+    reaches_store: bool,
+    silent_for: Duration,
+}
+
+fn fleet(count: usize) -> Vec<Gateway> {
+    let names = (0..count).map(|n| format!("frontend-{}-{n}", n % 3));
+    let gateways = names.map(|name| Gateway {
+        name,
+        reaches_store: true,
+        silent_for: Duration::from_millis(100),
+    });
+    gateways.collect()
+}
+
+/// Who follows, once each has heard what the others do.
+fn followers(fleet: &[Gateway]) -> Vec<usize> {
+    let mut follows = vec![true; fleet.len()];
+    for _ in 0..fleet.len() {
+        let before = follows.clone();
+        for (own, gateway) in fleet.iter().enumerate() {
+            let peers = fleet.iter().enumerate().filter(|(index, _)| *index != own);
+            let peers = peers.map(|(index, peer)| StoreWatcher {
+                name: &peer.name,
+                heard_ago: peer.silent_for,
+                reaches_store: before[index] && peer.reaches_store,
+            });
+            follows[own] = follows_store(&gateway.name, peers);
+        }
+    }
+    (0..fleet.len()).filter(|index| follows[*index]).collect()
+}
+
+#[test]
+fn few_gateways_all_follow() {
+    assert_eq!(followers(&fleet(STORE_WATCHERS)).len(), STORE_WATCHERS);
+}
+
+/// A change at 340 gateways wakes the calls of a few.
+#[test]
+fn of_many_gateways_a_few_follow() {
+    for count in [7, 31, 340] {
+        assert_eq!(followers(&fleet(count)).len(), STORE_WATCHERS, "{count}");
+    }
+}
+
+/// The store turns the followers away and answers the others.
+#[test]
+fn followers_that_lose_the_store_are_replaced() {
+    let mut fleet = fleet(31);
+    for lost in followers(&fleet) {
+        fleet[lost].reaches_store = false;
+    }
+    let next = followers(&fleet);
+    let reach = next.iter().filter(|index| fleet[**index].reaches_store);
+    assert_eq!(reach.count(), STORE_WATCHERS, "{next:?}");
+}
+
+/// A failure domain goes dark.
+#[test]
+fn followers_that_fall_silent_are_replaced() {
+    let mut fleet = fleet(31);
+    for lost in followers(&fleet) {
+        fleet[lost].silent_for = Duration::from_secs(2);
+    }
+    let next = followers(&fleet);
+    let heard = next
+        .iter()
+        .filter(|index| fleet[**index].silent_for < Duration::from_secs(1));
+    assert_eq!(heard.count(), STORE_WATCHERS, "{next:?}");
+}
+
+/// A gateway that hears nobody follows by itself.
+#[test]
+fn a_gateway_that_is_cut_off_follows() {
+    assert!(follows_store("frontend-a-1", std::iter::empty()));
+}
--- a/crates/proto/src/load.rs
+++ b/crates/proto/src/load.rs
@@ -69,6 +69,8 @@
     pub servers: Vec<(ServerKey, ServerUse)>,
     /// How far the sender knows the store.
     pub known: KnownVersions,
+    /// Whether the store answers the sender.
+    pub reaches_store: bool,
 }
 
 /// A backend server as it registered itself.
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -46,6 +46,6 @@
     },
     /// Work given to backend servers; [`crate::LoadFrame`]s follow, none come back.
     Load,
-    /// What the store holds; one [`crate::Knowledge`] comes back.
-    Knowledge,
+    /// What the store holds beyond what the sender knows; one [`crate::Knowledge`] comes back.
+    Knowledge(crate::KnownVersions),
 }
