Soak direct gateways under random faults, and test several of them at once

The soak starts gateways as processes of their own and strikes them by signals (killed, terminated, frozen) and their links with the store and the servers by a loopback proxy (delayed, silent, without answers, cut). It holds what callers got against what servers ran: whole answers are the server's own, unsafe requests ran once, refusals that say 'not run' are true, calls end in time, and every gateway serves again within 12 s of the last fault.

A gateway that the store does not answer hears of changes from its peer, and so do gateways that leave the store to others: two tests with processes.

--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -16,7 +16,7 @@
     Executor::run(2, |executor| async move {
         let mut rig = DirectRig::start(&executor).unwrap();
         rig.declare(3, &["key-1"]);
-        assert!(rig.until_ready().await, "{}", rig.gateway.log_end());
+        assert!(rig.until_ready().await, "{}", rig.gateway.process.log_end());
         test(&mut rig).await;
     });
 }
@@ -40,13 +40,13 @@
         let answer = rig.call(&format!("probe{path}{asked}"), path, KEY).await;
         answer.status != StatusCode::SERVICE_UNAVAILABLE
     });
-    assert!(served.await, "{}", rig.gateway.log_end());
+    assert!(served.await, "{}", rig.gateway.process.log_end());
 }
 
 /// What `explain` prints of a request, by the gateway's log.
 fn explain(rig: &DirectRig, id: &str) -> String {
     let gateway = Binaries::find().unwrap().gateway;
-    let log = rig.directory().path().join("gateway.log");
+    let log = rig.directory().path().join("gateway-1.log");
     let output = Command::new(gateway)
         .args(["explain", id])
         .arg(log)
@@ -97,7 +97,7 @@
         let engines = ["engine-1", "engine-2"].map(|name| {
             rig.server(name, "engines", ServerKind::Engine).unwrap()
         });
-        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        assert!(rig.until(async || rig.gateway.process.log().matches("row changed").count() == 2).await);
         rig.call("p1", "/stream/x", KEY).await;
         let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
         engines[first].stand().conduct(ServerConduct::BreakBehind(4));
@@ -114,35 +114,35 @@
         let engines = ["engine-1", "engine-2"].map(|name| {
             rig.server(name, "engines", ServerKind::Engine).unwrap()
         });
-        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        assert!(rig.until(async || rig.gateway.process.log().matches("row changed").count() == 2).await);
         rig.call("p1", "/stream/x", KEY).await;
         let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
         engines[first].stand().conduct(ServerConduct::StallBehind(4));
         engines[1 - first].stand().conduct(ServerConduct::PauseBehind(6));
         let answer = rig.call("s1", "/stream/x", KEY).await;
-        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.process.log_end());
     };
     a_silent_engine_that_goes_on_first_is_followed => async |rig: &mut DirectRig| {
         let engines = ["engine-1", "engine-2"].map(|name| {
             rig.server(name, "engines", ServerKind::Engine).unwrap()
         });
-        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 2).await);
+        assert!(rig.until(async || rig.gateway.process.log().matches("row changed").count() == 2).await);
         rig.call("p1", "/stream/x", KEY).await;
         let first = engines.iter().position(|engine| !engine.stand().runs().is_empty()).unwrap();
         engines[first].stand().conduct(ServerConduct::PauseBehind(4));
         engines[1 - first].stand().conduct(ServerConduct::StallBehind(0));
         let answer = rig.call("s1", "/stream/x", KEY).await;
-        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.process.log_end());
         assert_eq!(engines[1 - first].stand().runs().len(), 1, "it was asked to go on");
     };
     memory_reserved_for_a_long_prompt_is_given_back => async |rig: &mut DirectRig| {
         let engines = ["engine-1", "engine-2", "engine-3"].map(|name| {
             rig.server(name, "engines", ServerKind::Engine).unwrap()
         });
-        assert!(rig.until(async || rig.gateway.log().matches("row changed").count() == 3).await);
+        assert!(rig.until(async || rig.gateway.process.log().matches("row changed").count() == 3).await);
         rig.prompt = 45_000;
         let answer = rig.call("m1", "/stream/x", KEY).await;
-        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.log_end());
+        assert_eq!(answer.body.unwrap(), events(0..=12), "{}", rig.gateway.process.log_end());
         let orders = || engines.iter().flat_map(|engine| engine.stand().orders());
         let ids = |operation: &str| -> BTreeSet<String> {
             let orders = orders().filter(|order| order["Operation"] == *operation);
@@ -237,7 +237,7 @@
         rig.store.stand().forget_history();
         let answer = rig.call("j1", "/lookup/x", KEY).await;
         assert_eq!(answer.status, StatusCode::OK);
-        assert!(rig.until(async || rig.gateway.log().contains("the last ones stay")).await);
+        assert!(rig.until(async || rig.gateway.process.log().contains("the last ones stay")).await);
     };
     the_cause_of_a_failure_is_found_from_its_id => async |rig: &mut DirectRig| {
         let registry = rig.server("registry-1", "registry", ServerKind::Plain).unwrap();
@@ -268,7 +268,7 @@
         until_served(rig, "/lookup/x").await;
         let page = std::fs::read_to_string(workspace().join("docs/OPERATIONS.md")).unwrap();
         let told = names(&page);
-        let shown = names(&rig.metrics().await);
+        let shown = names(&rig.gateway.metrics().await);
         assert!(shown.is_subset(&told), "not on the page: {:?}", shown.difference(&told));
         let counters = ["requests_total", "attempts_total", "declarations_version", "waiting"];
         for counter in counters {
@@ -279,13 +279,13 @@
         let engine = rig.server("engine-1", "engines", ServerKind::Engine).unwrap();
         until_served(rig, "/stream/x").await;
         let open = rig.open("t1", "/stream/x", KEY).await.unwrap();
-        rig.gateway.terminate().unwrap();
-        assert!(rig.until(async || !rig.is_ready().await).await);
+        rig.gateway.process.terminate().unwrap();
+        assert!(rig.until(async || !rig.gateway.is_ready().await).await);
         let late = rig.call("t2", "/stream/x", KEY).await;
         assert_eq!(late.body.unwrap(), events(0..=12), "callers still come for a while");
         let body = http_body_util::BodyExt::collect(open.body).await.unwrap().to_bytes();
         assert_eq!(body, events(0..=12));
-        assert!(rig.gateway.ended(Duration::from_secs(10)).await);
+        assert!(rig.gateway.process.ended(Duration::from_secs(10)).await);
         assert_eq!(rig.store.stand().keys("bergamothold"), ["authority".into()]);
         drop(engine);
     };
@@ -299,7 +299,7 @@
             rig.call("n1", "/lookup/x", KEY).await.status == StatusCode::SERVICE_UNAVAILABLE
         });
         assert!(refused.await);
-        assert!(!rig.is_ready().await);
+        assert!(!rig.gateway.is_ready().await);
     });
 }
 
@@ -311,7 +311,7 @@
         let bounds = [("RetryBudgetRatio", 0.0), ("RetryBudgetExtra", 0.0)];
         let rig = DirectRig::start_bounded(&executor, &bounds).unwrap();
         rig.declare(3, &["key-1"]);
-        assert!(rig.until_ready().await, "{}", rig.gateway.log_end());
+        assert!(rig.until_ready().await, "{}", rig.gateway.process.log_end());
         let _server = rig
             .server("registry-1", "registry", ServerKind::Plain)
             .unwrap();
@@ -320,12 +320,12 @@
         let mut refused = 0;
         for n in 0..20 {
             rig.register(&format!("dead-{n}"), "registry", dead, "ready");
-            let known = || rig.gateway.log().contains(&format!("dead-{n}"));
+            let known = || rig.gateway.process.log().contains(&format!("dead-{n}"));
             assert!(rig.until(async || known()).await);
             let answer = rig.call(&format!("c{n}"), "/once/x", KEY).await;
             refused += u32::from(answer.status != StatusCode::OK);
             rig.store.stand().remove("servers", &format!("dead-{n}"));
         }
-        assert_eq!(refused, 0, "{}", rig.gateway.log_end());
+        assert_eq!(refused, 0, "{}", rig.gateway.process.log_end());
     });
 }
--- /dev/null
+++ b/crates/trials/tests/direct_peers.rs
@@ -0,0 +1,98 @@
+//! Several direct gateways as processes: what they hear from each other when the store is away
+//! for some of them, or is left to others.
+
+use hyper::StatusCode;
+use runtime::Executor;
+use standins::ServerKind;
+use trials::{DirectGateway, DirectRig, FaultProxy, LinkFault};
+
+const PROMPT: u64 = 1_000;
+
+async fn status(gateway: &DirectGateway, id: &str, key: &str) -> StatusCode {
+    let caller = gateway.caller();
+    let answer = caller.call(id, "/lookup/x", Some(key), PROMPT).await;
+    answer.status
+}
+
+/// Waits until a gateway serves callers with this key.
+async fn until_served(rig: &DirectRig, gateway: &DirectGateway, key: &str) -> bool {
+    let mut asked = 0;
+    let served = async || {
+        asked += 1;
+        let id = format!("{}-{key}-{asked}", gateway.process.name());
+        status(gateway, &id, key).await == StatusCode::OK
+    };
+    rig.until(served).await
+}
+
+#[test]
+fn a_gateway_that_the_store_does_not_answer_hears_of_changes_from_its_peer() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.declare(3, &["key-1"]);
+        let link = FaultProxy::start(&executor, rig.store.local_addr()).unwrap();
+        let cut_off = rig.add_gateway("gateway-2", link.address()).unwrap();
+        let _server = rig.server("registry-1", "registry", ServerKind::Plain);
+        assert!(until_served(&rig, &rig.gateway, "key-1").await);
+        assert!(until_served(&rig, &cut_off, "key-1").await);
+        let linked = async || cut_off.process.log().contains("peers: link open");
+        assert!(rig.until(linked).await, "{}", cut_off.process.log_end());
+        link.set(LinkFault::Silent);
+        rig.declare(4, &["key-2"]);
+        assert!(until_served(&rig, &cut_off, "key-2").await);
+        assert_eq!(
+            status(&cut_off, "late", "key-1").await,
+            StatusCode::UNAUTHORIZED
+        );
+        assert!(
+            cut_off
+                .process
+                .log()
+                .contains("knowledge: taken from a peer")
+        );
+    });
+}
+
+#[test]
+fn gateways_that_leave_the_store_to_others_hear_of_changes() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.declare(3, &["key-1"]);
+        let store = rig.store.local_addr();
+        let names = (2..=8).map(|n| format!("gateway-{n}"));
+        let gateways = names.map(|name| rig.add_gateway(&name, store).unwrap());
+        let gateways: Vec<DirectGateway> = gateways.collect();
+        let _server = rig.server("registry-1", "registry", ServerKind::Plain);
+        for gateway in &gateways {
+            assert!(until_served(&rig, gateway, "key-1").await);
+        }
+        let rests = |gateway: &DirectGateway| {
+            let log = gateway.process.log();
+            let said = log
+                .lines()
+                .filter(|line| line.contains("who follows it has changed"));
+            said.last()
+                .is_some_and(|line| line.contains("\"follows\":false"))
+        };
+        let some_rest = async || {
+            gateways
+                .iter()
+                .chain([&rig.gateway])
+                .filter(|g| rests(g))
+                .count()
+                == 2
+        };
+        assert!(
+            rig.until(some_rest).await,
+            "two of eight leave the store to six"
+        );
+        rig.declare(4, &["key-2"]);
+        for gateway in &gateways {
+            assert!(
+                until_served(&rig, gateway, "key-2").await,
+                "{}",
+                gateway.process.log_end()
+            );
+        }
+    });
+}
--- /dev/null
+++ b/crates/trials/tests/soak.rs
@@ -0,0 +1,33 @@
+//! Short soaks of direct gateways; longer ones are run by hand with the example `direct-soak`.
+
+use runtime::Executor;
+use std::time::Duration;
+use trials::{SoakPlan, soak};
+
+fn run(seed: u64) {
+    let plan = SoakPlan {
+        seed,
+        gateways: 4,
+        servers: 3,
+        length: Duration::from_secs(5),
+    };
+    let figures = Executor::run(2, |executor| async move { soak(&executor, plan).await });
+    let figures = figures.unwrap();
+    assert_eq!(figures.breaches, [] as [String; 0], "seed {seed}");
+    assert!(figures.served > 0 && figures.faults > 0, "{figures:?}");
+}
+
+macro_rules! seeds {
+    ($($name:ident => $seed:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run($seed);
+            }
+        )*
+    };
+}
+
+seeds! {
+    promises_hold_under_faults => 1;
+}
