--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod explain_command;
 mod fleet;
 mod front;
+mod gateway_rows;
 mod job;
 mod knowledge;
 mod leg;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,8 +1,9 @@
 //! Links with the other gateways: what each has given to servers, and what the store holds.
 
+use crate::gateway_rows::{CERTIFICATES_VALID, GatewayRow, authority, register, unregister};
 use crate::shared::Shared;
 use crate::store_watch::TableReader;
-use adapter::{ChangedRow, Changes, Listing, Store, StoreError, StoreTable, keys};
+use adapter::{ChangedRow, Changes, Listing, Store, StoreTable, keys};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
@@ -10,26 +11,21 @@
 use proto::{Knowledge, KnownVersions, LoadFrame, Opening};
 use rand::random;
 use runtime::{
-    Authority, FrameReceiver, FrameSender, Identity, Link, LinkConfig, LinkError, Peer, Role,
-    StreamHandler, timeout,
+    FrameReceiver, FrameSender, Identity, Link, LinkConfig, LinkError, Peer, Role, StreamHandler,
+    timeout,
 };
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time for which the authority and its certificates are valid; processes live far shorter.
-const VALIDITY: Duration = Duration::from_secs(10 * 365 * 86_400);
 /// Time after which a silent link is given up.
 const LINK_IDLE: Duration = Duration::from_secs(2);
 /// Pauses before a broken link is opened again, the first and the longest: a gateway that left
 /// while the store was away keeps its row.
 const FIRST_RELINK_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_RELINK_PAUSE: Duration = Duration::from_secs(2);
-/// Pause before a failed call to the store is repeated.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
 /// Frames go out at most this often to few peers.
 const LEAST_FRAME_INTERVAL: Duration = Duration::from_millis(10);
 /// Frames that one gateway sends in a second at most, over all peers.
@@ -44,21 +40,6 @@
 /// Pause between questions for what peers know, which covers the answer.
 const KNOWLEDGE_PAUSE: Duration = Duration::from_millis(40);
 
-/// Row of a gateway in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct GatewayRow {
-    address: SocketAddr,
-    /// Drawn at each start, so that peers notice a restart.
-    start: u64,
-}
-
-/// Row of the authority that all links trust.
-#[derive(Debug, Serialize, Deserialize)]
-struct AuthorityRow {
-    certificate: Box<str>,
-    key: Box<str>,
-}
-
 #[derive(Debug)]
 struct KnownPeer {
     row: GatewayRow,
@@ -86,7 +67,7 @@
     pub async fn join(shared: Arc<Shared>, store: &Store) -> Result<Arc<Self>, LinkError> {
         let authority = authority(&shared, store).await?;
         let name = shared.settings.name.clone();
-        let identity = Identity::issue(&authority, Role::Gateway, &name, VALIDITY)?;
+        let identity = Identity::issue(&authority, Role::Gateway, &name, CERTIFICATES_VALID)?;
         let listen = SocketAddr::new(shared.settings.address, shared.settings.peer_port);
         let mut cfg = LinkConfig::new(listen);
         cfg.idle_time = LINK_IDLE;
@@ -380,60 +361,3 @@
         pause = (pause * 2).min(LONGEST_RELINK_PAUSE);
     }
 }
-
-/// The authority that links trust: that of the store's row, which the first gateway writes.
-async fn authority(shared: &Shared, store: &Store) -> Result<Authority, LinkError> {
-    loop {
-        match store.list(StoreTable::Gateways).await {
-            Ok(listing) => {
-                let row = listing.rows.iter().find(|row| &*row.key == keys::AUTHORITY);
-                let value = row.and_then(|row| row.value.as_deref());
-                let row =
-                    value.and_then(|value| serde_json::from_slice::<AuthorityRow>(value).ok());
-                if let Some(row) = row {
-                    return Ok(Authority::from_pem(&row.certificate, &row.key)?);
-                }
-                if let Err(err) = write_authority(store).await? {
-                    info!(shared.log, "peers: authority not written"; "err" => %err);
-                }
-            }
-            Err(err) => info!(shared.log, "peers: authority not read"; "err" => %err),
-        }
-        Timer::after(STORE_PAUSE.mul_f64(random::<f64>())).await;
-    }
-}
-
-async fn write_authority(store: &Store) -> Result<Result<(), StoreError>, LinkError> {
-    let authority = Authority::generate("bergamothold", VALIDITY)?;
-    let row = AuthorityRow {
-        certificate: authority.certificate().into(),
-        key: authority.key(),
-    };
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    Ok(store
-        .put(StoreTable::Gateways, keys::AUTHORITY, &value, Some(0))
-        .await)
-}
-
-async fn register(shared: &Shared, store: &Store, row: &GatewayRow) {
-    let key = gateway_key(shared);
-    let value = serde_json::to_vec(row).unwrap_or_default();
-    while let Err(err) = store.put(StoreTable::Gateways, &key, &value, None).await {
-        info!(shared.log, "peers: not registered yet"; "err" => %err);
-        Timer::after(STORE_PAUSE).await;
-    }
-}
-
-/// Takes this gateway's row out of the store; where that fails, peers count it out by its silence.
-pub async fn unregister(shared: &Shared, store: &Store) {
-    let removed = store
-        .remove(StoreTable::Gateways, &gateway_key(shared))
-        .await;
-    if let Err(err) = removed {
-        warn!(shared.log, "peers: row not removed"; "err" => %err);
-    }
-}
-
-fn gateway_key(shared: &Shared) -> String {
-    format!("{}{}", keys::GATEWAY_PREFIX, shared.settings.name)
-}
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -2,7 +2,8 @@
 
 use crate::desk::Desk;
 use crate::front::Front;
-use crate::peers::{GatewaysReader, Peers, unregister};
+use crate::gateway_rows::unregister;
+use crate::peers::{GatewaysReader, Peers};
 use crate::shared::Shared;
 use crate::store_watch::{OperatorsReader, ServersReader, watch};
 use adapter::{HostSettings, Store};
--- a/crates/trials/tests/direct_peers.rs
+++ b/crates/trials/tests/direct_peers.rs
@@ -68,10 +68,10 @@
         }
         let rests = |gateway: &DirectGateway| {
             let log = gateway.process.log();
-            let said = log
+            let mut said = log
                 .lines()
                 .filter(|line| line.contains("who follows it has changed"));
-            said.last()
+            said.next_back()
                 .is_some_and(|line| line.contains("\"follows\":false"))
         };
         let some_rest = async || {
