--- a/crates/trials/examples/capacity.rs
+++ b/crates/trials/examples/capacity.rs
@@ -1,6 +1,6 @@
 //! Measures slopes and prints the tables of docs/CAPACITY.md.
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use runtime::Executor;
 use std::process::ExitCode;
 use trials::Capacity;
@@ -16,7 +16,17 @@
     let matches = Command::new("capacity")
         .about("Measures what each role costs by size, and sums it at the size expected")
         .arg(seed)
+        .arg(
+            Arg::new("decisions")
+                .long("decisions")
+                .help("Measures decisions alone, without processes")
+                .action(ArgAction::SetTrue),
+        )
         .get_matches();
+    if matches.get_flag("decisions") {
+        println!("{}", Capacity::decisions().to_markdown());
+        return ExitCode::SUCCESS;
+    }
     let seed = matches.get_one("seed").copied().unwrap_or(1);
     let measured = Executor::run(THREADS, |executor| async move {
         Capacity::measure(&executor, seed).await
--- a/crates/trials/src/capacity.rs
+++ b/crates/trials/src/capacity.rs
@@ -3,7 +3,10 @@
 use crate::capacity_sum::{Line, sum};
 use crate::error::TrialError;
 use crate::slope::Series;
-use crate::{capacity_decisions, capacity_fleet, capacity_links, capacity_load, capacity_state};
+use crate::{
+    capacity_decisions, capacity_fleet, capacity_links, capacity_load, capacity_placement,
+    capacity_state,
+};
 use runtime::Executor;
 
 /// All series, and the lines that they sum to.
@@ -16,10 +19,18 @@
 }
 
 impl Capacity {
-    /// Measures everything.
-    pub async fn measure(executor: &Executor, seed: u64) -> Result<Self, TrialError> {
+    /// Measures decisions alone, and sums nothing.
+    pub fn decisions() -> Self {
         eprintln!("capacity: decisions");
         let mut series = capacity_decisions::measure();
+        series.extend(capacity_placement::measure());
+        let lines = Vec::new();
+        Self { series, lines }
+    }
+
+    /// Measures everything.
+    pub async fn measure(executor: &Executor, seed: u64) -> Result<Self, TrialError> {
+        let Self { mut series, .. } = Self::decisions();
         eprintln!("capacity: links");
         series.push(capacity_links::measure(executor).await?);
         eprintln!("capacity: state");
--- a/crates/trials/src/capacity_decisions.rs
+++ b/crates/trials/src/capacity_decisions.rs
@@ -159,7 +159,8 @@
     median(changes.collect())
 }
 
-fn micros_of(mut call: impl FnMut(u32)) -> f64 {
+/// Median time of one call, in microseconds.
+pub fn micros_of(mut call: impl FnMut(u32)) -> f64 {
     let mut rounds = Vec::new();
     for round in 0..ROUNDS as u32 {
         let start = Instant::now();
--- /dev/null
+++ b/crates/trials/src/capacity_placement.rs
@@ -0,0 +1,98 @@
+//! What placing a prompt costs a direct gateway by size, with the real decision code.
+
+use crate::capacity_decisions::micros_of;
+use crate::slope::Series;
+use policy::{EngineCandidate, EngineModel, EngineNeed, FleetLoad, Scatter, place, server_key};
+use proto::{ServerKey, ServerUse};
+use std::hint::black_box;
+use std::time::Duration;
+
+const SERVERS: [usize; 3] = [20, 200, 600];
+const GATEWAYS_PER_SERVER: f64 = 340.0 / 600.0;
+/// Engines at which one gateway has work.
+const USED_BY_ONE: usize = 12;
+const GAP: Duration = Duration::from_millis(200);
+
+/// Measures the sum of what all gateways told, and both kinds of placement.
+pub fn measure() -> Vec<Series> {
+    let mut sum = Series::new("load of all engines, for one look", "µs", "server");
+    let mut short = Series::new("placing a short prompt", "µs", "server");
+    let mut long = Series::new("placing a long prompt", "µs", "server");
+    for servers in SERVERS {
+        let keys: Vec<ServerKey> = (0..servers).map(|n| server_key(&n.to_string())).collect();
+        let load = told_by_peers(&keys);
+        sum.push(
+            servers as f64,
+            micros_of(|_| drop(black_box(engines(&load, &keys)))),
+        );
+        let engines = engines(&load, &keys);
+        for (series, prompt) in [(&mut short, 5_000), (&mut long, 300_000)] {
+            let micros = micros_of(|call| {
+                let scatter = Scatter {
+                    unheard: 10.0,
+                    draw: u64::from(call),
+                };
+                black_box(place(&model(), &need(prompt), &engines, scatter));
+            });
+            series.push(servers as f64, micros);
+        }
+    }
+    vec![sum, short, long]
+}
+
+fn told_by_peers(keys: &[ServerKey]) -> FleetLoad {
+    let mut load = FleetLoad::default();
+    let gateways = (keys.len() as f64 * GATEWAYS_PER_SERVER) as usize;
+    for gateway in 0..gateways {
+        let used = (0..USED_BY_ONE).map(|n| keys[(gateway * USED_BY_ONE + n) % keys.len()]);
+        let used = used.map(|key| {
+            let told = ServerUse {
+                jobs: 1,
+                reading: Duration::from_millis(5),
+                tokens: 6_000,
+                tightest_gap: GAP,
+                long_reads: 0,
+            };
+            (key, told)
+        });
+        load.on_peer(&gateway.to_string(), used.collect(), Duration::ZERO);
+    }
+    load
+}
+
+fn engines(load: &FleetLoad, keys: &[ServerKey]) -> Vec<EngineCandidate> {
+    let engine = |key: &ServerKey| EngineCandidate {
+        order: *key,
+        load: load.of(*key, Duration::ZERO),
+        pace: 1.0,
+        has_room: true,
+        suspect: false,
+    };
+    keys.iter().map(engine).collect()
+}
+
+fn need(prompt: u64) -> EngineNeed {
+    EngineNeed {
+        prompt,
+        answer: 1_500,
+        target: Duration::from_secs(3),
+        gap: GAP,
+        waited: Duration::ZERO,
+        left: Duration::from_secs(12),
+    }
+}
+
+fn model() -> EngineModel {
+    EngineModel {
+        slots: 16,
+        memory: 450_000,
+        stride: 52,
+        step_ms: 0.925,
+        writer_ms: 0.00483,
+        context_ms: 0.00254,
+        read_per_ms: 256.0,
+        pairs_ms: 0.0917,
+        hop_ms: 0.1,
+        usual_answer: 1_500,
+    }
+}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -22,6 +22,7 @@
 mod capacity_fleet;
 mod capacity_links;
 mod capacity_load;
+mod capacity_placement;
 mod capacity_state;
 mod capacity_sum;
 mod config_spread;
