--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -95,8 +95,10 @@
 pub async fn soak(executor: &Executor, plan: SoakPlan) -> Result<SoakFigures, TrialError> {
     let mut soak = Soak::start(executor, plan)?;
     let mut figures = SoakFigures::default();
-    if !soak.all_serve().await {
-        figures.breaches.push("the fleet never served".into());
+    if let Err(why) = soak.all_serve().await {
+        figures
+            .breaches
+            .push(format!("the fleet never served: {why}"));
         return Ok(figures);
     }
     let mut rng = SmallRng::seed_from_u64(plan.seed);
@@ -111,10 +113,10 @@
     for caller in callers {
         caller.await;
     }
-    if !soak.all_serve().await {
+    if let Err(why) = soak.all_serve().await {
         figures
             .breaches
-            .push(format!("not all serve after {RECOVERY:?}"));
+            .push(format!("not all serve after {RECOVERY:?}: {why}"));
     }
     soak.judge(&mut figures);
     Ok(figures)
@@ -253,8 +255,9 @@
         Ok(())
     }
 
-    /// Whether every gateway serves every kind of request within the time to recover.
-    async fn all_serve(&self) -> bool {
+    /// Waits until every gateway serves every kind of request; says which one does not within the
+    /// time to recover.
+    async fn all_serve(&self) -> Result<(), String> {
         let start = Instant::now();
         for (n, target) in self.targets.iter().enumerate() {
             for path in PATHS {
@@ -268,13 +271,15 @@
                         break;
                     }
                     if start.elapsed() > RECOVERY {
-                        return false;
+                        let process = &target.lock().await.gateway.process;
+                        let (name, log) = (process.name(), process.log_end());
+                        return Err(format!("{name} at {path}: {answer:?}; {log}"));
                     }
                     Timer::after(CALL_PAUSE).await;
                 }
             }
         }
-        true
+        Ok(())
     }
 
     /// Holds what callers got against what servers ran.
