End the gateways of a soak with it

A fault that had not ended kept its gateway in a task that is never dropped, and so the process was never killed. The soak ends its gateways by itself now.

--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -94,35 +94,45 @@
 /// Runs a soak to its end.
 pub async fn soak(executor: &Executor, plan: SoakPlan) -> Result<SoakFigures, TrialError> {
     let mut soak = Soak::start(executor, plan)?;
-    let mut figures = SoakFigures::default();
-    if let Err(why) = soak.all_serve().await {
-        figures
-            .breaches
-            .push(format!("the fleet never served: {why}"));
-        return Ok(figures);
-    }
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let stop = Instant::now() + plan.length;
-    let callers = soak.call_until(executor, stop);
-    while Instant::now() < stop {
-        Timer::after(Duration::from_millis(rng.random_range(50..500))).await;
-        let fault = soak.draw(&mut rng);
-        soak.strike(executor, fault).await?;
-        figures.faults += 1;
-    }
-    for caller in callers {
-        caller.await;
-    }
-    if let Err(why) = soak.all_serve().await {
-        figures
-            .breaches
-            .push(format!("not all serve after {RECOVERY:?}: {why}"));
-    }
-    soak.judge(&mut figures);
-    Ok(figures)
+    let figures = soak.run(executor, plan).await;
+    soak.end().await;
+    figures
 }
 
 impl Soak {
+    async fn run(
+        &mut self,
+        executor: &Executor,
+        plan: SoakPlan,
+    ) -> Result<SoakFigures, TrialError> {
+        let mut figures = SoakFigures::default();
+        if let Err(why) = self.all_serve().await {
+            figures
+                .breaches
+                .push(format!("the fleet never served: {why}"));
+            return Ok(figures);
+        }
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let stop = Instant::now() + plan.length;
+        let callers = self.call_until(executor, stop);
+        while Instant::now() < stop {
+            Timer::after(Duration::from_millis(rng.random_range(50..500))).await;
+            let fault = self.draw(&mut rng);
+            self.strike(executor, fault).await?;
+            figures.faults += 1;
+        }
+        for caller in callers {
+            caller.await;
+        }
+        if let Err(why) = self.all_serve().await {
+            figures
+                .breaches
+                .push(format!("not all serve after {RECOVERY:?}: {why}"));
+        }
+        self.judge(&mut figures);
+        Ok(figures)
+    }
+
     fn start(executor: &Executor, plan: SoakPlan) -> Result<Self, TrialError> {
         let rig = DirectRig::start(executor)?;
         rig.declare(1, &["key-1"]);
@@ -282,6 +292,14 @@
         Ok(())
     }
 
+    /// Ends the gateways: a fault that has not ended yet keeps its gateway, which would outlive the
+    /// soak.
+    async fn end(&self) {
+        for target in &self.targets {
+            target.lock().await.gateway.process.kill();
+        }
+    }
+
     /// Holds what callers got against what servers ran.
     fn judge(&self, figures: &mut SoakFigures) {
         let mut runs: HashMap<Box<str>, usize> = HashMap::new();
