--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -9,6 +9,7 @@
 use hyper::{Method, Request, StatusCode};
 use runtime::{Body, Executor, HttpClient, HttpError, SingleAnswer, SingleExchange};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Host name of the routes that rigs declare.
@@ -205,16 +206,26 @@
     req
 }
 
-/// A port that was free a moment ago, for TCP and UDP.
+/// A port that is free for TCP and UDP. It lies below those that the system gives to outgoing
+/// connections, and is given once by this process, so that nothing takes it before its gateway.
 fn free_port() -> u16 {
-    let listener = TcpListener::bind(loopback(0));
-    let address = listener.and_then(|listener| listener.local_addr());
-    address.map_or(0, |address| address.port())
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    const FIRST: u32 = 10_000;
+    const COUNT: u32 = 20_000;
+    const APART: u32 = 331;
+    let own = std::process::id().wrapping_mul(APART);
+    let ports = (0..COUNT).map(|_| {
+        let next = own.wrapping_add(GIVEN.fetch_add(1, Ordering::Relaxed));
+        (FIRST + next % COUNT) as u16
+    });
+    let is_free = |port: &u16| {
+        TcpListener::bind(loopback(*port)).is_ok() && UdpSocket::bind(loopback(*port)).is_ok()
+    };
+    ports.into_iter().find(is_free).unwrap_or_default()
 }
 
 fn settings(name: &str, callers: SocketAddr, ready: SocketAddr, store: SocketAddr) -> String {
-    let peer_port = UdpSocket::bind(loopback(0)).and_then(|socket| socket.local_addr());
-    let peer_port = peer_port.map_or(0, |address| address.port());
+    let peer_port = free_port();
     format!(
         "NodeName: {name}\nIp: 127.0.0.1\nZone: a\nBind:\n  Frontend: \"{callers}\"\n  \
          Ready: \"{ready}\"\nInternalPortRange:\n  - {peer_port}\n  - {peer_port}\nPlatform:\n  \
