--- a/crates/node/src/control_plane.rs
+++ b/crates/node/src/control_plane.rs
@@ -338,7 +338,8 @@
             Ok(Err(err)) => debug!(self.parts.log, "config: exchange failed"; "err" => %err),
             Err(_) => {
                 debug!(self.parts.log, "config: peer did not reply in time"; "peer" => &**peer);
-                self.parts.link.disconnect(address);
+                // A slow reply does not prove that the peer is lost: requests on the link go on.
+                self.parts.link.retire_connection(address);
             }
         }
         None
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -19,6 +19,9 @@
 
 const SHARD_COUNT: usize = 16;
 const INITIAL_MAX_STREAMS: u32 = 64;
+/// Assumed round trip before the first measurement. A lost first packet is sent again after three
+/// of these, so that a connect survives it within its time limit.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
 const SERVER_NAME: &str = crate::tls::DNS_NAME;
 
 quick_error! {
@@ -132,7 +135,8 @@
 
 #[derive(Debug, Clone)]
 struct ConnectFailure {
-    at: Instant,
+    /// When the attempt that failed began.
+    started_at: Instant,
     reason: Box<str>,
 }
 
@@ -239,6 +243,14 @@
         }
     }
 
+    /// Makes the next [`LinkEndpoint::open`] connect again. Unlike [`LinkEndpoint::disconnect`], this
+    /// leaves the open streams of the present connection alone.
+    pub fn retire_connection(&self, peer: SocketAddr) {
+        if let Some(state) = self.lock_shard(peer).get_mut(&peer) {
+            state.connection = None;
+        }
+    }
+
     /// Accepts connections and streams from peers until the endpoint is closed.
     pub async fn serve<H: StreamHandler>(self: Arc<Self>, handler: Arc<H>) {
         while let Some(incoming) = self.endpoint.accept().await {
@@ -348,8 +360,9 @@
         if let Some(reason) = self.failure_since(peer, requested_at) {
             return Err(LinkError::Connect(peer, reason));
         }
+        let started_at = Instant::now();
         let connected = self.connect(peer, role).await;
-        self.record_connect(peer, &connected);
+        self.record_connect(peer, started_at, &connected);
         connected
     }
 
@@ -375,7 +388,12 @@
         Ok(connection)
     }
 
-    fn record_connect(&self, peer: SocketAddr, connected: &Result<Connection, LinkError>) {
+    fn record_connect(
+        &self,
+        peer: SocketAddr,
+        started_at: Instant,
+        connected: &Result<Connection, LinkError>,
+    ) {
         let mut peers = self.lock_shard(peer);
         let state = peers.entry(peer).or_default();
         match connected {
@@ -385,7 +403,7 @@
             }
             Err(LinkError::Connect(_, reason)) => {
                 state.last_failure = Some(ConnectFailure {
-                    at: Instant::now(),
+                    started_at,
                     reason: reason.clone(),
                 });
             }
@@ -393,10 +411,12 @@
         }
     }
 
-    fn failure_since(&self, peer: SocketAddr, start: Instant) -> Option<Box<str>> {
+    /// Reason of the last failure to connect, if that attempt began at `requested_at` or later. An
+    /// earlier attempt may have met a peer that was not up yet.
+    fn failure_since(&self, peer: SocketAddr, requested_at: Instant) -> Option<Box<str>> {
         let peers = self.lock_shard(peer);
         let failure = peers.get(&peer)?.last_failure.as_ref()?;
-        (failure.at >= start).then(|| failure.reason.clone())
+        (failure.started_at >= requested_at).then(|| failure.reason.clone())
     }
 
     fn existing_connection(&self, peer: SocketAddr) -> Option<Connection> {
@@ -429,6 +449,7 @@
     let idle = VarInt::try_from(cfg.idle_timeout.as_millis() as u64).unwrap_or(VarInt::MAX);
     transport
         .max_idle_timeout(Some(idle.into()))
+        .initial_rtt(INITIAL_RTT)
         .max_concurrent_bidi_streams(VarInt::from_u32(cfg.initial_max_streams()))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .stream_receive_window(VarInt::from_u32(cfg.stream_window_bytes))
--- a/crates/runtime/tests/link.rs
+++ b/crates/runtime/tests/link.rs
@@ -6,7 +6,8 @@
     LinkEndpoint, LinkError, Peer, Role, ShutdownSignal, StreamHandler, TlsFiles,
 };
 use slog::{Discard, Logger, o};
-use std::net::SocketAddr;
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -190,6 +191,66 @@
     });
 }
 
+/// Ids of the connections that peers have tried to open at `socket`, which never replies.
+fn connection_ids(socket: &UdpSocket) -> HashSet<Vec<u8>> {
+    const ID_LENGTH_AT: usize = 5;
+    let mut ids = HashSet::new();
+    let mut buf = [0; 2048];
+    while let Ok(length) = socket.recv(&mut buf) {
+        let id = &buf[ID_LENGTH_AT + 1..length];
+        ids.insert(id[..usize::from(buf[ID_LENGTH_AT])].to_vec());
+    }
+    ids
+}
+
+/// A gateway begins to connect to an agent that is not up yet. A request that comes meanwhile must
+/// not share the failure of that attempt, as the agent may be up by then.
+#[test]
+fn a_request_does_not_share_the_failure_of_an_earlier_connect() {
+    let ours = authority("ours");
+    let gateway = identity(&ours, &ours, Role::Gateway, "early-connect-gateway");
+    Executor::run(2, |executor| async move {
+        let silent = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        silent.set_nonblocking(true).unwrap();
+        let address = silent.local_addr().unwrap();
+        let client = bind(&executor, &gateway);
+        let opening = query();
+        let mut early = Box::pin(client.open(address, Role::Agent, &opening));
+        assert!(futures_lite::future::poll_once(&mut early).await.is_none());
+        let requested = client.open(address, Role::Agent, &opening);
+        let (early, requested) = futures_lite::future::zip(early, requested).await;
+        assert!(early.is_err() && requested.is_err());
+        assert_eq!(connection_ids(&silent).len(), 2);
+    });
+}
+
+/// A peer that is slow to reply to one request may be carrying out others.
+#[test]
+fn a_retired_connection_keeps_its_streams() {
+    let ours = authority("ours");
+    let gateway = identity(&ours, &ours, Role::Gateway, "retire-gateway");
+    let agent = identity(&ours, &ours, Role::Agent, "retire-agent");
+    Executor::run(2, |executor| async move {
+        let (server, client) = (bind(&executor, &agent), bind(&executor, &gateway));
+        let both_open = Arc::new(BarrierResponder {
+            open: AtomicUsize::new(0),
+            required: 2,
+            all_open: ShutdownSignal::default(),
+        });
+        executor.detach(server.clone().serve(both_open));
+        let opening = query();
+        let opened = client.open(server.local_addr(), Role::Agent, &opening);
+        let (_tx, mut rx) = opened.await.unwrap();
+        client.retire_connection(server.local_addr());
+        let later = request_name(&client, &server).await.unwrap();
+        let earlier: Option<Box<str>> = rx.receive().await.unwrap();
+        assert_eq!(
+            (&earlier, earlier.as_deref()),
+            (&later, Some("retire-gateway"))
+        );
+    });
+}
+
 /// Replies on no stream before `required` streams are open.
 struct BarrierResponder {
     open: AtomicUsize,
