--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -66,9 +66,13 @@
         if self.gateway.shutdown.is_started() {
             return text_response(503, "draining\n");
         }
-        if self.gateway.view.get().version == 0 {
+        let view = self.gateway.pools.view();
+        if view.version == 0 {
             return text_response(503, "no configuration yet\n");
         }
+        if view.members.nodes.is_empty() {
+            return text_response(503, "no host list yet\n");
+        }
         text_response(200, "ok\n")
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -173,7 +173,7 @@
             let view = self.view.get();
             self.metrics.config_version.set(view.version as i64);
             self.limits.update_gateways();
-            self.pools.configure(&view);
+            self.pools.configure(view);
         }
     }
 
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -27,6 +27,8 @@
 pub struct Pools {
     clock: Clock,
     shards: Vec<Mutex<Shard>>,
+    /// The snapshot that the routers were last configured with.
+    view: Mutex<Arc<ClusterView>>,
 }
 
 impl Pools {
@@ -46,16 +48,23 @@
         Self {
             clock: Clock::default(),
             shards: (0..SHARDS).map(shard).collect(),
+            view: Mutex::default(),
         }
     }
 
     /// Applies a configuration and membership to all routers.
-    pub fn configure(&self, view: &ClusterView) {
+    pub fn configure(&self, view: Arc<ClusterView>) {
         for shard in &self.shards {
             lock(shard)
                 .router
                 .configure(view.declared.clone(), view.members.clone());
         }
+        *lock(&self.view) = view;
+    }
+
+    /// The snapshot that all routers use. It can lag behind the gateway's own for a moment.
+    pub fn view(&self) -> Arc<ClusterView> {
+        lock(&self.view).clone()
     }
 
     /// Chooses a backend server and counts the attempt as outstanding there until the result is
@@ -144,8 +153,8 @@
     }
 }
 
-fn lock(shard: &Mutex<Shard>) -> MutexGuard<'_, Shard> {
-    shard.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// A chosen backend server, where an attempt counts as outstanding until this is dropped.
--- a/crates/node/src/control_plane.rs
+++ b/crates/node/src/control_plane.rs
@@ -10,7 +10,7 @@
 use platform::{HostList, TableService};
 use policy::{
     ConfigGossip, DomainChange, DomainRampConfig, DomainTracker, GossipAction, GossipConfig,
-    GossipEvent, Membership, MembershipConfig, MembershipEvent, RequestSeq,
+    GossipEvent, Members, Membership, MembershipConfig, MembershipEvent, RequestSeq,
 };
 use prometheus::Registry;
 use proto::{
@@ -273,13 +273,20 @@
     }
 
     fn activate_config(self: &Arc<Self>, version: ConfigVersion, declared: Arc<Declarations>) {
-        let domain_changes = {
+        let now = self.clock.now();
+        let (domain_changes, members) = {
             let mut state = self.lock();
             let event = MembershipEvent::Configured(declared.clone());
-            state.membership.handle(self.clock.now(), event);
-            state.domains.configure(self.clock.now(), &declared)
+            state.membership.handle(now, event);
+            let members = state.membership.members(now);
+            (state.domains.configure(now, &declared), members)
         };
-        if !self.parts.view.set_config(version, declared) {
+        let before = self.parts.view.get().members.clone();
+        if !self
+            .parts
+            .view
+            .set_config(version, declared, members.clone())
+        {
             return;
         }
         info!(self.parts.log, "config: in force"; "version" => version);
@@ -290,7 +297,7 @@
                 DomainChange::BroughtBack(domain) => EventKind::DomainIn(domain),
             });
         }
-        self.publish_members();
+        self.announce_members(&before, &members);
     }
 
     async fn exchange(self: Arc<Self>, seq: RequestSeq, peer: NodeId, mut message: ConfigMessage) {
@@ -351,13 +358,17 @@
         self.publish_members();
     }
 
-    /// Publishes the membership in the view, and passes the new set of peers to the gossip state if
-    /// nodes were added or removed.
+    /// Publishes the membership in the view.
     fn publish_members(self: &Arc<Self>) {
         let members = self.lock().membership.members(self.clock.now());
         let before = self.parts.view.get().members.clone();
-        let same_nodes = before.nodes.keys().eq(members.nodes.keys());
-        let peers: Vec<NodeId> = members.nodes.keys().cloned().collect();
+        self.parts.view.set_members(members.clone());
+        self.announce_members(&before, &members);
+    }
+
+    /// Records which nodes went down or came up, and passes the new set of peers to the gossip state
+    /// if nodes were added or removed.
+    fn announce_members(self: &Arc<Self>, before: &Members, members: &Members) {
         for (node, member) in &members.nodes {
             let was_down = before.nodes.get(node).map(|member| member.down);
             if was_down != Some(member.down) {
@@ -368,8 +379,8 @@
                 });
             }
         }
-        self.parts.view.set_members(members);
-        if !same_nodes {
+        if !before.nodes.keys().eq(members.nodes.keys()) {
+            let peers = members.nodes.keys().cloned().collect();
             self.handle(GossipEvent::Peers(peers));
         }
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -44,19 +44,23 @@
             .clone()
     }
 
-    /// Activates a configuration if its version is higher than the current one; returns whether it
-    /// was.
-    pub fn set_config(&self, version: ConfigVersion, declared: Arc<Declarations>) -> bool {
+    /// Activates a configuration, with the membership as seen under it, if its version is higher
+    /// than the current one; returns whether it was.
+    pub fn set_config(
+        &self,
+        version: ConfigVersion,
+        declared: Arc<Declarations>,
+        members: Members,
+    ) -> bool {
         let teams_by_key = Arc::new(index_keys(&declared));
         let changed = {
             let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
             let newer = version > current.version;
             if newer {
-                let members = current.members.clone();
                 *current = Arc::new(ClusterView {
                     version,
                     declared,
-                    members,
+                    members: Arc::new(members),
                     teams_by_key,
                 });
             }
--- a/crates/trials/tests/edges.rs
+++ b/crates/trials/tests/edges.rs
@@ -1,15 +1,17 @@
 //! Malformed requests: each gets a clear error response, and the gateway keeps serving.
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use expect_test::expect_file;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use runtime::{Executor, timeout};
+use runtime::{Executor, HttpClient, timeout};
+use standins::HostList;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
-use trials::{Fleet, FleetConfig, TEAM_KEY};
+use trials::{Binaries, Fleet, FleetConfig, TEAM_KEY, get_page};
 
 const THREADS: usize = 2;
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const REQUEST_ID_DIGITS: usize = 32;
 
 /// Sends raw bytes, shuts down the sending direction if `half_close` is set, and returns the status
@@ -114,3 +116,43 @@
         );
     });
 }
+
+/// Polls the readiness page of `gateway` until it has this status and contains `text`.
+async fn wait_for_health(client: &HttpClient, gateway: SocketAddr, status: u16, text: &str) {
+    let polled = async {
+        loop {
+            if let Ok((found, page)) = get_page(client, gateway, "/healthz").await
+                && found == status
+                && page.contains(text)
+            {
+                return;
+            }
+            Timer::after(POLL_INTERVAL).await;
+        }
+    };
+    let polled = timeout(RESPONSE_TIMEOUT, polled).await;
+    assert!(polled.is_ok(), "never {status} {text}");
+}
+
+/// A gateway that knows its configuration but no hosts would refuse every request.
+#[test]
+fn a_gateway_without_a_host_list_is_not_ready() {
+    Executor::run(THREADS, |executor| async move {
+        let mut fleet = Fleet::start(&executor, &FleetConfig::single())
+            .await
+            .unwrap();
+        let gateway = fleet.gateways()[0];
+        let names = fleet.names();
+        let mut entry = |name| fleet.node(name).host_list_entry();
+        let hosts = names.iter().map(|name| entry(name)).collect();
+        fleet.kill("gateway-1");
+        let host_list = fleet.platform.hosts.standin();
+        host_list.set_hosts(HostList::default());
+        let binaries = Binaries::find().unwrap();
+        fleet.node("gateway-1").start(&binaries).unwrap();
+        wait_for_health(fleet.client(), gateway, 503, "host list").await;
+        let host_list = fleet.platform.hosts.standin();
+        host_list.set_hosts(HostList { hosts });
+        wait_for_health(fleet.client(), gateway, 200, "ok").await;
+    });
+}
--- a/crates/trials/tests/end_to_end.rs
+++ b/crates/trials/tests/end_to_end.rs
@@ -124,7 +124,9 @@
             .body(Body::full(body))
             .unwrap();
         let client = HttpClient::new(executor.clone());
-        let mut response = client.send(gateway, req).await.unwrap().into_body();
+        let response = client.send(gateway, req).await.unwrap();
+        assert!(response.status().is_success(), "{}", response.status());
+        let mut response = response.into_body();
         response.frame().await.unwrap().unwrap();
         assert!(fleet.backends.request_tokens(server) > 0);
         drop(response);
@@ -177,7 +179,9 @@
         .body(Body::full(call.body.concat()))
         .unwrap();
     let client = HttpClient::new(executor);
-    let mut body = client.send(gateway, req).await.unwrap().into_body();
+    let response = client.send(gateway, req).await.unwrap();
+    assert!(response.status().is_success(), "{}", response.status());
+    let mut body = response.into_body();
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
