--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,8 +4,8 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    PlainCandidate, RepeatBudget, RepeatLimits, SendRateCap, ServerHealth, ServiceName,
-    ServiceSpec, gateway_send_limit, server_key,
+    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendRateCap, ServerHealth,
+    ServiceName, ServiceSpec, gateway_send_limit, server_key,
 };
 use proto::{BackendEntry, ServerKey, ServerUsage};
 use rand::Rng as _;
@@ -71,18 +71,22 @@
             .store(interval.as_micros() as u64, Ordering::Relaxed);
     }
 
-    /// Estimates how many prompts peers have placed that this gateway has not heard of yet.
-    pub fn herd_avoidance(&self, service: &ServiceSpec, now: Duration) -> HerdAvoidance {
+    /// Estimates how many prompts peers have placed on `servers` that this gateway has not heard of
+    /// yet.
+    pub fn herd_avoidance(&self, servers: &[BackendEntry], now: Duration) -> HerdAvoidance {
         let peers = self.gateways.load(Ordering::Relaxed).saturating_sub(1);
-        let window = self.retry_limits.window.as_secs_f64();
-        let local_count = self.with_retry_budget(&service.name, |budget| budget.first_count(now));
-        let rate = local_count as f64 / window.max(1.0);
-        // On average, a load report is half an interval old.
-        let age = self.update_interval_micros.load(Ordering::Relaxed) as f64 / 2e6;
-        HerdAvoidance {
-            unseen_placements: rate * peers as f64 * age,
-            random: rand::rng().random(),
-        }
+        let mut state = self.lock();
+        let placements = servers
+            .iter()
+            .map(|server| state.load.peer_placements(server_key(&server.id), now));
+        let reported_count: usize = placements.sum();
+        let interval = self.update_interval_micros.load(Ordering::Relaxed);
+        HerdAvoidance::estimate(
+            peers,
+            reported_count as f64 / PLACEMENT_WINDOW.as_secs_f64(),
+            Duration::from_micros(interval),
+            rand::rng().random(),
+        )
     }
 
     /// Returns the id for a new job.
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -7,9 +7,9 @@
 //! requests decoding on its engine allow.
 
 use crate::engine_profile::EngineProfile;
+use crate::herd_avoidance::HerdAvoidance;
 use proto::ServerUsage;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Largest number of engines that may help the decoding one, a limit that engines publish.
 pub const MAX_HELPERS: usize = 16;
@@ -87,41 +87,6 @@
     pub reserved_tokens: u64,
 }
 
-/// Randomizes placements, because the load that a gateway knows of is out of date.
-///
-/// Load pattern: many gateways whose load reports arrive late. Each of them would choose the engine
-/// that looks best, and all would choose the same one.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct HerdAvoidance {
-    /// Expected number of prompts that other gateways have placed and not reported yet.
-    pub unseen_placements: f64,
-    /// Random number for this placement.
-    pub random: u64,
-}
-
-impl HerdAvoidance {
-    /// Picks one of `count` choices that are sorted from best to worst. The range to pick from
-    /// grows with the number of unseen placements.
-    fn pick(&self, count: usize) -> usize {
-        let window = 1 + self.unseen_placements.max(0.0).round() as usize;
-        (self.random % window.min(count).max(1) as u64) as usize
-    }
-
-    /// Sort key of an engine among equals for a long prompt: the reverse of the shared order, or a
-    /// random order if another gateway is likely to place a long prompt by the shared order now.
-    fn tie_break(&self, engine: &EngineCandidate) -> u64 {
-        if self.unseen_placements < RANDOM_ORDER_MIN_UNSEEN {
-            u64::MAX - engine.shared_order
-        } else {
-            xxh3_64(&(engine.shared_order ^ self.random).to_le_bytes())
-        }
-    }
-}
-
-/// Number of unseen placements from which long prompts are placed in a random order: from there on
-/// it is likely enough that one of them is long.
-const RANDOM_ORDER_MIN_UNSEEN: f64 = 2.0;
-
 /// Whether a prompt is short, so that one engine prefills it without stalling the requests that
 /// decode there.
 pub fn is_short_prompt(profile: &EngineProfile, request: &PromptRequirements) -> bool {
@@ -178,7 +143,11 @@
     choices.sort();
     let (best, _) = choices.first()?;
     let equals = choices.partition_point(|(rank, _)| rank.is_tied_with(best));
-    let (_, decoder) = choices[herd_avoidance.pick(equals)];
+    let rooms: Vec<_> = choices[..equals]
+        .iter()
+        .map(|(_, index)| short_prompt_room(profile, request, &engines[*index], prefill))
+        .collect();
+    let (_, decoder) = choices[herd_avoidance.pick(&rooms)];
     Some(EnginePlacement {
         decoder,
         helpers: Vec::new(),
@@ -199,6 +168,35 @@
         && free >= request.prompt_tokens + request.expected_output_tokens
 }
 
+/// Longest iteration with which a short prompt and the requests that decode on the engine meet their
+/// targets.
+fn iteration_limit(request: &PromptRequirements, engine: &EngineCandidate) -> Duration {
+    let gap_target = request
+        .event_gap_target
+        .min(engine.load.min_event_gap_target);
+    let gap_limit = gap_target.mul_f64(GAP_FRACTION);
+    gap_limit.min(request.first_event_target.mul_f64(TARGET_FRACTION))
+}
+
+/// Number of prompts like this one that an engine has slots for, and can prefill in one iteration
+/// within the targets if it meets them at all; at least one.
+fn short_prompt_room(
+    profile: &EngineProfile,
+    request: &PromptRequirements,
+    engine: &EngineCandidate,
+    prefill: Duration,
+) -> u32 {
+    let slots = profile.slots.saturating_sub(engine.load.jobs);
+    let limit = iteration_limit(request, engine);
+    let iteration = iteration_time(profile, engine, prefill);
+    if iteration > limit {
+        return slots.max(1);
+    }
+    let spare = limit - iteration;
+    let further = spare.as_secs_f64() / prefill.mul_f64(engine.slowdown).as_secs_f64().max(1e-3);
+    slots.min(1 + further as u32).max(1)
+}
+
 fn short_prompt_rank(
     profile: &EngineProfile,
     request: &PromptRequirements,
@@ -206,12 +204,7 @@
     prefill: Duration,
 ) -> ShortPromptRank {
     let iteration = iteration_time(profile, engine, prefill);
-    let gap_limit = request
-        .event_gap_target
-        .min(engine.load.min_event_gap_target)
-        .mul_f64(GAP_FRACTION);
-    let meets_targets =
-        iteration <= gap_limit && iteration <= request.first_event_target.mul_f64(TARGET_FRACTION);
+    let meets_targets = iteration <= iteration_limit(request, engine);
     ShortPromptRank {
         suspect: engine.suspect,
         misses_targets: !meets_targets,
@@ -271,10 +264,10 @@
     engines: &[EngineCandidate],
     herd_avoidance: HerdAvoidance,
 ) -> Option<EnginePlacement> {
-    let candidates = prefill_candidates(profile, engines, herd_avoidance);
     let fast_enough = request
         .first_event_target
         .mul_f64(TARGET_FRACTION * ENOUGH_ENGINES_FRACTION);
+    let candidates = prefill_candidates(profile, engines, herd_avoidance);
     let mut fastest: Option<EnginePlacement> = None;
     for parts in 1..=candidates.len() {
         let Some(placement) = place_on(profile, request, engines, &candidates[..parts]) else {
--- a/crates/policy/src/fleet_load.rs
+++ b/crates/policy/src/fleet_load.rs
@@ -1,7 +1,9 @@
 //! Load that all gateways together place on each backend server, as one gateway knows it.
 
+use crate::sliding_window::SlidingWindow;
 use proto::{ServerKey, ServerUsage};
 use std::collections::HashMap;
+use std::mem;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,17 +45,45 @@
 /// Age from which the load that a peer reported is ignored.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(2_500);
 
+/// Span over which placements that peers report are counted.
+pub const PLACEMENT_WINDOW: Duration = Duration::from_secs(1);
+
+/// Number of servers above which those that no peer uses any more are dropped.
+const MAX_TRACKED_SERVERS: usize = 4_096;
+
+/// Number that stands for a peer in this process.
+type PeerIndex = usize;
+
 /// Jobs of this gateway, and the load that peers last reported.
 #[derive(Debug, Default)]
 pub struct FleetLoad {
     local: HashMap<ServerKey, HashMap<JobId, LocalJob>>,
-    peers: HashMap<Box<str>, PeerLoad>,
+    peers: HashMap<ServerKey, PeerLoad>,
+    reports: Vec<PeerReport>,
+    peer_indices: HashMap<Box<str>, PeerIndex>,
 }
 
+/// Load that peers place on one server.
 #[derive(Debug)]
 struct PeerLoad {
+    usages: Vec<(PeerIndex, ServerUsage)>,
+    placements: SlidingWindow,
+}
+
+impl Default for PeerLoad {
+    fn default() -> Self {
+        Self {
+            usages: Vec::new(),
+            placements: SlidingWindow::new(PLACEMENT_WINDOW),
+        }
+    }
+}
+
+/// Last report of one peer. The load that it contained is kept by server.
+#[derive(Debug)]
+struct PeerReport {
     reported_at: Duration,
-    servers: HashMap<ServerKey, ServerUsage>,
+    servers: Vec<ServerKey>,
 }
 
 impl FleetLoad {
@@ -102,12 +132,46 @@
         servers: Vec<(ServerKey, ServerUsage)>,
         now: Duration,
     ) {
-        let servers = servers.into_iter().collect();
-        let report = PeerLoad {
-            reported_at: now,
-            servers,
-        };
-        self.peers.insert(peer.into(), report);
+        let known = self.peer_indices.get(peer).copied();
+        let index = known.unwrap_or_else(|| self.add_peer(peer));
+        let report = &mut self.reports[index];
+        let is_update = known.is_some() && now < report.reported_at + PEER_LOAD_TTL;
+        report.reported_at = now;
+        let keys = servers.iter().map(|(key, _)| *key).collect();
+        let dropped = mem::replace(&mut report.servers, keys);
+        for (key, usage) in servers {
+            let load = self.peers.entry(key).or_default();
+            let jobs_before = load.replace(index, usage);
+            if is_update {
+                (jobs_before..usage.jobs).for_each(|_| load.placements.record(now));
+            }
+        }
+        for key in dropped {
+            let is_used = self.reports[index].servers.contains(&key);
+            if let Some(load) = self.peers.get_mut(&key).filter(|_| !is_used) {
+                load.usages.retain(|(peer, _)| *peer != index);
+            }
+        }
+        if self.peers.len() > MAX_TRACKED_SERVERS {
+            self.peers.retain(|_, load| !load.usages.is_empty());
+        }
+    }
+
+    fn add_peer(&mut self, peer: &str) -> PeerIndex {
+        let index = self.reports.len();
+        self.peer_indices.insert(peer.into(), index);
+        self.reports.push(PeerReport {
+            reported_at: Duration::ZERO,
+            servers: Vec::new(),
+        });
+        index
+    }
+
+    /// Number of jobs on a server that peers reported as new within the last
+    /// [`PLACEMENT_WINDOW`].
+    pub fn peer_placements(&mut self, server: ServerKey, now: Duration) -> usize {
+        let load = self.peers.get_mut(&server);
+        load.map_or(0, |load| load.placements.count(now))
     }
 
     /// Load that this gateway places on servers; servers without any are left out.
@@ -123,13 +187,14 @@
     pub fn total(&self, server: ServerKey, now: Duration) -> ServerUsage {
         let local_jobs = self.local.get(&server);
         let mut sum = local_jobs.map_or_else(ServerUsage::default, |jobs| sum_local(jobs, now));
-        for peer in self.peers.values() {
-            let age = now.saturating_sub(peer.reported_at);
-            if let Some(report) = peer.servers.get(&server).filter(|_| age < PEER_LOAD_TTL) {
-                let prefill_remaining = report.prefill_remaining.saturating_sub(age);
+        let usages = self.peers.get(&server).map(|load| &load.usages);
+        for (peer, usage) in usages.into_iter().flatten() {
+            let age = now.saturating_sub(self.reports[*peer].reported_at);
+            if age < PEER_LOAD_TTL {
+                let prefill_remaining = usage.prefill_remaining.saturating_sub(age);
                 sum.add(&ServerUsage {
                     prefill_remaining,
-                    ..*report
+                    ..*usage
                 });
             }
         }
@@ -142,6 +207,19 @@
     }
 }
 
+impl PeerLoad {
+    /// Replaces the usage of a peer; returns the number of jobs that it had before.
+    fn replace(&mut self, peer: PeerIndex, usage: ServerUsage) -> u32 {
+        match self.usages.iter_mut().find(|(known, _)| *known == peer) {
+            Some((_, known)) => mem::replace(known, usage).jobs,
+            None => {
+                self.usages.push((peer, usage));
+                0
+            }
+        }
+    }
+}
+
 fn sum_local(jobs: &HashMap<JobId, LocalJob>, now: Duration) -> ServerUsage {
     let mut sum = ServerUsage::default();
     for job in jobs.values() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,6 +43,7 @@
 mod fairness;
 mod fleet_load;
 mod gossip_event;
+mod herd_avoidance;
 mod home_history;
 mod job;
 mod lending;
@@ -96,15 +97,16 @@
 };
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
 pub use engine_choice::{
-    EngineCandidate, EnginePlacement, HerdAvoidance, MAX_HELPERS, PrefillHelper,
-    PromptRequirements, is_short_prompt, min_first_event_time, place_prompt,
+    EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements,
+    is_short_prompt, min_first_event_time, place_prompt,
 };
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{QueuedPrompt, QueuedPromptId, sort_queue, suggest_retry_after};
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
-pub use fleet_load::{FleetLoad, JobId, JobLoad, server_key};
+pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
+pub use herd_avoidance::HerdAvoidance;
 pub use home_history::{HOME_HANDOVER, HomeHistory};
 pub use job::{Job, LengthClass};
 pub use lending::{QuotaBorrower, QuotaDecision, QuotaLender, home_gateway};
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -126,11 +126,6 @@
         self.first_sends.record(now);
     }
 
-    /// Number of first sends in the window that ends at `now`.
-    pub fn first_count(&mut self, now: Duration) -> usize {
-        self.first_sends.count(now)
-    }
-
     /// Takes one repeat from the budget; returns whether there was one left.
     pub fn try_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
         let earned = limits.ratio * self.first_sends.count(now) as f64;
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -5,7 +5,7 @@
 
 use engine::model;
 use policy::{
-    AttemptResult, CallerIdentity, CallerLimits, FleetLoad, JobLoad, PlainCandidate,
+    AttemptResult, CallerIdentity, CallerLimits, FleetLoad, HerdAvoidance, JobLoad, PlainCandidate,
     PromptRequirements, QueuedPrompt, Route, RouteKind, RouteTable, ServerHealth, TeamEntry,
     choose_plain_server, sort_queue, suggest_retry_after,
 };
@@ -171,6 +171,37 @@
     assert_eq!(load.total(7, ms(3_000)), ServerUsage::default());
 }
 
+/// A burst begins. The rate at which this gateway itself gets prompts says nothing for seconds; the
+/// new jobs in the reports of its peers show it.
+#[test]
+fn a_burst_shows_in_the_reports_of_peers() {
+    let usage = |jobs| ServerUsage {
+        jobs,
+        ..ServerUsage::default()
+    };
+    let mut load = FleetLoad::default();
+    let peers: Vec<_> = (0..100).map(|peer: u32| peer.to_string()).collect();
+    for peer in &peers {
+        load.on_peer_report(peer, vec![(7, usage(3))], ms(0));
+    }
+    assert_eq!(load.peer_placements(7, ms(10)), 0, "they are not new");
+    for peer in &peers {
+        load.on_peer_report(peer, vec![(8, usage(2))], ms(300));
+        load.on_peer_report(peer, vec![(7, usage(1)), (8, usage(1))], ms(600));
+    }
+    assert_eq!(load.peer_placements(7, ms(700)), 100);
+    assert_eq!(load.peer_placements(8, ms(700)), 200);
+    assert_eq!(load.total(8, ms(700)).jobs, 100);
+    assert_eq!(load.peer_placements(8, ms(1_400)), 0);
+    let estimate = |reported_rate| HerdAvoidance::estimate(100, reported_rate, ms(400), 0);
+    assert_eq!(estimate(300.0).unseen_placements, 60.0);
+    assert_eq!(
+        estimate(0.0).unseen_placements,
+        10.0,
+        "a burst may begin now"
+    );
+}
+
 #[test]
 fn a_read_that_takes_longer_than_foreseen_still_counts() {
     let mut load = FleetLoad::default();
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -326,6 +326,29 @@
     assert_eq!(opened, 0, "{prefills:?}");
 }
 
+/// A burst begins: many prompts come before any gateway reports its placements. Half of the engines
+/// have a single free slot, the others are idle. A prompt sent to an engine without a free slot
+/// waits there until an answer ends, and an idle engine prefills about five prompts in time.
+#[test]
+fn a_burst_does_not_overfill_engines_that_are_almost_full() {
+    let slots = model().slots;
+    let engines = engines(112, |order| {
+        if order < 56 {
+            decoding(order, slots - 1, ms(200))
+        } else {
+            idle(order)
+        }
+    });
+    let prefills = prefills_by_engine(100, &draft(), &engines);
+    const IDLE_ROOM: u64 = 5;
+    let room = |index| if index < 56 { 1 } else { IDLE_ROOM };
+    let excess = prefills.iter().enumerate();
+    let late: u64 = excess
+        .map(|(index, prompts)| prompts.saturating_sub(room(index)))
+        .sum();
+    assert!(late <= 10, "{late} of 100 are late: {prefills:?}");
+}
+
 /// Three long prompts at the same time, and here eight, at gateways that do not know of each
 /// other's placements. Many engines are idle, and a part put before another one on the same engine
 /// would make that one late.
