--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -338,8 +338,10 @@
 impl TableHandler for GatewayTableHandler {
     const TABLE: StoreTable = StoreTable::Gateways;
     /// Gateways rarely change, and one noticed late only makes the shares of the limits too large
-    /// for a moment.
-    const WAIT: Duration = Duration::from_secs(5);
+    /// for a moment. All gateways poll this table, so their polls are as long as the store allows.
+    const WAIT: Duration = Duration::from_secs(25);
+    /// While many gateways start or restart, each change would end the polls of all others.
+    const PAUSE: Duration = Duration::from_secs(1);
     const SENT_BY_PEERS: bool = false;
 
     fn cached_version(&self, _shared: &Shared) -> u64 {
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -25,6 +25,8 @@
     const TABLE: StoreTable;
     /// Longest time that the store holds a poll while nothing changes.
     const WAIT: Duration = POLL_TIMEOUT;
+    /// Pause between polls, in which changes gather.
+    const PAUSE: Duration = POLL_PAUSE;
     /// Whether peers also send the content of this table.
     const SENT_BY_PEERS: bool = true;
 
@@ -112,7 +114,7 @@
             Ok(version) => {
                 known_version = Some(version);
                 watch.on_contact();
-                Timer::after(POLL_PAUSE).await;
+                Timer::after(H::PAUSE).await;
             }
             Err(StoreError::HistoryGone) => {
                 info!(watch.shared.log, "store: history gone, listing again";
