--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,13 +4,13 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendRateCap, ServerHealth,
-    ServiceName, ServiceSpec, gateway_send_limit, server_key,
+    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendRateCap, SendShares,
+    ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
 };
 use proto::{BackendEntry, ServerKey, ServerUsage};
 use rand::Rng as _;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -22,20 +22,23 @@
 #[derive(Debug)]
 pub struct Fleet {
     state: Mutex<State>,
-    gateways: AtomicUsize,
     update_interval_micros: AtomicU64,
     next_job_id: AtomicU64,
     changed: Signal,
     urgent: Signal,
+    name: Box<str>,
     domain: Box<str>,
     retry_limits: RepeatLimits,
     cold_overage: f64,
     cold_slack: f64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     load: FleetLoad,
+    shares: SendShares,
+    /// Limits that follow from the shares, each with the bound that it was computed for.
+    send_limits: HashMap<ServerKey, (Option<f64>, usize)>,
     health: HashMap<BackendId, ServerHealth>,
     send_rates: HashMap<BackendId, SendRateCap>,
     retry_budgets: HashMap<ServiceName, RepeatBudget>,
@@ -48,8 +51,15 @@
         Self {
             changed: Signal::default(),
             urgent: Signal::default(),
-            state: Mutex::default(),
-            gateways: AtomicUsize::new(1),
+            state: Mutex::new(State {
+                load: FleetLoad::default(),
+                shares: SendShares::new(&settings.name, std::iter::empty()),
+                send_limits: HashMap::new(),
+                health: HashMap::new(),
+                send_rates: HashMap::new(),
+                retry_budgets: HashMap::new(),
+            }),
+            name: settings.name.clone(),
             update_interval_micros: AtomicU64::new(0),
             next_job_id: AtomicU64::new(1),
             domain: settings.domain.clone(),
@@ -59,10 +69,17 @@
         }
     }
 
-    /// Sets the number of gateways, this one included, among which rate limits and retry budgets
-    /// are divided.
-    pub fn set_gateways(&self, gateways: usize) {
-        self.gateways.store(gateways.max(1), Ordering::Relaxed);
+    /// Sets the other gateways, by their names, with which this one shares rate limits and retry
+    /// budgets; returns the number of all gateways.
+    pub fn set_peers<'a>(&self, peers: impl Iterator<Item = &'a str>) -> usize {
+        let shares = SendShares::new(&self.name, peers);
+        let gateways = shares.gateways();
+        let mut state = self.lock();
+        if state.shares != shares {
+            state.shares = shares;
+            state.send_limits.clear();
+        }
+        gateways
     }
 
     /// Sets the interval at which gateways send each other their load.
@@ -73,8 +90,13 @@
 
     /// Estimates how many prompts peers have placed on `servers` that this gateway has not heard of
     /// yet.
-    pub fn herd_avoidance(&self, servers: &[BackendEntry], now: Duration) -> HerdAvoidance {
-        let peers = self.gateways.load(Ordering::Relaxed).saturating_sub(1);
+    pub fn herd_avoidance(
+        &self,
+        service: &ServiceSpec,
+        servers: &[BackendEntry],
+        now: Duration,
+    ) -> HerdAvoidance {
+        let bound = self.send_bound(service);
         let mut state = self.lock();
         let placements = servers
             .iter()
@@ -82,9 +104,10 @@
         let reported_count: usize = placements.sum();
         let interval = self.update_interval_micros.load(Ordering::Relaxed);
         HerdAvoidance::estimate(
-            peers,
+            state.shares.gateways() - 1,
             reported_count as f64 / PLACEMENT_WINDOW.as_secs_f64(),
             Duration::from_micros(interval),
+            state.shares.sender_fraction(bound),
             rand::rng().random(),
         )
     }
@@ -101,13 +124,17 @@
         servers: &[BackendEntry],
         now: Duration,
     ) -> Vec<EngineCandidate> {
-        let limit = self.send_limit(service);
+        let bound = self.send_bound(service);
         let mut state = self.lock();
         let candidates = servers.iter().map(|server| {
             let key = server_key(&server.id);
+            let limit = state.send_limit(key, bound);
             let health = state.health.get(&server.id).cloned().unwrap_or_default();
             let send_rate = state.send_rates.get_mut(&server.id);
-            let below_limit = send_rate.is_none_or(|cap| cap.has_room(now, limit));
+            let below_limit = match send_rate {
+                Some(cap) => cap.has_room(now, limit),
+                None => limit > 0,
+            };
             EngineCandidate {
                 shared_order: key,
                 load: state.load.total(key, now),
@@ -138,10 +165,13 @@
 
     /// Whether this gateway's share of the server's send rate allows one more request now.
     pub fn may_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
-        let limit = self.send_limit(service);
+        let bound = self.send_bound(service);
         let mut state = self.lock();
-        let send_rate = state.send_rates.get_mut(server);
-        send_rate.is_none_or(|cap| cap.has_room(now, limit))
+        let limit = state.send_limit(server_key(server), bound);
+        match state.send_rates.get_mut(server) {
+            Some(cap) => cap.has_room(now, limit),
+            None => limit > 0,
+        }
     }
 
     /// Counts a request towards the send rate of a server.
@@ -188,7 +218,7 @@
 
     /// Takes one retry from the budget of the service; returns `false` if it is exhausted.
     pub fn claim_retry(&self, service: &str, now: Duration) -> bool {
-        let gateways = self.gateways.load(Ordering::Relaxed);
+        let gateways = self.lock().shares.gateways();
         self.with_retry_budget(service, |budget| {
             budget.try_spend(now, self.retry_limits, gateways)
         })
@@ -247,17 +277,28 @@
         f(budget.or_insert_with(|| RepeatBudget::new(window)))
     }
 
-    fn send_limit(&self, service: &ServiceSpec) -> usize {
-        let gateways = self.gateways.load(Ordering::Relaxed);
-        gateway_send_limit(
-            service.cold_rate,
-            self.cold_overage,
-            self.cold_slack,
-            gateways,
-        )
+    /// Requests that all gateways together may send to one server of the service per second.
+    fn send_bound(&self, service: &ServiceSpec) -> Option<f64> {
+        cold_send_bound(service.cold_rate, self.cold_overage, self.cold_slack)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl State {
+    /// Requests that this gateway may send to a server per second.
+    fn send_limit(&mut self, server: ServerKey, bound: Option<f64>) -> usize {
+        if self.send_limits.len() > MAX_TRACKED_SERVERS {
+            self.send_limits.clear();
+        }
+        let known = self.send_limits.get(&server);
+        if let Some((_, limit)) = known.filter(|(known, _)| *known == bound) {
+            return *limit;
+        }
+        let limit = self.shares.limit(server, bound);
+        self.send_limits.insert(server, (bound, limit));
+        limit
+    }
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -151,10 +151,10 @@
         let now = self.shared.clock.now();
         let peers = self.lock();
         let counted = peers
-            .values()
-            .filter(|peer| now < peer.last_heard + PEER_COUNT_TIMEOUT);
-        let gateways = 1 + counted.count();
-        self.shared.fleet.set_gateways(gateways);
+            .iter()
+            .filter(|(_, peer)| now < peer.last_heard + PEER_COUNT_TIMEOUT);
+        let names = counted.map(|(name, _)| &**name);
+        let gateways = self.shared.fleet.set_peers(names);
         self.shared.metrics.set_gateways(gateways);
     }
 
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -248,7 +248,10 @@
             return Some(Err(self.refuse("too late to be read", &prefill_backlogs)));
         }
         let requirements = prompt.request_at(self.now);
-        let herd_avoidance = self.shared.fleet.herd_avoidance(&servers, self.now);
+        let herd_avoidance = self
+            .shared
+            .fleet
+            .herd_avoidance(self.spec, &servers, self.now);
         let placement = place_prompt(self.profile, &requirements, &engines, herd_avoidance)?;
         let slowdown = engines[placement.decoder].slowdown;
         Some(Ok(self.assign(
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -293,7 +293,8 @@
     })
 }
 
-/// Engines that may prefill a part, sorted by falling prefill budget.
+/// Engines that may prefill a part: first the best one that may also decode the answer, then all
+/// others by falling prefill budget.
 fn prefill_candidates(
     profile: &EngineProfile,
     engines: &[EngineCandidate],
@@ -312,6 +313,9 @@
             .total_cmp(&a.prefill_budget_s)
             .then_with(|| order(a).cmp(&order(b)))
     });
+    if let Some(decoder) = candidates.iter().position(|candidate| candidate.can_decode) {
+        candidates[..=decoder].rotate_right(1);
+    }
     candidates.truncate(MAX_HELPERS + 1);
     candidates
 }
@@ -327,10 +331,10 @@
     let hops_s = profile.hop_ms / 1e3 * (chosen.len() - 1) as f64;
     let part_s =
         profile.prefill_time(request.prompt_tokens).as_secs_f64() / chosen.len() as f64 + hops_s;
-    // The last candidate has the smallest prefill budget.
-    chosen
-        .last()
-        .filter(|last| last.prefill_budget_s >= part_s)?;
+    let allowed = |candidate: &PrefillCandidate| candidate.prefill_budget_s >= part_s;
+    if !chosen.iter().all(allowed) {
+        return None;
+    }
     let (decoder, helpers) = allocate_memory(request, chosen, usable_tokens(profile))?;
     Some(EnginePlacement {
         decoder,
--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -22,6 +22,8 @@
 pub struct HerdAvoidance {
     /// Expected number of prompts that other gateways have placed and not reported yet.
     pub unseen_placements: f64,
+    /// Fraction of the gateways that may send requests to the same engine.
+    pub sender_fraction: f64,
     /// Random number for this placement.
     pub random: u64,
 }
@@ -34,12 +36,19 @@
     /// gateway's own arrivals are too few to show them in time. While the estimate is too low, short
     /// prompts overfill some engines; while it is too high, they take the engines that long prompts
     /// need.
-    pub fn estimate(peers: usize, rate: f64, report_interval: Duration, random: u64) -> Self {
+    pub fn estimate(
+        peers: usize,
+        rate: f64,
+        report_interval: Duration,
+        sender_fraction: f64,
+        random: u64,
+    ) -> Self {
         // On average, a load report is half an interval old.
         let unseen = rate * report_interval.as_secs_f64() / 2.0;
         let unseen_placements = unseen.max(MIN_UNSEEN_PER_PEER * peers as f64);
         Self {
             unseen_placements,
+            sender_fraction,
             random,
         }
     }
@@ -49,7 +58,8 @@
     /// choice the number of prompts that it can still take, and a choice is picked the more often
     /// the more it has.
     pub(crate) fn pick(&self, rooms: &[u32]) -> usize {
-        let wanted = 1.0 + ROOM_PER_UNSEEN_PLACEMENT * self.unseen_placements.max(0.0);
+        let unseen = self.unseen_placements.max(0.0) * self.sender_fraction;
+        let wanted = 1.0 + ROOM_PER_UNSEEN_PLACEMENT * unseen;
         let mut total = 0_u64;
         let used = rooms.iter().take_while(|room| {
             let is_used = (total as f64) < wanted;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -65,6 +65,7 @@
 mod running;
 mod scheduler;
 mod scheduler_types;
+mod send_shares;
 mod server_health;
 mod server_lease;
 mod server_load;
@@ -137,14 +138,13 @@
 pub use scheduler_types::{
     AbortReason, EngineReport, SchedulerAction, SchedulerConfig, SchedulerEvent, ServerSettings,
 };
+pub use send_shares::{SendShares, cold_send_bound};
 pub use server_health::{AttemptResult, ServerHealth};
 pub use server_lease::{
     LeaseAction, LeaseCommitResult, LeaseEvent, LeaseRow, ServerLease, ServerLeaseConfig,
 };
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
-pub use sliding_window::{
-    RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow, gateway_send_limit,
-};
+pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
 pub use span_leader::SpanLeader;
 pub use span_member::{
     CallOutcome, MemberAction, MemberEvent, ReplyId, SpanEngineCall, SpanMember,
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -71,19 +71,6 @@
     }
 }
 
-/// Maximum number of requests that one of `gateways` gateways may send to a server in a second: an
-/// equal share of `cold_rate * overage + slack`, or no limit if `cold_rate` is not declared.
-///
-/// The share is at least one, because a server without requests is useless and few gateways send
-/// at the same moment.
-pub fn gateway_send_limit(cold_rate: f64, overage: f64, slack: f64, gateways: usize) -> usize {
-    if cold_rate <= 0.0 {
-        return usize::MAX;
-    }
-    let bound = cold_rate * overage + slack;
-    ((bound / gateways.max(1) as f64).floor() as usize).max(1)
-}
-
 /// Retry budget of one gateway for one service, over a sliding window.
 ///
 /// Each gateway may repeat a fixed ratio of its own first sends, plus an equal share of a constant,
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -193,7 +193,7 @@
     assert_eq!(load.peer_placements(8, ms(700)), 200);
     assert_eq!(load.total(8, ms(700)).jobs, 100);
     assert_eq!(load.peer_placements(8, ms(1_400)), 0);
-    let estimate = |reported_rate| HerdAvoidance::estimate(100, reported_rate, ms(400), 0);
+    let estimate = |reported_rate| HerdAvoidance::estimate(100, reported_rate, ms(400), 1.0, 0);
     assert_eq!(estimate(300.0).unseen_placements, 60.0);
     assert_eq!(
         estimate(0.0).unseen_placements,
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -295,6 +295,7 @@
     for gateway in 0..gateways {
         let herd_avoidance = HerdAvoidance {
             unseen_placements: (gateways - 1) as f64 / 2.0,
+            sender_fraction: 1.0,
             random: xxh3_64(&gateway.to_le_bytes()),
         };
         let placement = place_prompt(&model(), need, engines, herd_avoidance).unwrap();
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -1,6 +1,6 @@
 //! Limits that hold over all gateways without any messages between them.
 
-use policy::{RepeatBudget, RepeatLimits, SendRateCap, gateway_send_limit};
+use policy::{RepeatBudget, RepeatLimits, SendRateCap, SendShares, cold_send_bound};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
@@ -51,37 +51,99 @@
     }
 }
 
+/// Shares of each of `gateways` gateways. Each one does not know of a random part of the others.
+fn shares_of(gateways: usize, unknown: f64, rng: &mut SmallRng) -> Vec<SendShares> {
+    let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
+    let own_shares = |own: &String| {
+        let peers = names.iter().filter(|name| *name != own);
+        let known = peers.filter(|_| !rng.random_bool(unknown));
+        SendShares::new(own, known.map(|name| &**name))
+    };
+    names.iter().map(own_shares).collect()
+}
+
 /// A server falls back into cold start unnoticed while all gateways send at their limit. In no
 /// second does it get more than it can handle, even if requests arrive bunched.
-#[test]
-fn a_server_that_is_cold_unnoticed_gets_what_it_bears() {
-    const GATEWAYS: usize = 4;
-    let share = gateway_send_limit(36.0, 1.5, 5.0, GATEWAYS);
-    for seed in 0..20 {
+fn cold_server_gets_what_it_bears(gateways: usize, cold_rate: f64) {
+    let bound = cold_send_bound(cold_rate, 1.5, 5.0);
+    for seed in 0..10 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut caps: Vec<_> = (0..GATEWAYS).map(|_| SendRateCap::default()).collect();
+        let shares = shares_of(gateways, 0.0, &mut rng);
+        let limits = shares.iter().map(|shares| shares.limit(seed, bound));
+        let mut caps: Vec<_> = limits
+            .map(|limit| (limit, SendRateCap::default()))
+            .collect();
         let mut arrivals = Vec::new();
-        for millis in 0..10_000 {
-            for cap in &mut caps {
-                if rng.random_bool(0.5) && cap.has_room(at(millis), share) {
+        for millis in 0..5_000 {
+            for (limit, cap) in &mut caps {
+                if rng.random_bool(0.5) && cap.has_room(at(millis), *limit) {
                     cap.record(at(millis));
                     arrivals.push(millis + rng.random_range(0..200));
                 }
             }
         }
-        for start in (0..9_000).step_by(20) {
+        for start in (0..4_000).step_by(20) {
             let in_second = arrivals
                 .iter()
                 .filter(|at| (start..start + 1_000).contains(*at));
-            assert!(in_second.count() <= 59, "seed {seed}, second from {start}");
+            let in_second = in_second.count() as f64;
+            assert!(
+                Some(in_second) <= bound,
+                "seed {seed}, second from {start}: {in_second}"
+            );
+        }
+    }
+}
+
+macro_rules! cold_servers {
+    ($($name:ident: $gateways:expr, $cold_rate:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            cold_server_gets_what_it_bears($gateways, $cold_rate);
+        }
+    )*};
+}
+
+cold_servers! {
+    a_server_that_is_cold_unnoticed_gets_what_it_bears: 4, 36.0;
+    a_cold_server_before_30_gateways: 30, 14.0;
+    a_cold_server_before_103_gateways: 103, 14.0;
+    a_cold_server_before_122_gateways: 122, 14.0;
+    a_cold_server_before_340_gateways: 340, 14.0;
+}
+
+/// Gateways come and go, and for a moment each one misses another tenth of them. The shares still
+/// add up to no more than the bound, no server is left without gateways, and each gateway reaches
+/// enough servers.
+#[test]
+fn shares_hold_while_the_lists_of_gateways_differ() {
+    const SERVERS: u64 = 112;
+    const BOUND: f64 = 26.0;
+    for gateways in [30, 103, 122, 340] {
+        let mut rng = SmallRng::seed_from_u64(gateways as u64);
+        let shares = shares_of(gateways, 0.1, &mut rng);
+        let limit = |shares: &SendShares, server| shares.limit(server, Some(BOUND));
+        for server in 0..SERVERS {
+            let sum: usize = shares.iter().map(|shares| limit(shares, server)).sum();
+            assert!((1..=26).contains(&sum), "{gateways} gateways: {sum}");
+        }
+        for shares in &shares {
+            let reached = (0..SERVERS).filter(|server| limit(shares, *server) > 0);
+            assert!(reached.count() >= 1, "{gateways} gateways");
         }
     }
 }
 
 #[test]
 fn shares_never_add_up_to_more_than_the_bound() {
-    for gateways in 1..=59 {
-        assert!(gateway_send_limit(36.0, 1.5, 5.0, gateways) * gateways <= 59);
+    let mut rng = SmallRng::seed_from_u64(0);
+    for gateways in 1..=80 {
+        let shares = shares_of(gateways, 0.0, &mut rng);
+        let bound = cold_send_bound(36.0, 1.5, 5.0);
+        let sum: usize = shares.iter().map(|shares| shares.limit(7, bound)).sum();
+        assert!((1..=59).contains(&sum), "{gateways} gateways: {sum}");
     }
-    assert_eq!(gateway_send_limit(0.0, 1.5, 5.0, 4), usize::MAX);
+    assert_eq!(cold_send_bound(0.0, 1.5, 5.0), None);
+    let alone = SendShares::new("a", std::iter::empty());
+    assert_eq!(alone.limit(7, None), usize::MAX);
 }
--- a/crates/trials/src/capacity_placement.rs
+++ b/crates/trials/src/capacity_placement.rs
@@ -34,6 +34,7 @@
             let micros = median_micros(|call| {
                 let herd_avoidance = HerdAvoidance {
                     unseen_placements: 10.0,
+                    sender_fraction: 1.0,
                     random: u64::from(call),
                 };
                 black_box(place_prompt(
