--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -82,6 +82,11 @@
         gateways
     }
 
+    /// Number of gateways, this one included.
+    pub fn gateways(&self) -> usize {
+        self.lock().shares.gateways()
+    }
+
     /// Sets the interval at which gateways send each other their load.
     pub fn set_update_interval(&self, interval: Duration) {
         self.update_interval_micros
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/job.rs
@@ -59,10 +59,9 @@
         Self::start_with_loads(shared, vec![load])
     }
 
-    /// Records that the prefill is done, and wakes the prompt queue.
+    /// Records that the prefill is done.
     pub fn on_prefill_done(&self) {
         self.shared.fleet.on_prefill_done(self.id, &self.loads);
-        self.shared.prompt_queue.wake();
     }
 
     fn start_with_loads(shared: &Arc<Shared>, loads: Vec<JobLoad>) -> Self {
@@ -79,6 +78,5 @@
 impl Drop for Job {
     fn drop(&mut self) {
         self.shared.fleet.end_job(self.id, &self.loads);
-        self.shared.prompt_queue.wake();
     }
 }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -205,7 +205,6 @@
         let now = self.shared.clock.now();
         let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
-        self.shared.prompt_queue.wake();
         let address = {
             let mut peers = self.lock();
             let known = peers.get_mut(peer);
@@ -278,7 +277,6 @@
                 let now = self.shared.clock.now();
                 self.shared.store_cache.merge_from_peer(peer, snapshot, now);
                 self.shared.update_declarations_metric();
-                self.shared.prompt_queue.wake();
             }
             Ok(Ok(None)) => {
                 warn!(self.shared.log, "peers: stream ended before the store snapshot arrived";
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -7,17 +7,14 @@
 use async_io::Timer;
 use policy::{
     BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    ServiceName, ServiceSpec, is_short_prompt, place_prompt, sort_queue, suggest_retry_after,
+    ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt, sort_queue,
+    suggest_retry_after,
 };
 use proto::BackendEntry;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Interval at which waiting prompts are checked, because prefills end without a
-/// notification.
-const ASSIGN_INTERVAL: Duration = Duration::from_millis(8);
-
 /// Request for engines for one prompt.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -99,35 +96,34 @@
             tx,
         });
         self.assign_waiting(shared);
+        self.wake_signal.notify();
         rx.recv().await.unwrap_or(Err(NoEngines {
             reason: "shutdown",
             retry_after: Duration::ZERO,
         }))
     }
 
-    /// Makes the queue check soon whether a waiting prompt can start.
-    pub fn wake(&self) {
-        self.wake_signal.notify();
-    }
-
-    /// Checks the waiting prompts at each wake-up, and at intervals while there are any.
+    /// Checks the waiting prompts from time to time while there are any.
     pub async fn run(shared: Arc<Shared>) {
+        let queue = &shared.prompt_queue;
         loop {
-            let woken = shared.prompt_queue.wake_signal.notified();
-            if shared.prompt_queue.is_empty() {
-                woken.await;
-            } else {
-                let interval = async {
-                    Timer::after(ASSIGN_INTERVAL).await;
-                };
-                futures_lite::future::or(woken, interval).await;
+            match queue.shortest_target() {
+                None => queue.wake_signal.notified().await,
+                Some(target) => {
+                    let gateways = shared.fleet.gateways();
+                    Timer::after(next_check_after(gateways, target, rand::random())).await;
+                    queue.assign_waiting(&shared);
+                }
             }
-            shared.prompt_queue.assign_waiting(&shared);
         }
     }
 
-    fn is_empty(&self) -> bool {
-        self.lock().is_empty()
+    /// Shortest target for the first event of the waiting prompts; `None` if none waits.
+    fn shortest_target(&self) -> Option<Duration> {
+        let waiting = self.lock();
+        let targets = waiting.iter();
+        let targets = targets.map(|waiting| waiting.request.requirements.first_event_target);
+        targets.min()
     }
 
     /// Assigns engines to all waiting prompts that can start, and refuses those that never can.
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -62,6 +62,20 @@
     });
 }
 
+/// Pause until the prompts that wait at one of `gateways` gateways are checked again. `target` is the
+/// shortest of their targets for the first event.
+///
+/// Load pattern: long prompts wait at several gateways for the same engines. Were all checked as soon
+/// as an engine becomes free, several would start on it before any gateway hears of another's start.
+pub fn next_check_after(gateways: usize, target: Duration, random: u64) -> Duration {
+    const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(8);
+    const SPREAD_PER_GATEWAY: Duration = Duration::from_millis(5);
+    const MAX_TARGET_DIVISOR: u32 = 4;
+    const STEPS: u64 = 256;
+    let spread = (SPREAD_PER_GATEWAY * gateways as u32).min(target / MAX_TARGET_DIVISOR);
+    MIN_CHECK_INTERVAL + spread.mul_f64((random % STEPS) as f64 / STEPS as f64)
+}
+
 /// Delay after which a refused caller should retry, if the engines together have `backlog` of
 /// prefill to do.
 ///
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -103,7 +103,9 @@
 };
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
-pub use engine_queue::{QueuedPrompt, QueuedPromptId, sort_queue, suggest_retry_after};
+pub use engine_queue::{
+    QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
+};
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -7,14 +7,16 @@
 use policy::{
     AttemptResult, CallerIdentity, CallerLimits, FleetLoad, HerdAvoidance, JobLoad, PlainCandidate,
     PromptRequirements, QueuedPrompt, Route, RouteKind, RouteTable, ServerHealth, TeamEntry,
-    choose_plain_server, sort_queue, suggest_retry_after,
+    choose_plain_server, next_check_after, sort_queue, suggest_retry_after,
 };
 use proto::ServerUsage;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-fn ms(millis: u64) -> Duration {
+const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -278,3 +280,32 @@
     let slowdown = health.slowdown(ms(1_900));
     assert!((3.5..=4.0).contains(&slowdown), "{slowdown}");
 }
+
+/// A long prompt waits at each of three gateways, and engines for one become free at a time. A gateway
+/// that starts on them is heard of by the others 15 ms later. Those that start before they hear of
+/// it share the engines, and all of them are late.
+#[test]
+fn gateways_with_waiting_prompts_do_not_start_on_the_same_engines() {
+    const GATEWAYS: usize = 103;
+    const REPORT_DELAY: Duration = ms(15);
+    const MAX_SHARED: usize = 20;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut shared = 0;
+    for round in 0..100 {
+        let freed_at = ms(10_000 + round);
+        let mut first_checks: Vec<_> = (0..3)
+            .map(|_| {
+                let mut checked_at = Duration::ZERO;
+                while checked_at < freed_at {
+                    checked_at += next_check_after(GATEWAYS, ms(4_000), rng.random());
+                }
+                checked_at
+            })
+            .collect();
+        first_checks.sort();
+        shared += usize::from(first_checks[1] < first_checks[0] + REPORT_DELAY);
+    }
+    assert!(shared <= MAX_SHARED, "{shared} of 100 starts are shared");
+    assert!(next_check_after(4, ms(4_000), u64::MAX) <= ms(28));
+    assert!(next_check_after(GATEWAYS, ms(300), u64::MAX) <= ms(83));
+}
