--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -204,7 +204,9 @@
     prefill: Duration,
 ) -> ShortPromptRank {
     let iteration = iteration_time(profile, engine, prefill);
-    let meets_targets = iteration <= iteration_limit(request, engine);
+    // A part of a long prompt can take longer than forecast, and all other work waits for it.
+    let is_free = engine.load.long_prefills == 0;
+    let meets_targets = is_free && iteration <= iteration_limit(request, engine);
     ShortPromptRank {
         suspect: engine.suspect,
         misses_targets: !meets_targets,
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -327,6 +327,21 @@
     assert_eq!(opened, 0, "{prefills:?}");
 }
 
+/// A burst of short prompts follows one of long prompts, some parts of which take longer than was
+/// forecast. By what a peer reported a while ago, nothing of them should remain.
+#[test]
+fn short_prompts_keep_off_long_parts_that_take_longer() {
+    let engines = engines(14, |order| {
+        if order < 13 {
+            prefilling(order, ms(0))
+        } else {
+            decoding(order, 3, ms(200))
+        }
+    });
+    let placement = place_prompt(&model(), &draft(), &engines, HerdAvoidance::default()).unwrap();
+    assert_eq!(placement.decoder, 13);
+}
+
 /// A burst begins: many prompts come before any gateway reports its placements. Half of the engines
 /// have a single free slot, the others are idle. A prompt sent to an engine without a free slot
 /// waits there until an answer ends, and an idle engine prefills about five prompts in time.
