--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -41,8 +41,8 @@
     pub load: ServerUsage,
     /// Factor by which it is slower than its published figures; 1 if it is as fast.
     pub slowdown: f64,
-    /// Whether it may be sent a request now: it did not recently report that it is full, and has
-    /// not reached its cap on arrivals.
+    /// Whether this gateway may send it a request now: it did not recently report that it is full,
+    /// and this gateway's share of the sends to it is not used up. It may be a helper all the same.
     pub accepts_requests: bool,
     /// Whether it failed recently.
     pub suspect: bool,
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -31,8 +31,9 @@
         self.times.len()
     }
 
-    /// Records an event. Events are expected in the order of their times.
+    /// Records an event and drops older ones. Events are expected in the order of their times.
     pub fn record(&mut self, now: Duration) {
+        self.count(now);
         self.times.push_back(now);
     }
 }
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -1,6 +1,6 @@
 //! Limits that hold over all gateways without any messages between them.
 
-use policy::{RepeatBudget, RepeatLimits, SendRateCap, SendShares, cold_send_bound};
+use policy::{RepeatBudget, RepeatLimits, SendRateCap, SendShares, SlidingWindow, cold_send_bound};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
@@ -88,7 +88,7 @@
                 .filter(|at| (start..start + 1_000).contains(*at));
             let in_second = in_second.count() as f64;
             assert!(
-                Some(in_second) <= bound,
+                bound.is_some_and(|bound| in_second <= bound),
                 "seed {seed}, second from {start}: {in_second}"
             );
         }
@@ -147,3 +147,14 @@
     let alone = SendShares::new("a", std::iter::empty());
     assert_eq!(alone.limit(7, None), usize::MAX);
 }
+
+/// A service whose placements nobody asks for. What is recorded for it must not pile up.
+#[test]
+fn a_window_that_is_never_counted_stays_small() {
+    let mut window = SlidingWindow::new(at(1_000));
+    for millis in 0..100_000 {
+        window.record(at(millis));
+    }
+    // As of an earlier time nothing is dropped, so this counts all that is kept.
+    assert!(window.count(at(0)) <= 1_000);
+}
