--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -53,7 +53,7 @@
             urgent: Signal::default(),
             state: Mutex::new(State {
                 load: FleetLoad::default(),
-                shares: SendShares::new(&settings.name, std::iter::empty()),
+                shares: SendShares::of_starting(&settings.name),
                 send_limits: HashMap::new(),
                 health: HashMap::new(),
                 send_rates: HashMap::new(),
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -20,6 +20,7 @@
 use slog::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -60,6 +61,8 @@
     link: Arc<LinkEndpoint>,
     peers: Mutex<HashMap<Box<str>, PeerState>>,
     last_fetch: Mutex<Duration>,
+    /// Whether the gateways' table was read; until then the number of gateways is not known.
+    listed: AtomicBool,
 }
 
 /// Applies the gateways' table to the set of peers.
@@ -81,6 +84,7 @@
             link: Arc::new(link),
             peers: Mutex::default(),
             last_fetch: Mutex::default(),
+            listed: AtomicBool::new(false),
             shared: shared.clone(),
         });
         let streams = Arc::new(PeerStreamHandler(peers.clone()));
@@ -148,6 +152,9 @@
     }
 
     fn update_gateway_count(&self) {
+        if !self.listed.load(Ordering::Relaxed) {
+            return;
+        }
         let now = self.shared.clock.now();
         let peers = self.lock();
         let counted = peers
@@ -350,6 +357,7 @@
         for row in &listing.rows {
             self.0.on_row(row);
         }
+        self.0.listed.store(true, Ordering::Relaxed);
         self.0.update_gateway_count();
     }
 
--- a/crates/policy/src/send_shares.rs
+++ b/crates/policy/src/send_shares.rs
@@ -8,31 +8,47 @@
 /// differ for a moment.
 const GIVEN_FRACTION: f64 = 0.75;
 
+/// Number of gateways to reckon with while the others are not known yet.
+const ASSUMED_GATEWAYS: usize = 192;
+
 /// Divides the bound on requests per second to a server among the gateways, without messages.
 ///
 /// Load pattern: a server falls back into cold start unnoticed, or returns and looks idle to every
 /// gateway. Each gateway gets an equal share. Where that would be less than one request, each server
 /// is left to as many gateways as the bound allows, chosen by a hash that all of them compute alike.
+/// While all gateways start at once, none knows the others: each then sends one request per second
+/// to its own random part of the servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendShares {
     own: u64,
-    peers: Vec<u64>,
+    /// Absent while the other gateways are not known yet.
+    peers: Option<Vec<u64>>,
 }
 
 impl SendShares {
+    /// Shares of the gateway `own`, which has just started and does not know the others.
+    pub fn of_starting(own: &str) -> Self {
+        Self {
+            own: server_key(own),
+            peers: None,
+        }
+    }
+
     /// Shares of the gateway `own` beside `peers`, by their names.
     pub fn new<'a>(own: &str, peers: impl Iterator<Item = &'a str>) -> Self {
         let mut peers: Vec<_> = peers.map(server_key).collect();
         peers.sort_unstable();
         Self {
             own: server_key(own),
-            peers,
+            peers: Some(peers),
         }
     }
 
-    /// Number of gateways, this one included.
+    /// Number of gateways, this one included; a high assumption while they are not known.
     pub fn gateways(&self) -> usize {
-        self.peers.len() + 1
+        self.peers
+            .as_ref()
+            .map_or(ASSUMED_GATEWAYS, |peers| peers.len() + 1)
     }
 
     /// Requests that this gateway may send to a server per second, if all gateways together may send
@@ -42,13 +58,16 @@
             return usize::MAX;
         };
         let given = given_requests(bound);
+        let rank = |gateway: u64| xxh3_64(&(gateway ^ server).to_le_bytes());
+        let Some(peers) = &self.peers else {
+            return usize::from(rank(self.own) % (ASSUMED_GATEWAYS as u64) < given as u64);
+        };
         let equal_share = given / self.gateways();
         if equal_share > 0 {
             return equal_share;
         }
-        let rank = |gateway: u64| xxh3_64(&(gateway ^ server).to_le_bytes());
         let own = rank(self.own);
-        let ahead = self.peers.iter().filter(|peer| rank(**peer) > own);
+        let ahead = peers.iter().filter(|peer| rank(**peer) > own);
         usize::from(ahead.count() < given)
     }
 
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -148,6 +148,25 @@
     assert_eq!(alone.limit(7, None), usize::MAX);
 }
 
+/// All gateways lose power and start at once. None knows the others yet, and all see a server that is
+/// cold and looks as idle as the rest.
+#[test]
+fn gateways_that_start_at_once_keep_the_bound() {
+    for (gateways, cold_rate) in [(4, 28.0), (29, 28.0), (103, 14.0)] {
+        let bound = cold_send_bound(cold_rate, 1.5, 5.0);
+        let names = (0..gateways).map(|n| format!("gateway-{n}"));
+        let starting: Vec<_> = names.map(|name| SendShares::of_starting(&name)).collect();
+        for server in 0..112 {
+            let limits = starting.iter().map(|shares| shares.limit(server, bound));
+            let sum: usize = limits.sum();
+            let is_kept = bound.is_some_and(|bound| sum as f64 <= bound);
+            assert!(is_kept, "{gateways} gateways: {sum}");
+        }
+        assert!(starting.iter().all(|shares| shares.gateways() > gateways));
+        assert_eq!(starting[0].limit(7, None), usize::MAX);
+    }
+}
+
 /// A service whose placements nobody asks for. What is recorded for it must not pile up.
 #[test]
 fn a_window_that_is_never_counted_stays_small() {
