Log and count the request limits that servers state

Cause: the logs of the incident could not tell whether a gateway knows of a server's request limit: nothing read it, no line spoke of it. The stand-in of a server can state a limit and records when requests arrive. No decision uses the limit yet.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,8 +1,8 @@
 //! Sends a request to one backend server and classifies the result.
 
 use crate::call::Call;
+use crate::request_limit;
 use adapter::{ForwardOptions, Helper, ResponseHead, forwarded_request};
-use hyper::http::response::Parts;
 use policy::AttemptResult;
 use proto::BackendEntry;
 use quick_error::quick_error;
@@ -131,7 +131,8 @@
     };
     let body = Body::full(call.body.clone());
     let req = forwarded_request(&call.parts, body, call.body.len(), &options);
-    shared.fleet.on_sent(&server.id, shared.clock.now());
+    let sent_at = shared.clock.now();
+    shared.fleet.on_sent(&server.id, sent_at);
     info!(shared.log, "attempt: sent"; "req" => &*call.head.id, "server" => &*server.id,
         "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
         "left_ms" => options.time_left.as_millis() as u64);
@@ -141,7 +142,11 @@
     std::mem::forget(abandoned);
     let response = response.map_err(|_| AttemptError::TimedOut(name()))?;
     let response = response.map_err(|err| AttemptError::MayHaveRun(name(), error_text(&err)))?;
-    check_head(call, server, &response.head)?;
+    let head = ResponseHead::read(&response.head, &call.head.id);
+    if !head.misdirected {
+        request_limit::record(shared, &server.id, &response.head.headers, sent_at);
+    }
+    check_head(call, server, &head)?;
     Ok(response)
 }
 
@@ -155,8 +160,7 @@
     }
 }
 
-fn check_head(call: &Call, server: &BackendEntry, parts: &Parts) -> Result<(), AttemptError> {
-    let head = ResponseHead::read(parts, &call.head.id);
+fn check_head(call: &Call, server: &BackendEntry, head: &ResponseHead) -> Result<(), AttemptError> {
     let name = || server.id.clone();
     if head.misdirected {
         return Err(AttemptError::NotRun(
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,8 +4,8 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendRateCap, SendShares,
-    ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
+    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, RequestLimits, SendRateCap,
+    SendShares, ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
 };
 use proto::{BackendEntry, ServerKey, ServerUsage};
 use rand::Rng as _;
@@ -41,6 +41,7 @@
     send_limits: HashMap<ServerKey, (Option<f64>, usize)>,
     health: HashMap<BackendId, ServerHealth>,
     send_rates: HashMap<BackendId, SendRateCap>,
+    request_limits: RequestLimits,
     retry_budgets: HashMap<ServiceName, RepeatBudget>,
 }
 
@@ -57,6 +58,7 @@
                 send_limits: HashMap::new(),
                 health: HashMap::new(),
                 send_rates: HashMap::new(),
+                request_limits: RequestLimits::default(),
                 retry_budgets: HashMap::new(),
             }),
             name: settings.name.clone(),
@@ -205,6 +207,25 @@
             .on_result(result, now);
     }
 
+    /// Records the request limit that a server states in a response to a request sent at `sent_at`.
+    /// Returns whether it differs from what was known.
+    pub fn on_request_limit(
+        &self,
+        server: &str,
+        rate: Option<f64>,
+        sent_at: Duration,
+        now: Duration,
+    ) -> bool {
+        let mut state = self.lock();
+        let limits = &mut state.request_limits;
+        limits.on_response(server_key(server), rate, sent_at, now)
+    }
+
+    /// Number of servers that state a request limit.
+    pub fn limited_servers(&self) -> usize {
+        self.lock().request_limits.limited_servers()
+    }
+
     /// Updates the slowdown of an engine: compares `taken`, the time to a first event, with the
     /// forecast from the engine's published figures.
     pub fn on_first_event(&self, server: &str, forecast: Duration, taken: Duration, now: Duration) {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 mod plain;
 mod process;
 mod prompt_queue;
+mod request_limit;
 mod reservation;
 mod shared;
 mod signal;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -24,6 +24,7 @@
     declarations: IntGauge,
     gateways: IntGauge,
     reservations: IntGauge,
+    limited_servers: IntGauge,
 }
 
 impl Metrics {
@@ -97,6 +98,10 @@
                 "bergamothold_direct_reservations",
                 "Reservations of engine memory that are held",
             )?,
+            limited_servers: gauge(
+                "bergamothold_direct_limited_servers",
+                "Backend servers that state a limit on requests",
+            )?,
             registry,
         })
     }
@@ -148,6 +153,11 @@
         self.gateways.set(gateways as i64);
     }
 
+    /// Sets the number of backend servers that state a limit on requests.
+    pub fn set_limited_servers(&self, servers: usize) {
+        self.limited_servers.set(servers as i64);
+    }
+
     /// Adds `change`, which may be negative, to the number of reservations that are held.
     pub fn add_reservations(&self, change: i64) {
         self.reservations.add(change);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod prelude;
 mod queue;
 mod rates;
+mod request_limits;
 mod retry;
 mod route_table;
 mod router;
@@ -127,6 +128,7 @@
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
 pub use rates::WarmSpeed;
+pub use request_limits::RequestLimits;
 pub use retry::{
     FailedAttempt, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry,
     predicted_response_time,
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for the data written before an abort to reach the caller.
 const FLUSH_DELAY: Duration = Duration::from_millis(30);
@@ -80,6 +80,8 @@
     executed_requests: Vec<ExecutedRequest>,
     received_orders: Vec<Value>,
     abandoned_streams: u64,
+    request_limit: Option<f64>,
+    arrivals: Vec<Instant>,
 }
 
 impl PlatformServer {
@@ -109,6 +111,16 @@
         self.lock().executed_requests.clone()
     }
 
+    /// Sets the limit on requests per second that it states in all responses; `None` states none.
+    pub fn set_request_limit(&self, rate: Option<f64>) {
+        self.lock().request_limit = rate;
+    }
+
+    /// Times at which requests arrived, including those that it did not run; orders are left out.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
     /// Bodies of all orders that it received.
     pub fn received_orders(&self) -> Vec<Value> {
         self.lock().received_orders.clone()
@@ -134,6 +146,7 @@
             helpers: text("x-helpers"),
         };
         let mut state = self.lock();
+        state.arrivals.push(Instant::now());
         if state.behaviour != ServerBehaviour::Full {
             state.executed_requests.push(request.clone());
         }
@@ -199,9 +212,27 @@
 
 impl Standin for PlatformServer {
     async fn handle(&self, call: Call) -> Response<Body> {
-        if call.uri.path() == "/v1/order" {
-            return self.record_order(&call);
+        let mut response = if call.uri.path() == "/v1/order" {
+            self.record_order(&call)
+        } else {
+            self.run(&call).await
+        };
+        let limit = self.lock().request_limit;
+        if let Some(limit) = limit.and_then(|limit| limit.to_string().parse().ok()) {
+            response.headers_mut().insert("server-limit", limit);
         }
+        response
+    }
+
+    fn counts(&self) -> Value {
+        let state = self.lock();
+        json!({ "runs": state.executed_requests.len(), "orders": state.received_orders.len(), "left": state.abandoned_streams })
+    }
+}
+
+impl PlatformServer {
+    /// Handles a request that is not an order.
+    async fn run(&self, call: &Call) -> Response<Body> {
         let mut response = Response::new(Body::empty());
         if call
             .header("x-expect-instance")
@@ -210,7 +241,7 @@
             *response.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return response;
         }
-        let (request, behaviour) = self.record_request(&call);
+        let (request, behaviour) = self.record_request(call);
         let mut headers = vec![("x-request-id", request.request_id.to_string())];
         let body = match behaviour {
             ServerBehaviour::Full => {
@@ -242,9 +273,4 @@
         *response.body_mut() = body;
         response
     }
-
-    fn counts(&self) -> Value {
-        let state = self.lock();
-        json!({ "runs": state.executed_requests.len(), "orders": state.received_orders.len(), "left": state.abandoned_streams })
-    }
 }
--- a/crates/trials/tests/wire_names.rs
+++ b/crates/trials/tests/wire_names.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 use trials::workspace;
 
-const PLATFORM_NAMES: [&str; 20] = [
+const PLATFORM_NAMES: [&str; 21] = [
     "x-token-usage",
     "x-prompt-prefix",
     "x-response-seal",
@@ -13,6 +13,7 @@
     "x-helpers",
     "x-length-hint",
     "x-cold-ms",
+    "server-limit",
     "x-tenant-id",
     "x-deadline-ms",
     "x-request-priority",
