A failing test: servers that state a request limit get no more

Cause: no gateway keeps the request limits that servers state. Change: three gateways as processes before two servers with a limit of 1/s. The test counts what the servers see, in any 4 s, against the users' bound.

--- /dev/null
+++ b/crates/trials/tests/request_limits.rs
@@ -0,0 +1,101 @@
+//! Several direct gateways as processes before servers that state a limit on requests. What counts
+//! is what the servers see.
+
+use hyper::StatusCode;
+use runtime::Executor;
+use standins::{PlatformServer, ServerKind, StandinServer};
+use std::time::{Duration, Instant};
+use trials::{DirectGateway, DirectRig};
+
+const KEY: Option<&str> = Some("key-1");
+const PROMPT_TOKENS: u64 = 1_000;
+/// Span in which the users of the platform count requests to a server.
+const COUNTED_SPAN: Duration = Duration::from_secs(4);
+/// Time that a gateway has from a response with a limit until it has to keep it.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Requests that a server with this limit may get from all gateways within `COUNTED_SPAN`.
+fn allowed_requests(rate: f64) -> usize {
+    (1.5 * rate * COUNTED_SPAN.as_secs_f64()) as usize + 5
+}
+
+/// Most requests that arrived within one `COUNTED_SPAN` since `start`.
+fn most_arrivals(server: &StandinServer<PlatformServer>, start: Instant) -> usize {
+    let mut arrivals = server.standin().arrivals();
+    arrivals.retain(|at| *at >= start);
+    let until = |first: &Instant| arrivals.partition_point(|at| *at < *first + COUNTED_SPAN);
+    let counts = arrivals.iter().enumerate();
+    let counts = counts.map(|(index, first)| until(first) - index);
+    counts.max().unwrap_or(0)
+}
+
+/// Sends `count` requests to each gateway in turn, each after the answer to the one before, and
+/// returns the statuses.
+async fn send_in_turn(
+    gateways: &[&DirectGateway],
+    name: &str,
+    path: &str,
+    count: usize,
+) -> Vec<StatusCode> {
+    let mut statuses = Vec::new();
+    for n in 0..count {
+        for (index, gateway) in gateways.iter().enumerate() {
+            let id = format!("{name}-{index}-{n}");
+            let response = gateway.caller().call(&id, path, KEY, PROMPT_TOKENS).await;
+            statuses.push(response.status);
+        }
+    }
+    statuses
+}
+
+/// Waits until a gateway routes requests to a server that was just registered.
+async fn wait_until_served(rig: &DirectRig, gateway: &DirectGateway, path: &str) {
+    let mut attempts = 0;
+    let served = rig.wait_until(async || {
+        attempts += 1;
+        let id = format!("{}-probe{path}{attempts}", gateway.process.name());
+        let response = gateway.caller().call(&id, path, KEY, PROMPT_TOKENS).await;
+        response.status == StatusCode::OK
+    });
+    assert!(served.await, "{}", gateway.process.log_tail());
+}
+
+/// Servers of a plain service state a limit. All gateways together sent each of them as many
+/// requests as before.
+#[test]
+fn servers_that_state_a_limit_get_no_more_from_all_gateways() {
+    const RATE: f64 = 1.0;
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let store = rig.store.local_addr();
+        let others = ["gateway-2", "gateway-3"].map(|name| rig.add_gateway(name, store).unwrap());
+        let gateways = [&rig.gateway, &others[0], &others[1]];
+        let servers = ["registry-1", "registry-2"]
+            .map(|name| rig.add_server(name, "registry", ServerKind::Plain).unwrap());
+        for gateway in gateways {
+            wait_until_served(&rig, gateway, "/lookup/x").await;
+        }
+        for server in &servers {
+            server.standin().set_request_limit(Some(RATE));
+        }
+        let stated = Instant::now();
+        while stated.elapsed() < NOTICE {
+            send_in_turn(&gateways, "notice", "/lookup/x", 1).await;
+            async_io::Timer::after(NOTICE / 10).await;
+        }
+        let start = Instant::now();
+        let statuses = send_in_turn(&gateways, "limited", "/lookup/x", 30).await;
+        for server in &servers {
+            let most = most_arrivals(server, start);
+            assert!(
+                most <= allowed_requests(RATE),
+                "{most} requests within the counted span, {} allowed",
+                allowed_requests(RATE)
+            );
+        }
+        let answered = [StatusCode::OK, StatusCode::SERVICE_UNAVAILABLE];
+        let others = statuses.iter().find(|status| !answered.contains(status));
+        assert_eq!(others, None, "what a limit forbids is refused as not run");
+    });
+}
