Gateways keep their shares of the request limits that servers state

What was seen: servers that stated a limit of 1 to 2.7 requests/s got 15 to 35 requests in 4 s, up to 1.8 times what the users allow; no caller failed. Cause: no gateway read the limit, and none could have kept it alone, as a limit over all gateways is exceeded as many times as there are gateways. Change: a SendLimiter in policy keeps the sends to each server within this gateway's share of the cold bound, as before, and of the stated limit. Three quarters of the limit are given out over a window of 4 s or more: an equal share each, and the remainder to the gateways that come first by a hash, so that the shares add up for any number of gateways without messages. Sends of the last 4 s count when a limit is stated. The check and the count are one step, right before the send. Only a response to a later request may raise or end a limit.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -26,6 +26,11 @@
         RetryBudgetSpent {
             display("the retry budget is exhausted")
         }
+        /// The server was reached, but this gateway's share of a limit on the requests to it is used
+        /// up. Nothing was sent.
+        AtLimit(server: Box<str>) {
+            display("{server} is at its limit on requests")
+        }
         /// The server failed after the request was sent; it may have run it.
         MayHaveRun(server: Box<str>, reason: Box<str>) {
             display("{server} may have run it: {reason}")
@@ -56,6 +61,12 @@
         }
         Err(AttemptError::NotRun(..)) => (AttemptResult::Silent, "not run"),
         Err(AttemptError::RetryBudgetSpent) => return result,
+        Err(AttemptError::AtLimit(_)) => {
+            call.shared.metrics.attempt("at limit");
+            info!(call.shared.log, "attempt: not sent, the server is at its limit on requests";
+                "req" => &*call.head.id, "server" => &*server.id);
+            return result;
+        }
         Err(AttemptError::MayHaveRun(..)) => (AttemptResult::Failed, "failed"),
         Err(AttemptError::TimedOut(_)) => (AttemptResult::Silent, "silent"),
     };
@@ -117,6 +128,11 @@
     if !shared.store_cache.is_usable(&server.id, shared.clock.now()) {
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
     }
+    let service = &call.admitted.service;
+    let sent_at = shared.clock.now();
+    if !shared.fleet.start_send(service, &server.id, sent_at) {
+        return Err(AttemptError::AtLimit(name()));
+    }
     if !call.claim_send() {
         return Err(AttemptError::RetryBudgetSpent);
     }
@@ -131,8 +147,6 @@
     };
     let body = Body::full(call.body.clone());
     let req = forwarded_request(&call.parts, body, call.body.len(), &options);
-    let sent_at = shared.clock.now();
-    shared.fleet.on_sent(&server.id, sent_at);
     info!(shared.log, "attempt: sent"; "req" => &*call.head.id, "server" => &*server.id,
         "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
         "left_ms" => options.time_left.as_millis() as u64);
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,8 +4,8 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, RequestLimits, SendRateCap,
-    SendShares, ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
+    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendLimiter, SendShares,
+    ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
 };
 use proto::{BackendEntry, ServerKey, ServerUsage};
 use rand::Rng as _;
@@ -14,7 +14,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Number of servers with health or send-rate state above which entries that carry no restriction
+/// Number of servers with health state above which entries that carry no restriction
 /// are dropped.
 const MAX_TRACKED_SERVERS: usize = 4_096;
 
@@ -36,12 +36,8 @@
 #[derive(Debug)]
 struct State {
     load: FleetLoad,
-    shares: SendShares,
-    /// Limits that follow from the shares, each with the bound that it was computed for.
-    send_limits: HashMap<ServerKey, (Option<f64>, usize)>,
+    sends: SendLimiter,
     health: HashMap<BackendId, ServerHealth>,
-    send_rates: HashMap<BackendId, SendRateCap>,
-    request_limits: RequestLimits,
     retry_budgets: HashMap<ServiceName, RepeatBudget>,
 }
 
@@ -54,11 +50,8 @@
             urgent: Signal::default(),
             state: Mutex::new(State {
                 load: FleetLoad::default(),
-                shares: SendShares::of_starting(&settings.name),
-                send_limits: HashMap::new(),
+                sends: SendLimiter::of_starting(&settings.name),
                 health: HashMap::new(),
-                send_rates: HashMap::new(),
-                request_limits: RequestLimits::default(),
                 retry_budgets: HashMap::new(),
             }),
             name: settings.name.clone(),
@@ -76,17 +69,13 @@
     pub fn set_peers<'a>(&self, peers: impl Iterator<Item = &'a str>) -> usize {
         let shares = SendShares::new(&self.name, peers);
         let gateways = shares.gateways();
-        let mut state = self.lock();
-        if state.shares != shares {
-            state.shares = shares;
-            state.send_limits.clear();
-        }
+        self.lock().sends.set_shares(shares);
         gateways
     }
 
     /// Number of gateways, this one included.
     pub fn gateways(&self) -> usize {
-        self.lock().shares.gateways()
+        self.lock().sends.shares().gateways()
     }
 
     /// Sets the interval at which gateways send each other their load.
@@ -111,10 +100,10 @@
         let reported_count: usize = placements.sum();
         let interval = self.update_interval_micros.load(Ordering::Relaxed);
         HerdAvoidance::estimate(
-            state.shares.gateways() - 1,
+            state.sends.shares().gateways() - 1,
             reported_count as f64 / PLACEMENT_WINDOW.as_secs_f64(),
             Duration::from_micros(interval),
-            state.shares.sender_fraction(bound),
+            state.sends.shares().sender_fraction(bound),
             rand::rng().random(),
         )
     }
@@ -135,13 +124,8 @@
         let mut state = self.lock();
         let candidates = servers.iter().map(|server| {
             let key = server_key(&server.id);
-            let limit = state.send_limit(key, bound);
+            let below_limit = state.sends.has_room(&server.id, bound, now);
             let health = state.health.get(&server.id).cloned().unwrap_or_default();
-            let send_rate = state.send_rates.get_mut(&server.id);
-            let below_limit = match send_rate {
-                Some(cap) => cap.has_room(now, limit),
-                None => limit > 0,
-            };
             EngineCandidate {
                 shared_order: key,
                 load: state.load.total(key, now),
@@ -170,28 +154,17 @@
         candidates.collect()
     }
 
-    /// Whether this gateway's share of the server's send rate allows one more request now.
+    /// Whether this gateway's shares of the server's limits allow one more request now.
     pub fn may_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
         let bound = self.send_bound(service);
-        let mut state = self.lock();
-        let limit = state.send_limit(server_key(server), bound);
-        match state.send_rates.get_mut(server) {
-            Some(cap) => cap.has_room(now, limit),
-            None => limit > 0,
-        }
+        self.lock().sends.has_room(server, bound, now)
     }
 
-    /// Counts a request towards the send rate of a server.
-    pub fn on_sent(&self, server: &str, now: Duration) {
-        let mut state = self.lock();
-        if state.send_rates.len() > MAX_TRACKED_SERVERS {
-            state.send_rates.retain(|_, cap| !cap.has_room(now, 1));
-        }
-        state
-            .send_rates
-            .entry(server.into())
-            .or_default()
-            .record(now);
+    /// Counts a request that is about to be sent to a server; returns `false`, and counts nothing, if
+    /// this gateway's shares of the server's limits do not allow it.
+    pub fn start_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
+        let bound = self.send_bound(service);
+        self.lock().sends.start_send(server, bound, now)
     }
 
     /// Updates the health of a server with the result of an attempt.
@@ -217,13 +190,13 @@
         now: Duration,
     ) -> bool {
         let mut state = self.lock();
-        let limits = &mut state.request_limits;
+        let limits = state.sends.limits_mut();
         limits.on_response(server_key(server), rate, sent_at, now)
     }
 
     /// Number of servers that state a request limit.
     pub fn limited_servers(&self) -> usize {
-        self.lock().request_limits.limited_servers()
+        self.lock().sends.limits().limited_servers()
     }
 
     /// Updates the slowdown of an engine: compares `taken`, the time to a first event, with the
@@ -244,7 +217,7 @@
 
     /// Takes one retry from the budget of the service; returns `false` if it is exhausted.
     pub fn claim_retry(&self, service: &str, now: Duration) -> bool {
-        let gateways = self.lock().shares.gateways();
+        let gateways = self.lock().sends.shares().gateways();
         self.with_retry_budget(service, |budget| {
             budget.try_spend(now, self.retry_limits, gateways)
         })
@@ -312,19 +285,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    /// Requests that this gateway may send to a server per second.
-    fn send_limit(&mut self, server: ServerKey, bound: Option<f64>) -> usize {
-        if self.send_limits.len() > MAX_TRACKED_SERVERS {
-            self.send_limits.clear();
-        }
-        let known = self.send_limits.get(&server);
-        if let Some((_, limit)) = known.filter(|(known, _)| *known == bound) {
-            return *limit;
-        }
-        let limit = self.shares.limit(server, bound);
-        self.send_limits.insert(server, (bound, limit));
-        limit
-    }
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -66,6 +66,7 @@
 mod running;
 mod scheduler;
 mod scheduler_types;
+mod send_limiter;
 mod send_shares;
 mod server_health;
 mod server_lease;
@@ -142,6 +143,7 @@
 pub use scheduler_types::{
     AbortReason, EngineReport, SchedulerAction, SchedulerConfig, SchedulerEvent, ServerSettings,
 };
+pub use send_limiter::SendLimiter;
 pub use send_shares::{SendShares, cold_send_bound};
 pub use server_health::{AttemptResult, ServerHealth};
 pub use server_lease::{
--- /dev/null
+++ b/crates/policy/src/send_limiter.rs
@@ -0,0 +1,176 @@
+//! Limits on the requests that one gateway sends to each backend server.
+
+use crate::fleet_load::server_key;
+use crate::request_limits::RequestLimits;
+use crate::send_shares::SendShares;
+use crate::sliding_window::SendRateCap;
+use proto::ServerKey;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Number of servers above which those without recent sends are dropped.
+const MAX_TRACKED_SERVERS: usize = 4_096;
+
+/// Keeps the sends of one gateway to each server within its shares of two limits for all gateways
+/// together: the bound that protects a server which may be cold, and the request limit that the
+/// server states.
+///
+/// Load pattern: many gateways, each of which sees only its own sends. A limit that each of them kept
+/// alone would be exceeded as many times as there are gateways.
+#[derive(Debug)]
+pub struct SendLimiter {
+    shares: SendShares,
+    limits: RequestLimits,
+    servers: HashMap<ServerKey, ServerSends>,
+}
+
+/// Sends to one server, and this gateway's shares of its limits.
+#[derive(Debug, Default)]
+struct ServerSends {
+    sent: SendRateCap,
+    /// Absent until it is computed.
+    cold_share: Option<ColdShare>,
+    /// Absent until it is computed, and where the server states no limit.
+    request_share: Option<RequestShare>,
+}
+
+/// Share of the bound for servers that may be cold.
+#[derive(Debug, Clone, Copy)]
+struct ColdShare {
+    /// The bound, in requests per second; `None` if there is none.
+    bound: Option<f64>,
+    /// Requests of this gateway per second.
+    requests: usize,
+}
+
+/// Share of a request limit.
+#[derive(Debug, Clone, Copy)]
+struct RequestShare {
+    /// The limit, in requests per second.
+    rate: f64,
+    /// Sliding window in which the requests are counted.
+    window: Duration,
+    /// Requests of this gateway in one window.
+    requests: usize,
+}
+
+impl SendLimiter {
+    /// A limiter of the gateway `own`, which has just started and does not know the others.
+    pub fn of_starting(own: &str) -> Self {
+        Self {
+            shares: SendShares::of_starting(own),
+            limits: RequestLimits::default(),
+            servers: HashMap::new(),
+        }
+    }
+
+    /// Sets how the limits are divided among the gateways.
+    pub fn set_shares(&mut self, shares: SendShares) {
+        if self.shares == shares {
+            return;
+        }
+        self.shares = shares;
+        for sends in self.servers.values_mut() {
+            sends.cold_share = None;
+            sends.request_share = None;
+        }
+    }
+
+    /// How the limits are divided among the gateways.
+    pub fn shares(&self) -> &SendShares {
+        &self.shares
+    }
+
+    /// Request limits that the servers state.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Request limits that the servers state, to be updated.
+    pub fn limits_mut(&mut self) -> &mut RequestLimits {
+        &mut self.limits
+    }
+
+    /// Whether one more request may be sent to a server now. `cold_bound` is the number of requests
+    /// per second that all gateways may send to a server which may be cold.
+    pub fn has_room(&mut self, server: &str, cold_bound: Option<f64>, now: Duration) -> bool {
+        let key = server_key(server);
+        self.sends_to(key, cold_bound, now).has_room(now)
+    }
+
+    /// Counts a request that is about to be sent to a server; returns `false`, and counts nothing, if
+    /// none may be sent now.
+    pub fn start_send(&mut self, server: &str, cold_bound: Option<f64>, now: Duration) -> bool {
+        let sends = self.sends_to(server_key(server), cold_bound, now);
+        let has_room = sends.has_room(now);
+        if has_room {
+            sends.sent.record(now);
+        }
+        has_room
+    }
+
+    /// Sends to a server, with the shares of its present limits.
+    fn sends_to(
+        &mut self,
+        server: ServerKey,
+        cold_bound: Option<f64>,
+        now: Duration,
+    ) -> &mut ServerSends {
+        if self.servers.len() >= MAX_TRACKED_SERVERS && !self.servers.contains_key(&server) {
+            self.servers.retain(|_, sends| !sends.sent.is_idle(now));
+        }
+        let rate = self.limits.rate(server);
+        let sends = self.servers.entry(server).or_default();
+        if sends
+            .cold_share
+            .is_none_or(|share| share.bound != cold_bound)
+        {
+            sends.cold_share = Some(ColdShare {
+                bound: cold_bound,
+                requests: self.shares.limit(server, cold_bound),
+            });
+        }
+        if sends.request_share.map(|share| share.rate) != rate {
+            sends.request_share = rate.map(|rate| RequestShare::new(rate, server, &self.shares));
+            let window = sends.request_share.map(|share| share.window);
+            sends.sent.keep_for(window.unwrap_or_default());
+        }
+        sends
+    }
+}
+
+impl ServerSends {
+    fn has_room(&mut self, now: Duration) -> bool {
+        let sent = &mut self.sent;
+        let is_within_cold_bound = self
+            .cold_share
+            .is_none_or(|share| sent.has_room(now, share.requests));
+        let is_within_limit = self
+            .request_share
+            .is_none_or(|share| sent.has_room_within(now, share.window, share.requests));
+        is_within_cold_bound && is_within_limit
+    }
+}
+
+/// The users of the platform count the requests to a server in any span of this length.
+const MIN_LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// A server with a limit of next to nothing is asked about that often whether the limit stands.
+const MAX_LIMIT_WINDOW: Duration = Duration::from_secs(60);
+/// A window is long enough for this many requests, as shares are whole numbers.
+const MIN_WINDOW_REQUESTS: f64 = 4.0;
+
+impl RequestShare {
+    /// Share of a limit of `rate` requests per second.
+    fn new(rate: f64, server: ServerKey, shares: &SendShares) -> Self {
+        let window_s = shares.needed_total(MIN_WINDOW_REQUESTS) / rate.max(f64::MIN_POSITIVE);
+        let window_s = window_s.clamp(
+            MIN_LIMIT_WINDOW.as_secs_f64(),
+            MAX_LIMIT_WINDOW.as_secs_f64(),
+        );
+        Self {
+            rate,
+            window: Duration::from_secs_f64(window_s),
+            requests: shares.share_of(server, rate * window_s),
+        }
+    }
+}
--- a/crates/policy/src/send_shares.rs
+++ b/crates/policy/src/send_shares.rs
@@ -58,17 +58,35 @@
             return usize::MAX;
         };
         let given = given_requests(bound);
-        let rank = |gateway: u64| xxh3_64(&(gateway ^ server).to_le_bytes());
-        let Some(peers) = &self.peers else {
-            return usize::from(rank(self.own) % (ASSUMED_GATEWAYS as u64) < given as u64);
-        };
         let equal_share = given / self.gateways();
         if equal_share > 0 {
             return equal_share;
         }
+        usize::from(self.is_among_first(server, given))
+    }
+
+    /// Number of requests to a server that this gateway may send, if all gateways together may send
+    /// `total`.
+    pub fn share_of(&self, server: ServerKey, total: f64) -> usize {
+        let given = given_requests(total);
+        let remainder = given % self.gateways();
+        given / self.gateways() + usize::from(self.is_among_first(server, remainder))
+    }
+
+    /// Number of requests for all gateways together of which `given` are given out.
+    pub fn needed_total(&self, given: f64) -> f64 {
+        given / GIVEN_FRACTION
+    }
+
+    /// Whether this gateway is one of the first `count` in an order that is different for each server
+    /// and the same at all gateways.
+    fn is_among_first(&self, server: ServerKey, count: usize) -> bool {
+        let rank = |gateway: u64| xxh3_64(&(gateway ^ server).to_le_bytes());
         let own = rank(self.own);
-        let ahead = peers.iter().filter(|peer| rank(**peer) > own);
-        usize::from(ahead.count() < given)
+        match &self.peers {
+            Some(peers) => peers.iter().filter(|peer| rank(**peer) > own).count() < count,
+            None => own % (ASSUMED_GATEWAYS as u64) < count as u64,
+        }
     }
 
     /// Fraction of the gateways that may send requests to one server.
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -31,6 +31,16 @@
         self.times.len()
     }
 
+    /// Number of recorded events in the window of another `length` that ends at `now`.
+    pub fn count_within(&self, now: Duration, length: Duration) -> usize {
+        self.times.len() - self.times.partition_point(|at| *at + length <= now)
+    }
+
+    /// Changes the length of the window. Events that were dropped before stay so.
+    pub fn set_length(&mut self, length: Duration) {
+        self.length = length;
+    }
+
     /// Records an event and drops older ones. Events are expected in the order of their times.
     pub fn record(&mut self, now: Duration) {
         self.count(now);
@@ -40,6 +50,7 @@
 
 /// Caps the requests that one gateway sends to one server in any second, so that all gateways
 /// together stay within what a cold server can handle, even if none of them knows that it is cold.
+/// It also caps them in longer windows, for limits that a server states.
 ///
 /// This guards against a server that falls back into cold start unnoticed, and against a failure
 /// domain that returns and looks idle to every gateway.
@@ -48,14 +59,17 @@
     window: SlidingWindow,
 }
 
-/// Requests may arrive closer together than they were sent, so the window exceeds the one second
-/// of the limit by this much.
+/// Requests may arrive closer together than they were sent, so windows exceed the span of their
+/// limit by this much.
 const DELIVERY_JITTER: Duration = Duration::from_millis(250);
+/// Sends are kept for at least this long: when a server states a limit, those of the last seconds
+/// count.
+const MIN_KEPT: Duration = Duration::from_secs(4);
 
 impl Default for SendRateCap {
     fn default() -> Self {
         Self {
-            window: SlidingWindow::new(Duration::from_secs(1) + DELIVERY_JITTER),
+            window: SlidingWindow::new(MIN_KEPT + DELIVERY_JITTER),
         }
     }
 }
@@ -63,7 +77,24 @@
 impl SendRateCap {
     /// Whether one more request may be sent at `now` if this gateway may send `limit` per second.
     pub fn has_room(&mut self, now: Duration, limit: usize) -> bool {
-        self.window.count(now) < limit
+        self.has_room_within(now, Duration::from_secs(1), limit)
+    }
+
+    /// Whether one more request may be sent at `now` if this gateway may send `limit` within any
+    /// `span`. The sends must be kept for that long.
+    pub fn has_room_within(&mut self, now: Duration, span: Duration, limit: usize) -> bool {
+        self.window.count(now);
+        self.window.count_within(now, span + DELIVERY_JITTER) < limit
+    }
+
+    /// Keeps sends long enough to count those within any `span` from now on.
+    pub fn keep_for(&mut self, span: Duration) {
+        self.window.set_length(span.max(MIN_KEPT) + DELIVERY_JITTER);
+    }
+
+    /// Whether nothing was sent for as long as sends are kept.
+    pub fn is_idle(&mut self, now: Duration) -> bool {
+        self.window.count(now) == 0
     }
 
     /// Records a request that was sent at `now`.
--- /dev/null
+++ b/crates/policy/tests/request_limits.rs
@@ -0,0 +1,233 @@
+//! Limits on requests that servers state for all gateways together, in virtual time.
+
+use policy::{SendLimiter, SendShares, server_key};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use std::time::Duration;
+
+const SERVER: &str = "server-1";
+/// Span in which the users of the platform count requests to a server.
+const COUNTED_SPAN_MS: u64 = 4_000;
+/// Time between a response that states a limit and the moment from which its gateway must keep it.
+const NOTICE_MS: u64 = 500;
+/// A request arrives at most this long after it was sent.
+const MAX_DELIVERY_MS: u64 = 200;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Requests that a server with a limit of `rate` per second may get within `COUNTED_SPAN_MS`.
+fn allowed_requests(rate: f64) -> usize {
+    (1.5 * rate * COUNTED_SPAN_MS as f64 / 1e3) as usize + 5
+}
+
+/// Which of the others each gateway knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Known {
+    /// All of them.
+    All,
+    /// Nine in ten, at random.
+    MissingTenth,
+    /// Those of the same half: the two halves do not hear each other.
+    OwnHalf,
+    /// None: all have just started.
+    Starting,
+}
+
+fn limiters(gateways: usize, known: Known, rng: &mut SmallRng) -> Vec<SendLimiter> {
+    let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
+    let limiter = |(own, name): (usize, &String)| {
+        let mut limiter = SendLimiter::of_starting(name);
+        let peers = names.iter().enumerate().filter(|(peer, _)| *peer != own);
+        let peers = peers.filter(|(peer, _)| match known {
+            Known::All | Known::Starting => true,
+            Known::MissingTenth => !rng.random_bool(0.1),
+            Known::OwnHalf => peer % 2 == own % 2,
+        });
+        if known != Known::Starting {
+            let shares = SendShares::new(name, peers.map(|(_, name)| &**name));
+            limiter.set_shares(shares);
+        }
+        limiter
+    };
+    names.iter().enumerate().map(limiter).collect()
+}
+
+/// A server before many gateways, all of which have more requests for it than it takes.
+#[derive(Debug)]
+struct World {
+    limiters: Vec<SendLimiter>,
+    rng: SmallRng,
+    arrivals: Vec<u64>,
+    now: u64,
+}
+
+impl World {
+    fn new(gateways: usize, known: Known, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Self {
+            limiters: limiters(gateways, known, &mut rng),
+            rng,
+            arrivals: Vec::new(),
+            now: 0,
+        }
+    }
+
+    /// All gateways get a response that states `rate`.
+    fn state(&mut self, rate: Option<f64>) {
+        let now = at(self.now);
+        for limiter in &mut self.limiters {
+            let limits = limiter.limits_mut();
+            limits.on_response(server_key(SERVER), rate, now, now);
+        }
+    }
+
+    /// All gateways send whenever they may, for `millis`.
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            let gateway = self.rng.random_range(0..self.limiters.len());
+            for index in [gateway, self.now as usize % self.limiters.len()] {
+                if self.limiters[index].start_send(SERVER, None, at(self.now)) {
+                    let delivery = self.rng.random_range(0..MAX_DELIVERY_MS);
+                    self.arrivals.push(self.now + delivery);
+                }
+            }
+        }
+    }
+
+    fn arrivals_between(&self, start: u64, end: u64) -> usize {
+        let within = self.arrivals.iter().filter(|at| (start..end).contains(*at));
+        within.count()
+    }
+
+    /// Checks that no counted span that begins in `start..=end` has more requests than a limit of
+    /// `rate` allows.
+    fn assert_kept(&self, rate: f64, start: u64, end: u64) {
+        for start in (start..=end).step_by(50) {
+            let arrived = self.arrivals_between(start, start + COUNTED_SPAN_MS);
+            assert!(
+                arrived <= allowed_requests(rate),
+                "{} gateways, limit {rate}: {arrived} requests within the span from {start} ms",
+                self.limiters.len()
+            );
+        }
+    }
+}
+
+/// A limit that all gateways have heard of.
+fn limit_is_kept(gateways: usize, known: Known, rate: f64) {
+    const RUN_MS: u64 = 24_000;
+    for seed in 0..5 {
+        let mut world = World::new(gateways, known, seed);
+        world.state(Some(rate));
+        world.run(RUN_MS);
+        world.assert_kept(rate, 0, RUN_MS - COUNTED_SPAN_MS);
+        let wanted = (rate * (RUN_MS as f64 / 1e3) / 2.0) as usize;
+        if known == Known::All {
+            let served = world.arrivals.len();
+            assert!(served >= wanted, "{served} requests served of {wanted}");
+        }
+    }
+}
+
+macro_rules! limits {
+    ($($name:ident: $gateways:expr, $known:ident, $rate:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            limit_is_kept($gateways, Known::$known, $rate);
+        }
+    )*};
+}
+
+limits! {
+    a_limit_before_3_gateways: 3, All, 2.4;
+    a_small_limit_before_3_gateways: 3, All, 0.3;
+    a_large_limit_before_3_gateways: 3, All, 60.0;
+    a_limit_before_4_gateways: 4, All, 1.0;
+    a_limit_before_103_gateways: 103, All, 2.4;
+    a_small_limit_before_103_gateways: 103, All, 0.3;
+    a_large_limit_before_103_gateways: 103, All, 60.0;
+    a_limit_before_340_gateways: 340, All, 2.4;
+    a_small_limit_before_340_gateways: 340, All, 0.3;
+    a_limit_while_lists_differ_at_103_gateways: 103, MissingTenth, 2.4;
+    a_limit_while_lists_differ_at_340_gateways: 340, MissingTenth, 12.0;
+    a_limit_while_halves_do_not_hear_each_other_at_4_gateways: 4, OwnHalf, 2.4;
+    a_limit_while_halves_do_not_hear_each_other_at_103_gateways: 103, OwnHalf, 12.0;
+    a_limit_while_halves_do_not_hear_each_other_at_340_gateways: 340, OwnHalf, 2.4;
+    a_limit_before_3_gateways_that_have_just_started: 3, Starting, 2.4;
+    a_limit_before_103_gateways_that_have_just_started: 103, Starting, 2.4;
+    a_limit_of_zero: 103, All, 0.0;
+}
+
+/// A server gets all that the gateways have, then states a limit, lowers it, raises it and drops it.
+fn limit_changes_are_followed(gateways: usize) {
+    const PHASE_MS: u64 = 12_000;
+    let mut world = World::new(gateways, Known::All, 1);
+    world.run(COUNTED_SPAN_MS);
+    for rate in [6.0, 1.0, 6.0] {
+        world.state(Some(rate));
+        let start = world.now;
+        world.run(PHASE_MS);
+        // Sends of the phase before arrive within the time that the gateways have.
+        world.assert_kept(rate, start + NOTICE_MS, world.now - COUNTED_SPAN_MS);
+    }
+    let before = world.arrivals_between(world.now - COUNTED_SPAN_MS, world.now);
+    world.state(None);
+    world.run(COUNTED_SPAN_MS);
+    let after = world.arrivals_between(world.now - COUNTED_SPAN_MS, world.now);
+    assert!(
+        after > 10 * before,
+        "{after} without the limit, {before} with it"
+    );
+}
+
+macro_rules! changes {
+    ($($name:ident: $gateways:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            limit_changes_are_followed($gateways);
+        }
+    )*};
+}
+
+changes! {
+    limits_that_change_before_3_gateways: 3;
+    limits_that_change_before_103_gateways: 103;
+    limits_that_change_before_340_gateways: 340;
+}
+
+/// Requests that were under way when a limit was stated are answered later. Their responses do not
+/// end it; that of a later request does, as after a restart of the server under its old id.
+#[test]
+fn only_a_later_response_raises_or_ends_a_limit() {
+    let mut limiter = SendLimiter::of_starting("gateway-1");
+    let key = server_key(SERVER);
+    let limits = limiter.limits_mut();
+    assert!(limits.on_response(key, Some(2.0), at(100), at(1_000)));
+    assert!(!limits.on_response(key, None, at(900), at(1_100)));
+    assert!(!limits.on_response(key, Some(5.0), at(900), at(1_100)));
+    assert_eq!(limits.rate(key), Some(2.0));
+    assert!(limits.on_response(key, Some(1.0), at(900), at(1_200)));
+    assert!(limits.on_response(key, Some(3.0), at(1_300), at(1_400)));
+    assert_eq!((limits.rate(key), limits.limited_servers()), (Some(3.0), 1));
+    assert!(limits.on_response(key, None, at(1_500), at(1_600)));
+    assert!(!limits.on_response(key, None, at(1_700), at(1_800)));
+    assert_eq!((limits.rate(key), limits.limited_servers()), (None, 0));
+}
+
+/// The cold bound holds beside the limit, and a limit of one server is none of another.
+#[test]
+fn a_limit_leaves_other_servers_and_the_cold_bound_alone() {
+    let mut limiter = SendLimiter::of_starting("gateway-1");
+    limiter.set_shares(SendShares::new("gateway-1", std::iter::empty()));
+    let limits = limiter.limits_mut();
+    limits.on_response(server_key(SERVER), Some(100.0), at(0), at(0));
+    let mut sent = |server: &str, cold_bound| {
+        let sends = (0..400).filter(|_| limiter.start_send(server, cold_bound, at(10)));
+        sends.count()
+    };
+    assert_eq!(sent(SERVER, Some(20.0)), 15);
+    assert_eq!(sent("server-2", None), 400);
+}
