Gateways tell each other the request limits that servers state

Cause: with many gateways each one sends to a limited server only now and then. Change: a stream to each peer carries all known limits when it opens, and then each change that this gateway hears from a server, at once. What is confirmed last counts; ages are sent, not times, as clocks differ. A gateway that gets a report older than what it has heard itself announces that again.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,10 +4,10 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    PLACEMENT_WINDOW, PlainCandidate, RepeatBudget, RepeatLimits, SendLimiter, SendShares,
-    ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
+    LimitRevision, PLACEMENT_WINDOW, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
+    SendLimiter, SendShares, ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
 };
-use proto::{BackendEntry, ServerKey, ServerUsage};
+use proto::{BackendEntry, RequestLimit, ServerKey, ServerUsage};
 use rand::Rng as _;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -191,7 +191,38 @@
     ) -> bool {
         let mut state = self.lock();
         let limits = state.sends.limits_mut();
-        limits.on_response(server_key(server), rate, sent_at, now)
+        let has_changed = limits.on_response(server_key(server), rate, sent_at, now);
+        if has_changed {
+            self.urgent.notify();
+        }
+        has_changed
+    }
+
+    /// Records what a peer has heard of the request limit of a server. Returns whether it differs
+    /// from what was known.
+    pub fn on_peer_request_limit(&self, limit: &RequestLimit, now: Duration) -> bool {
+        let mut state = self.lock();
+        let effect = state.sends.limits_mut().on_peer_report(limit, now);
+        if effect == PeerReportEffect::Outdated {
+            self.urgent.notify();
+        }
+        effect == PeerReportEffect::Changed
+    }
+
+    /// Request limits that a peer has to hear of which has heard of `revision`, or of nothing yet,
+    /// and the present revision.
+    pub fn request_limits_since(
+        &self,
+        revision: Option<LimitRevision>,
+        now: Duration,
+    ) -> (Vec<RequestLimit>, LimitRevision) {
+        let state = self.lock();
+        state.sends.limits().changed_since(revision, now)
+    }
+
+    /// Number of the last change of request limits.
+    pub fn limit_revision(&self) -> LimitRevision {
+        self.lock().sends.limits().revision()
     }
 
     /// Number of servers that state a request limit.
@@ -257,7 +288,7 @@
     }
 
     /// Signalled at changes that peers must hear of at once: a long prompt has started, has
-    /// finished its prefill or has ended, or the store has changed.
+    /// finished its prefill or has ended, or the store or a server's request limit has changed.
     pub fn urgent(&self) -> &Signal {
         &self.urgent
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -21,6 +21,7 @@
 mod front;
 mod gateway_rows;
 mod job;
+mod limit_stream;
 mod local_reply;
 mod metrics;
 mod peers;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -4,6 +4,7 @@
 use crate::gateway_rows::{
     CERTIFICATE_LIFETIME, GatewayRow, load_or_create_authority, register, unregister,
 };
+use crate::limit_stream::{receive_limits, send_limits};
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
@@ -20,7 +21,7 @@
 use slog::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
     last_heard: Duration,
     reaches_store: bool,
     frame_tx: Option<Sender<Arc<LoadFrame>>>,
+    /// Wakes the task that sends request limits.
+    limits_tx: Sender<()>,
 }
 
 /// The other gateways that are registered in the store.
@@ -61,6 +64,8 @@
     link: Arc<LinkEndpoint>,
     peers: Mutex<HashMap<Box<str>, PeerState>>,
     last_fetch: Mutex<Duration>,
+    /// Changes of request limits up to this one were passed to the tasks that send them.
+    announced_limits: AtomicU64,
     /// Whether the gateways' table was read; until then the number of gateways is not known.
     listed: AtomicBool,
 }
@@ -84,6 +89,7 @@
             link: Arc::new(link),
             peers: Mutex::default(),
             last_fetch: Mutex::default(),
+            announced_limits: AtomicU64::new(0),
             listed: AtomicBool::new(false),
             shared: shared.clone(),
         });
@@ -111,6 +117,7 @@
         let fleet = &self.shared.fleet;
         loop {
             let peers = self.send_load();
+            self.wake_limit_streams();
             self.update_gateway_count();
             self.update_store_watch();
             let paced_interval = Duration::from_secs(1) * peers / MAX_FRAMES_PER_SECOND;
@@ -151,6 +158,18 @@
         peers.len() as u32
     }
 
+    /// Wakes the tasks that send request limits if limits have changed.
+    fn wake_limit_streams(&self) {
+        let revision = self.shared.fleet.limit_revision();
+        if self.announced_limits.swap(revision, Ordering::Relaxed) == revision {
+            return;
+        }
+        for peer in self.lock().values() {
+            // A full channel already holds a message.
+            let _ = peer.limits_tx.try_send(());
+        }
+    }
+
     fn update_gateway_count(&self) {
         if !self.listed.load(Ordering::Relaxed) {
             return;
@@ -193,19 +212,22 @@
             "address" => %found.address);
         self.link.disconnect(found.address);
         let (tx, rx) = async_channel::bounded(1);
+        let (limits_tx, limits_rx) = async_channel::bounded(1);
         let peer = PeerState {
             last_heard: self.shared.clock.now(),
             reaches_store: false,
             version: row.version,
             frame_tx: Some(tx),
+            limits_tx,
             row: found.clone(),
         };
         peers.insert(name.into(), peer);
-        let link = self.link.clone();
-        let shared = self.shared.clone();
-        self.shared
-            .executor
-            .detach(run_load_stream(shared, link, found.address, rx));
+        let (link, shared) = (self.link.clone(), self.shared.clone());
+        let load_stream = run_load_stream(shared, link, found.address, rx);
+        self.shared.executor.detach(load_stream);
+        let (link, shared) = (self.link.clone(), self.shared.clone());
+        let limit_stream = send_limits(shared, link, found.address, limits_rx);
+        self.shared.executor.detach(limit_stream);
     }
 
     fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
@@ -323,6 +345,9 @@
                     self.0.on_frame(&peer.node, frame);
                 }
             }
+            StreamOpening::RequestLimits => {
+                receive_limits(&self.0.shared, &peer.node, &mut rx).await;
+            }
             StreamOpening::StoreSnapshot(peer_versions) => {
                 let shared = &self.0.shared;
                 let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
--- a/crates/direct/src/request_limit.rs
+++ b/crates/direct/src/request_limit.rs
@@ -1,7 +1,9 @@
-//! Records the request limits that backend servers state in their responses.
+//! Records the request limits that backend servers state in their responses, to this gateway or to
+//! its peers.
 
 use crate::shared::Shared;
 use hyper::HeaderMap;
+use proto::RequestLimit;
 use slog::{info, warn};
 use std::time::Duration;
 
@@ -17,9 +19,23 @@
     };
     let now = shared.clock.now();
     if shared.fleet.on_request_limit(server, rate, sent_at, now) {
-        info!(shared.log, "servers: request limit changed"; "server" => server, "per_s" => rate,
-            "heard_from" => "server");
-        let limited = shared.fleet.limited_servers();
-        shared.metrics.set_limited_servers(limited);
+        info!(shared.log, "servers: request limit changed"; "server" => server, "per_s" => rate);
+        update_metric(shared);
     }
 }
+
+/// Records what a peer has heard of a server's request limit.
+pub fn record_from_peer(shared: &Shared, peer: &str, limit: &RequestLimit) {
+    let now = shared.clock.now();
+    if shared.fleet.on_peer_request_limit(limit, now) {
+        let server = shared.store_cache.server_with_key(limit.server);
+        info!(shared.log, "servers: request limit changed at a peer"; "server" => server.as_deref(),
+            "per_s" => limit.rate, "peer" => peer, "age_ms" => limit.age.as_millis() as u64);
+        update_metric(shared);
+    }
+}
+
+fn update_metric(shared: &Shared) {
+    let limited = shared.fleet.limited_servers();
+    shared.metrics.set_limited_servers(limited);
+}
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -1,8 +1,8 @@
 //! Cached content of the store: declarations, evacuations and backend servers.
 
 use adapter::{Listing, StoreRow, decode_backend_row, decode_declarations, evacuated_domain, keys};
-use policy::{DomainName, RouteTable, ServerSet};
-use proto::{BackendEntry, StoreSnapshot, StoreVersions};
+use policy::{BackendId, DomainName, RouteTable, ServerSet, server_key};
+use proto::{BackendEntry, ServerKey, StoreSnapshot, StoreVersions};
 use slog::{Logger, info, warn};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -61,6 +61,13 @@
         self.lock().servers.is_usable(server, now)
     }
 
+    /// Id of the server with this key, if it is known.
+    pub fn server_with_key(&self, key: ServerKey) -> Option<BackendId> {
+        let state = self.lock();
+        let mut ids = state.servers.rows().map(|(id, ..)| id);
+        ids.find(|id| server_key(id) == key).cloned()
+    }
+
     /// Records that the store responds again after an outage.
     pub fn on_store_returned(&self, now: Duration) {
         self.lock().servers.on_store_returned(now);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -129,7 +129,7 @@
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
 pub use rates::WarmSpeed;
-pub use request_limits::RequestLimits;
+pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
 pub use retry::{
     FailedAttempt, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry,
     predicted_response_time,
--- a/crates/policy/src/request_limits.rs
+++ b/crates/policy/src/request_limits.rs
@@ -1,25 +1,49 @@
 //! Limits on requests that backend servers state in their responses.
 
-use proto::ServerKey;
+use proto::{RequestLimit, ServerKey};
 use std::collections::HashMap;
 use std::time::Duration;
 
 /// Number of servers above which those that state no limit any more are dropped.
 const MAX_TRACKED_SERVERS: usize = 4_096;
 
+/// Number of a change of the limits; later changes have higher numbers.
+pub type LimitRevision = u64;
+
 /// What a server last stated.
 #[derive(Debug, Clone, Copy)]
 struct StatedLimit {
     /// Requests per second from all gateways together; `None` without a limit.
     rate: Option<f64>,
-    /// When this was first heard.
+    /// When this gateway first heard it.
     since: Duration,
+    /// Arrival of the last response, at any gateway, that is known to say so.
+    confirmed: Duration,
+    /// Whether a response to this gateway says so.
+    is_first_hand: bool,
+    revision: LimitRevision,
+}
+
+/// What a report of a peer has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerReportEffect {
+    /// The limit of the server is another one now.
+    Changed,
+    /// Nothing.
+    Unchanged,
+    /// Nothing, as this gateway itself has heard something else since; peers have to hear of that.
+    Outdated,
 }
 
-/// The request limits of backend servers, as far as this gateway has heard of them.
+/// The request limits of backend servers, as far as this gateway has heard of them from the servers
+/// and from its peers.
+///
+/// Load pattern: with many gateways each one sends to a limited server only now and then. It would
+/// hear of the limit from the server long after others, or, with no share of it, never of its end.
 #[derive(Debug, Default)]
 pub struct RequestLimits {
     stated: HashMap<ServerKey, StatedLimit>,
+    revision: LimitRevision,
 }
 
 impl RequestLimits {
@@ -32,21 +56,63 @@
         sent_at: Duration,
         now: Duration,
     ) -> bool {
-        let known = self.stated.get(&server);
-        if known.map_or(rate.is_none(), |known| known.rate == rate) {
+        let Some(known) = self.stated.get_mut(&server) else {
+            return rate.is_some() && self.replace(server, rate, now, now, true);
+        };
+        if known.rate == rate {
+            known.confirmed = now;
+            known.is_first_hand = true;
             return false;
         }
         // A response to an earlier request may be older than what is known: it may lower the limit,
         // but not raise or end it.
-        let is_later = known.is_none_or(|known| sent_at >= known.since);
-        if !is_later && !is_tighter(rate, known.and_then(|known| known.rate)) {
-            return false;
-        }
-        if self.stated.len() >= MAX_TRACKED_SERVERS {
-            self.stated.retain(|_, stated| stated.rate.is_some());
+        let is_later = sent_at >= known.since;
+        (is_later || is_tighter(rate, known.rate)) && self.replace(server, rate, now, now, true)
+    }
+
+    /// Records what a peer has heard.
+    pub fn on_peer_report(&mut self, report: &RequestLimit, now: Duration) -> PeerReportEffect {
+        let confirmed = now.saturating_sub(report.age);
+        match self.stated.get_mut(&report.server) {
+            None if report.rate.is_none() => PeerReportEffect::Unchanged,
+            Some(known) if known.rate == report.rate => {
+                known.confirmed = known.confirmed.max(confirmed);
+                PeerReportEffect::Unchanged
+            }
+            Some(known) if known.confirmed >= confirmed && known.is_first_hand => {
+                self.revision += 1;
+                known.revision = self.revision;
+                PeerReportEffect::Outdated
+            }
+            Some(known) if known.confirmed >= confirmed => PeerReportEffect::Unchanged,
+            _ => {
+                self.replace(report.server, report.rate, confirmed, now, false);
+                PeerReportEffect::Changed
+            }
         }
-        self.stated.insert(server, StatedLimit { rate, since: now });
-        true
+    }
+
+    /// What peers have to hear of that have heard of `revision`, and the present revision. That is
+    /// what servers have stated to this gateway; everything for a peer that has heard of nothing.
+    pub fn changed_since(
+        &self,
+        revision: Option<LimitRevision>,
+        now: Duration,
+    ) -> (Vec<RequestLimit>, LimitRevision) {
+        let changed = self.stated.iter().filter(|(_, stated)| {
+            revision.is_none_or(|revision| stated.is_first_hand && stated.revision > revision)
+        });
+        let limits = changed.map(|(server, stated)| RequestLimit {
+            server: *server,
+            rate: stated.rate,
+            age: now.saturating_sub(stated.confirmed),
+        });
+        (limits.collect(), self.revision)
+    }
+
+    /// Number of the last change; 0 before the first one.
+    pub fn revision(&self) -> LimitRevision {
+        self.revision
     }
 
     /// Requests per second that a server takes from all gateways together; `None` without a limit.
@@ -59,6 +125,30 @@
         let limits = self.stated.values();
         limits.filter(|stated| stated.rate.is_some()).count()
     }
+
+    /// Replaces what is known of a server; always returns `true`.
+    fn replace(
+        &mut self,
+        server: ServerKey,
+        rate: Option<f64>,
+        confirmed: Duration,
+        now: Duration,
+        is_first_hand: bool,
+    ) -> bool {
+        if self.stated.len() >= MAX_TRACKED_SERVERS {
+            self.stated.retain(|_, stated| stated.rate.is_some());
+        }
+        self.revision += 1;
+        let stated = StatedLimit {
+            rate,
+            since: now,
+            confirmed,
+            is_first_hand,
+            revision: self.revision,
+        };
+        self.stated.insert(server, stated);
+        true
+    }
 }
 
 /// Whether `rate` allows less than `than`; `None` is no limit.
--- a/crates/policy/tests/request_limits.rs
+++ b/crates/policy/tests/request_limits.rs
@@ -1,6 +1,7 @@
 //! Limits on requests that servers state for all gateways together, in virtual time.
 
-use policy::{SendLimiter, SendShares, server_key};
+use policy::{PeerReportEffect, RequestLimits, SendLimiter, SendShares, server_key};
+use proto::RequestLimit;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
@@ -231,3 +232,102 @@
     assert_eq!(sent(SERVER, Some(20.0)), 15);
     assert_eq!(sent("server-2", None), 400);
 }
+
+fn report(rate: Option<f64>, age_ms: u64) -> RequestLimit {
+    RequestLimit {
+        server: server_key(SERVER),
+        rate,
+        age: at(age_ms),
+    }
+}
+
+/// A gateway that the server has told nothing hears of its limit, of a change and of the end from a
+/// peer. Reports that are older than what it knows change nothing.
+#[test]
+fn limits_are_heard_of_from_peers() {
+    let key = server_key(SERVER);
+    let mut limits = RequestLimits::default();
+    let unknown = limits.on_peer_report(&report(None, 0), at(10));
+    assert_eq!(unknown, PeerReportEffect::Unchanged);
+    let steps = [
+        (1_000, Some(2.0), 100, PeerReportEffect::Changed, Some(2.0)),
+        (
+            1_100,
+            Some(5.0),
+            400,
+            PeerReportEffect::Unchanged,
+            Some(2.0),
+        ),
+        (1_200, Some(5.0), 100, PeerReportEffect::Changed, Some(5.0)),
+        (1_300, None, 0, PeerReportEffect::Changed, None),
+        (1_400, Some(5.0), 250, PeerReportEffect::Unchanged, None),
+    ];
+    for (now, rate, age, effect, known) in steps {
+        let found = limits.on_peer_report(&report(rate, age), at(now));
+        assert_eq!((found, limits.rate(key)), (effect, known), "at {now} ms");
+    }
+    let (to_peers, _) = limits.changed_since(Some(0), at(1_500));
+    assert_eq!(to_peers, [], "only what servers have said is passed on");
+    let (to_new_peer, _) = limits.changed_since(None, at(1_500));
+    assert_eq!(to_new_peer, [report(None, 200)]);
+}
+
+/// A peer reports that a limit has ended, from a response older than the last one here. The gateway
+/// keeps the limit and tells its peers of it again.
+#[test]
+fn an_outdated_report_is_corrected() {
+    let key = server_key(SERVER);
+    let mut limits = RequestLimits::default();
+    limits.on_response(key, Some(2.0), at(900), at(1_000));
+    let (first, revision) = limits.changed_since(Some(0), at(1_000));
+    assert_eq!(first, [report(Some(2.0), 0)]);
+    limits.on_response(key, Some(2.0), at(1_900), at(2_000));
+    let (unchanged, _) = limits.changed_since(Some(revision), at(2_000));
+    assert_eq!(unchanged, []);
+    let effect = limits.on_peer_report(&report(None, 600), at(2_500));
+    assert_eq!(effect, PeerReportEffect::Outdated);
+    assert_eq!(limits.rate(key), Some(2.0));
+    let (again, _) = limits.changed_since(Some(revision), at(2_600));
+    assert_eq!(again, [report(Some(2.0), 600)]);
+}
+
+/// Gateways pass on at each moment what they have heard; in the end all agree on what the server
+/// states, whichever gateways it answers.
+#[test]
+fn gateways_agree_on_a_limit_that_changes() {
+    const GATEWAYS: usize = 12;
+    let key = server_key(SERVER);
+    for seed in 0..50 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut gateways: Vec<_> = (0..GATEWAYS).map(|_| RequestLimits::default()).collect();
+        let mut sent = [Some(0); GATEWAYS];
+        let mut stated = None;
+        let mut last_change = 0;
+        for now in (0..20_000_u64).step_by(10) {
+            if now < 18_000 && rng.random_bool(0.005) {
+                stated = [None, Some(1.0), Some(4.0)][rng.random_range(0..3)];
+                last_change = now;
+            }
+            // Few gateways get responses, as the limit allows little.
+            if rng.random_bool(0.05) {
+                let gateway = &mut gateways[rng.random_range(0..3)];
+                gateway.on_response(key, stated, at(now), at(now));
+            }
+            for from in 0..GATEWAYS {
+                let (reports, revision) = gateways[from].changed_since(sent[from], at(now));
+                sent[from] = Some(revision);
+                for report in reports {
+                    let others = gateways.iter_mut().enumerate();
+                    for (_, other) in others.filter(|(index, _)| *index != from) {
+                        other.on_peer_report(&report, at(now));
+                    }
+                }
+            }
+        }
+        let rates: Vec<_> = gateways.iter().map(|limits| limits.rate(key)).collect();
+        assert_eq!(
+            rates, [stated; GATEWAYS],
+            "seed {seed}, last change at {last_change} ms"
+        );
+    }
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -35,7 +35,8 @@
     RequestId, RouteId, ServerId, TeamId, Tokens,
 };
 pub use load::{
-    BackendEntry, BackendRow, LoadFrame, ServerKey, ServerUsage, StoreSnapshot, StoreVersions,
+    BackendEntry, BackendRow, LoadFrame, RequestLimit, RequestLimitFrame, ServerKey, ServerUsage,
+    StoreSnapshot, StoreVersions,
 };
 pub use opening::StreamOpening;
 pub use request::{
--- a/crates/proto/src/load.rs
+++ b/crates/proto/src/load.rs
@@ -78,6 +78,25 @@
     pub reaches_store: bool,
 }
 
+/// What a backend server last stated of its request limit.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RequestLimit {
+    /// Key of the server.
+    pub server: ServerKey,
+    /// Requests per second that it takes from all gateways together; `None` if it states no limit.
+    pub rate: Option<f64>,
+    /// Age of the last response that says so.
+    pub age: Duration,
+}
+
+/// Request limits that have changed since the last frame; in the first frame of a stream, all that
+/// the sender knows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RequestLimitFrame {
+    /// The limits, one for each server.
+    pub limits: Vec<RequestLimit>,
+}
+
 /// Registration of a backend server in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendEntry {
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -51,4 +51,7 @@
     /// [`crate::StoreSnapshot`] comes back.
     #[serde(rename = "Knowledge")]
     StoreSnapshot(crate::StoreVersions),
+    /// Request limits that backend servers state to the sender. [`crate::RequestLimitFrame`]s follow,
+    /// nothing comes back.
+    RequestLimits,
 }
--- a/crates/trials/tests/request_limits.rs
+++ b/crates/trials/tests/request_limits.rs
@@ -99,3 +99,34 @@
         assert_eq!(others, None, "what a limit forbids is refused as not run");
     });
 }
+
+/// A gateway starts while a server states a limit, and the server answers only the other gateway.
+/// The new one keeps the limit before it has heard of it from the server, and hears of its end.
+#[test]
+fn a_gateway_hears_of_limits_from_its_peers() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let server = rig
+            .add_server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        wait_until_served(&rig, &rig.gateway, "/lookup/x").await;
+        server.standin().set_request_limit(Some(2.0));
+        send_in_turn(&[&rig.gateway], "first", "/lookup/x", 1).await;
+        let later = rig
+            .add_gateway("gateway-2", rig.store.local_addr())
+            .unwrap();
+        let limited_servers = async |expected: &str| {
+            let line = format!("bergamothold_direct_limited_servers {expected}");
+            later.metrics().await.contains(&line)
+        };
+        let heard = rig.wait_until(async || limited_servers("1").await).await;
+        assert!(heard, "{}", later.process.log_tail());
+        server.standin().set_request_limit(None);
+        let ended = rig.wait_until(async || {
+            send_in_turn(&[&rig.gateway], "last", "/lookup/x", 1).await;
+            limited_servers("0").await
+        });
+        assert!(ended.await, "{}", later.process.log_tail());
+    });
+}
