Requests count towards a server's limits once the server is chosen

Cause: a server was chosen by the room that its limits left, but the request counted only when it was sent, after connecting and reserving memory. In a burst the same last places were given out several times. Change: a SendPermit is taken when a server is chosen, used at the send and given back if the request is not sent. Result: policy a_burst_that_is_not_sent_yet_counts (new, needs the new call). A test with processes, 20 calls at once before a limited and a free server, passed with and without the change, so it shows nothing and was left out. direct, direct_peers and soak pass.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::request_limit;
+use crate::send_permit::SendPermit;
 use adapter::{ForwardOptions, Helper, ResponseHead, forwarded_request};
 use policy::AttemptResult;
 use proto::BackendEntry;
@@ -44,15 +45,17 @@
 
 /// Sends a call to a server and waits for at most `wait` for the response head.
 ///
-/// Records the result in the health of the server, in the metrics and in the call.
+/// Uses up `permit`. Records the result in the health of the server, in the metrics and in the
+/// call.
 pub async fn send(
     call: &Call,
     server: &BackendEntry,
+    permit: &mut SendPermit,
     helpers: &[Helper],
     last_event: Option<u64>,
     wait: Duration,
 ) -> Result<SingleResponse, AttemptError> {
-    let result = exchange(call, server, helpers, last_event, wait).await;
+    let result = exchange(call, server, permit, helpers, last_event, wait).await;
     let (health, label) = match &result {
         Ok(response) if response.head.status.is_server_error() => (AttemptResult::Failed, "error"),
         Ok(_) => (AttemptResult::Answered, "answer"),
@@ -116,6 +119,7 @@
 async fn exchange(
     call: &Call,
     server: &BackendEntry,
+    permit: &mut SendPermit,
     helpers: &[Helper],
     last_event: Option<u64>,
     wait: Duration,
@@ -128,9 +132,8 @@
     if !shared.store_cache.is_usable(&server.id, shared.clock.now()) {
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
     }
-    let service = &call.admitted.service;
     let sent_at = shared.clock.now();
-    if !shared.fleet.start_send(service, &server.id, sent_at) {
+    if !permit.start_send() {
         return Err(AttemptError::AtLimit(name()));
     }
     if !call.claim_send() {
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -134,7 +134,7 @@
             .prompt_queue
             .assign(shared, placement_request(call, tried))
             .await;
-        let assignment = assignment.map_err(OpenError::NoEngines)?;
+        let mut assignment = assignment.map_err(OpenError::NoEngines)?;
         log_assignment(call, &assignment);
         tried.push(assignment.server.id.clone());
         let name = format!("{}-{}", call.head.id, call.sends());
@@ -146,7 +146,8 @@
         } else {
             first_event_timeout(call, &assignment)
         };
-        let response = send(call, &assignment.server, &helpers, last_event, wait).await?;
+        let Assignment { server, permit, .. } = &mut assignment;
+        let response = send(call, server, permit, &helpers, last_event, wait).await?;
         Ok(Self {
             response,
             assignment,
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -160,6 +160,18 @@
         self.lock().sends.has_room(server, bound, now)
     }
 
+    /// Counts a request for a server to which it is sent soon; returns `false`, and counts nothing, if
+    /// this gateway's shares of the server's limits do not allow it.
+    pub fn reserve_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
+        let bound = self.send_bound(service);
+        self.lock().sends.reserve_send(server, bound, now)
+    }
+
+    /// Takes back a request that was counted by [`Self::reserve_send`].
+    pub fn cancel_send(&self, server: &str) {
+        self.lock().sends.cancel_send(server);
+    }
+
     /// Counts a request that is about to be sent to a server; returns `false`, and counts nothing, if
     /// this gateway's shares of the server's limits do not allow it.
     pub fn start_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod prompt_queue;
 mod request_limit;
 mod reservation;
+mod send_permit;
 mod shared;
 mod signal;
 mod store_cache;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{AttemptError, detect_lost_server, send};
 use crate::call::Call;
 use crate::job::Job;
+use crate::send_permit::SendPermit;
 use adapter::response_headers;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
@@ -35,7 +36,7 @@
     let mut tried: Vec<BackendId> = Vec::new();
     let mut error_response: Option<ErrorResponse> = None;
     let reason = loop {
-        let Some(server) = choose_server(call, &tried) else {
+        let Some((server, mut permit)) = choose_server(call, &tried) else {
             break "no server";
         };
         if !call.claim_try() {
@@ -43,7 +44,7 @@
         }
         let _job = Job::start_plain(&call.shared, &server);
         tried.push(server.id.clone());
-        match attempt(call, &server).await {
+        match attempt(call, &server, &mut permit).await {
             Ok((head, body)) if head.status.is_server_error() && call.may_run_again() => {
                 error_response = Some(ErrorResponse { server, head, body });
             }
@@ -59,31 +60,37 @@
     }
 }
 
-fn choose_server(call: &Call, tried: &[BackendId]) -> Option<BackendEntry> {
-    let now = call.shared.clock.now();
-    let mut servers = call
-        .shared
-        .store_cache
-        .usable_servers(&call.admitted.service.name, now);
-    servers.retain(|server| {
-        !tried.contains(&server.id)
-            && call
-                .shared
-                .fleet
-                .may_send(&call.admitted.service, &server.id, now)
-    });
-    let candidates = call.shared.fleet.plain_candidates(&servers, now);
-    let chosen = choose_plain_server(&candidates)?;
-    info!(call.shared.log, "plain: server chosen"; "req" => &*call.head.id,
-        "server" => &*servers[chosen].id, "jobs" => candidates[chosen].jobs,
-        "suspect" => candidates[chosen].suspect, "of" => servers.len());
-    Some(servers.swap_remove(chosen))
+fn choose_server(call: &Call, tried: &[BackendId]) -> Option<(BackendEntry, SendPermit)> {
+    let shared = &call.shared;
+    let service = &call.admitted.service;
+    loop {
+        let now = shared.clock.now();
+        let mut servers = shared.store_cache.usable_servers(&service.name, now);
+        servers.retain(|server| {
+            !tried.contains(&server.id) && shared.fleet.may_send(service, &server.id, now)
+        });
+        let candidates = shared.fleet.plain_candidates(&servers, now);
+        let chosen = choose_plain_server(&candidates)?;
+        let server = servers.swap_remove(chosen);
+        // Another request may have taken the last permit in the meantime.
+        if let Some(permit) = SendPermit::take(shared, service, &server.id) {
+            info!(shared.log, "plain: server chosen"; "req" => &*call.head.id,
+                "server" => &*server.id, "jobs" => candidates[chosen].jobs,
+                "suspect" => candidates[chosen].suspect, "of" => candidates.len());
+            return Some((server, permit));
+        }
+    }
 }
 
-async fn attempt(call: &Call, server: &BackendEntry) -> Result<(Parts, Bytes), AttemptError> {
+async fn attempt(
+    call: &Call,
+    server: &BackendEntry,
+    permit: &mut SendPermit,
+) -> Result<(Parts, Bytes), AttemptError> {
     let wait = attempt_timeout(call);
     let started = call.shared.clock.now();
-    let SingleResponse { head, body, .. } = &mut send(call, server, &[], None, wait).await?;
+    let SingleResponse { head, body, .. } =
+        &mut send(call, server, permit, &[], None, wait).await?;
     let left = (started + wait).saturating_sub(call.shared.clock.now());
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
     let failed = |reason: Box<str>| {
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -1,6 +1,7 @@
 //! Queue of prompts that wait for engines, and the assignment of engines to them.
 
 use crate::job::Job;
+use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
 use async_channel::Sender;
@@ -40,6 +41,8 @@
     /// Engines that prefill parts of the prompt, with the number of tokens for which memory must be
     /// reserved there; 0 for none.
     pub helpers: Vec<(BackendEntry, u64)>,
+    /// Permit to send the request to `server`.
+    pub permit: SendPermit,
     /// Counts the prompt in the load of these engines until it is dropped.
     pub job: Job,
     /// Time that each engine takes to prefill its part.
@@ -208,7 +211,7 @@
 /// One check of the waiting prompts of a service.
 struct AssignmentPass<'a> {
     shared: &'a Arc<Shared>,
-    spec: &'a ServiceSpec,
+    spec: &'a Arc<ServiceSpec>,
     profile: &'a EngineProfile,
     servers: &'a [BackendEntry],
     now: Duration,
@@ -250,12 +253,8 @@
             .herd_avoidance(self.spec, &servers, self.now);
         let placement = place_prompt(self.profile, &requirements, &engines, herd_avoidance)?;
         let slowdown = engines[placement.decoder].slowdown;
-        Some(Ok(self.assign(
-            &requirements,
-            &placement,
-            &servers,
-            slowdown,
-        )))
+        let assignment = self.assign(&requirements, &placement, &servers, slowdown)?;
+        Some(Ok(assignment))
     }
 
     fn refuse(&self, reason: &'static str, prefill_backlogs: &[Duration]) -> NoEngines {
@@ -267,18 +266,20 @@
         }
     }
 
+    /// Returns `None` if a request that is not in the queue has taken the engine's last permit.
     fn assign(
         &self,
         requirements: &PromptRequirements,
         placement: &EnginePlacement,
         servers: &[BackendEntry],
         slowdown: f64,
-    ) -> Assignment {
+    ) -> Option<Assignment> {
         let helpers = placement.helpers.iter();
         let helpers: Vec<_> = helpers
             .map(|helper| (servers[helper.engine].clone(), helper.reserved_tokens))
             .collect();
         let server = servers[placement.decoder].clone();
+        let permit = SendPermit::take(self.shared, self.spec, &server.id)?;
         let is_long = !is_short_prompt(self.profile, requirements);
         let job = Job::start(
             self.shared,
@@ -288,13 +289,14 @@
             &server,
             &helpers,
         );
-        Assignment {
+        Some(Assignment {
             server,
             helpers,
+            permit,
             job,
             part_prefill_time: placement.part_prefill_time,
             forecast: placement.first_event_forecast,
             published_forecast: placement.first_event_forecast.div_f64(slowdown),
-        }
+        })
     }
 }
--- a/crates/policy/src/send_limiter.rs
+++ b/crates/policy/src/send_limiter.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 struct ServerSends {
     sent: SendRateCap,
+    /// Requests that were given to this server and are not sent yet.
+    reserved: usize,
     /// Absent until it is computed.
     cold_share: Option<ColdShare>,
     /// Absent until it is computed, and where the server states no limit.
@@ -98,6 +100,26 @@
         self.sends_to(key, cold_bound, now).has_room(now)
     }
 
+    /// Counts a request for a server to which it is sent soon; returns `false`, and counts nothing, if
+    /// none may be sent now. [`Self::cancel_send`] takes it back.
+    ///
+    /// Load pattern: a burst of requests, for all of which the same server is chosen before the first
+    /// one is sent.
+    pub fn reserve_send(&mut self, server: &str, cold_bound: Option<f64>, now: Duration) -> bool {
+        let sends = self.sends_to(server_key(server), cold_bound, now);
+        let has_room = sends.has_room(now);
+        sends.reserved += usize::from(has_room);
+        has_room
+    }
+
+    /// Takes back a request that was counted by [`Self::reserve_send`], because it is sent now or not
+    /// at all.
+    pub fn cancel_send(&mut self, server: &str) {
+        if let Some(sends) = self.servers.get_mut(&server_key(server)) {
+            sends.reserved = sends.reserved.saturating_sub(1);
+        }
+    }
+
     /// Counts a request that is about to be sent to a server; returns `false`, and counts nothing, if
     /// none may be sent now.
     pub fn start_send(&mut self, server: &str, cold_bound: Option<f64>, now: Duration) -> bool {
@@ -117,7 +139,8 @@
         now: Duration,
     ) -> &mut ServerSends {
         if self.servers.len() >= MAX_TRACKED_SERVERS && !self.servers.contains_key(&server) {
-            self.servers.retain(|_, sends| !sends.sent.is_idle(now));
+            self.servers
+                .retain(|_, sends| sends.reserved > 0 || !sends.sent.is_idle(now));
         }
         let rate = self.limits.rate(server);
         let sends = self.servers.entry(server).or_default();
@@ -141,13 +164,14 @@
 
 impl ServerSends {
     fn has_room(&mut self, now: Duration) -> bool {
-        let sent = &mut self.sent;
+        let (sent, reserved) = (&mut self.sent, self.reserved);
         let is_within_cold_bound = self
             .cold_share
-            .is_none_or(|share| sent.has_room(now, share.requests));
-        let is_within_limit = self
-            .request_share
-            .is_none_or(|share| sent.has_room_within(now, share.window, share.requests));
+            .is_none_or(|share| sent.has_room(now, share.requests.saturating_sub(reserved)));
+        let is_within_limit = self.request_share.is_none_or(|share| {
+            let unreserved = share.requests.saturating_sub(reserved);
+            sent.has_room_within(now, share.window, unreserved)
+        });
         is_within_cold_bound && is_within_limit
     }
 }
--- a/crates/policy/tests/request_limits.rs
+++ b/crates/policy/tests/request_limits.rs
@@ -331,3 +331,21 @@
         );
     }
 }
+
+/// A burst of requests for one server is decided before the first of them is sent.
+#[test]
+fn a_burst_that_is_not_sent_yet_counts() {
+    let mut limiter = SendLimiter::of_starting("gateway-1");
+    limiter.set_shares(SendShares::new("gateway-1", std::iter::empty()));
+    let limits = limiter.limits_mut();
+    limits.on_response(server_key(SERVER), Some(4.0), at(0), at(0));
+    for (server, cold_bound, room) in [(SERVER, None, 12), ("cold", Some(20.0), 15)] {
+        let mut reserve = |now| limiter.reserve_send(server, cold_bound, at(now));
+        let reserved = (0..40).filter(|_| reserve(10)).count();
+        assert_eq!(reserved, room, "{server}");
+        limiter.cancel_send(server);
+        assert!(limiter.has_room(server, cold_bound, at(20)), "{server}");
+        assert!(limiter.start_send(server, cold_bound, at(30)), "{server}");
+        assert!(!limiter.has_room(server, cold_bound, at(40)), "{server}");
+    }
+}
