--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -131,6 +131,7 @@
                 load: state.load.total(key, now),
                 slowdown: health.slowdown(now),
                 accepts_requests: below_limit && !health.is_full(now),
+                is_limited: state.sends.limits().rate(key).is_some(),
                 suspect: health.is_suspect(now),
             }
         });
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -1,11 +1,14 @@
 //! Reservations of KV cache memory at the helpers of a prompt that no single engine can hold.
 
+use crate::request_limit;
 use crate::shared::Shared;
 use adapter::{Helper, MemoryAnswer, release_request, reserve_outcome, reserve_request};
 use async_io::Timer;
+use hyper::{Request, StatusCode};
+use policy::BackendId;
 use proto::BackendEntry;
 use quick_error::quick_error;
-use runtime::Executor;
+use runtime::{Body, Executor, HttpError};
 use slog::{info, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,6 +42,7 @@
 
 #[derive(Debug, Clone)]
 struct Reservation {
+    server: BackendId,
     address: SocketAddr,
     id: Box<str>,
     tokens: u64,
@@ -77,6 +81,7 @@
             });
             if *tokens > 0 {
                 let reserved = Reservation {
+                    server: server.id.clone(),
                     address: server.address,
                     id,
                     tokens: *tokens,
@@ -149,18 +154,10 @@
         reservation.tokens,
         lifetime(shared),
     );
-    let sent = shared
-        .http
-        .fetch(
-            reservation.address,
-            order,
-            MAX_RESPONSE_BYTES,
-            ORDER_TIMEOUT,
-        )
-        .await;
+    let sent = send_order(shared, reservation, order).await;
     let server = reservation.address.to_string().into();
     match sent {
-        Ok((status, _)) => match reserve_outcome(status) {
+        Ok(status) => match reserve_outcome(status) {
             MemoryAnswer::Reserved => Ok(()),
             answer => Err(ReserveError::Refused(server, answer)),
         },
@@ -170,17 +167,8 @@
 
 async fn release(shared: &Shared, reservation: &Reservation) {
     let order = release_request(reservation.address, &reservation.id);
-    match shared
-        .http
-        .fetch(
-            reservation.address,
-            order,
-            MAX_RESPONSE_BYTES,
-            ORDER_TIMEOUT,
-        )
-        .await
-    {
-        Ok((status, _)) => {
+    match send_order(shared, reservation, order).await {
+        Ok(status) => {
             info!(shared.log, "memory: reservation released"; "id" => &*reservation.id,
                 "status" => status.as_u16());
         }
@@ -190,3 +178,20 @@
         }
     }
 }
+
+/// Sends an order to the engine of a reservation, and returns the status of the response.
+async fn send_order(
+    shared: &Shared,
+    reservation: &Reservation,
+    order: Request<Body>,
+) -> Result<StatusCode, HttpError> {
+    let sent_at = shared.clock.now();
+    let address = reservation.address;
+    let http = &shared.http;
+    let response = http.fetch_with_head(address, order, MAX_RESPONSE_BYTES, ORDER_TIMEOUT);
+    let (head, _) = response.await?;
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        request_limit::record(shared, &reservation.server, &head.headers, sent_at);
+    }
+    Ok(head.status)
+}
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -44,6 +44,9 @@
     /// Whether this gateway may send it a request now: it did not recently report that it is full,
     /// and this gateway's share of the sends to it is not used up. It may be a helper all the same.
     pub accepts_requests: bool,
+    /// Whether it states a limit on the requests that it takes. It is no helper then: it has to be
+    /// spared, and each reservation of its memory and each renewal would be a further request.
+    pub is_limited: bool,
     /// Whether it failed recently.
     pub suspect: bool,
 }
@@ -296,7 +299,7 @@
 }
 
 /// Engines that may prefill a part: first the best one that may also decode the answer, then all
-/// others by falling prefill budget.
+/// others without a request limit by falling prefill budget.
 fn prefill_candidates(
     profile: &EngineProfile,
     engines: &[EngineCandidate],
@@ -315,8 +318,16 @@
             .total_cmp(&a.prefill_budget_s)
             .then_with(|| order(a).cmp(&order(b)))
     });
-    if let Some(decoder) = candidates.iter().position(|candidate| candidate.can_decode) {
-        candidates[..=decoder].rotate_right(1);
+    let is_limited = |candidate: &PrefillCandidate| engines[candidate.index].is_limited;
+    let decoders = || candidates.iter().filter(|candidate| candidate.can_decode);
+    let unlimited = decoders().find(|candidate| !is_limited(candidate));
+    let decoder = unlimited.or(decoders().next()).map(|decoder| decoder.index);
+    candidates.retain(|candidate| decoder == Some(candidate.index) || !is_limited(candidate));
+    let position = candidates
+        .iter()
+        .position(|candidate| decoder == Some(candidate.index));
+    if let Some(position) = position {
+        candidates[..=position].rotate_right(1);
     }
     candidates.truncate(MAX_HELPERS + 1);
     candidates
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -18,6 +18,7 @@
         load: ServerUsage::default(),
         slowdown: 1.0,
         accepts_requests: true,
+        is_limited: false,
         suspect: false,
     }
 }
@@ -376,3 +377,30 @@
     let shared = scattered.iter().filter(|prefills| **prefills > 1).count();
     assert!(shared <= 8, "{scattered:?}");
 }
+
+/// Half of the engines state a request limit while a long prompt arrives: they neither prefill parts
+/// of it nor reserve memory for it, and decode it only where no other engine may.
+#[test]
+fn engines_with_a_request_limit_do_not_help() {
+    let limited = |order: u64, accepts_requests| EngineCandidate {
+        is_limited: true,
+        accepts_requests,
+        ..idle(order)
+    };
+    let mut engines = engines(7, |order| limited(order, true));
+    engines.extend((7..14).map(idle));
+    for prompt in [210_000, 600_000] {
+        let placement =
+            place_prompt(&model(), &late(prompt), &engines, HerdAvoidance::default()).unwrap();
+        let helpers = placement.helpers.iter().map(|helper| helper.engine);
+        let used: Vec<_> = helpers.chain([placement.decoder]).collect();
+        assert!(used.iter().all(|engine| *engine >= 7), "{used:?}");
+    }
+    for engine in &mut engines[7..] {
+        engine.accepts_requests = false;
+    }
+    let placement =
+        place_prompt(&model(), &late(210_000), &engines, HerdAvoidance::default()).unwrap();
+    assert!(placement.decoder < 7, "{placement:?}");
+    assert!(placement.helpers.iter().all(|helper| helper.engine >= 7));
+}
--- a/crates/trials/src/capacity_placement.rs
+++ b/crates/trials/src/capacity_placement.rs
@@ -77,6 +77,7 @@
         load: load.total(*key, Duration::ZERO),
         slowdown: 1.0,
         accepts_requests: true,
+        is_limited: false,
         suspect: false,
     };
     keys.iter().map(candidate).collect()
