Requests that stated limits leave no room for are refused at once

Cause: where all servers of a service state limits, a prompt waited for one of them until its deadline, though it was known that the limits allow no send before; calls of plain services were told to return after 100 ms in any case. Change: SendTimes says when this gateway's shares allow further sends. A prompt whose turn in the queue would come too late is refused when it arrives, with the time at which there is room; where other gateways have all shares, with a short one. Plain calls get the same time to come back.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -5,7 +5,8 @@
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
     LimitRevision, PLACEMENT_WINDOW, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
-    SendLimiter, SendShares, ServerHealth, ServiceName, ServiceSpec, cold_send_bound, server_key,
+    SendLimiter, SendShares, SendTimes, ServerHealth, ServiceName, ServiceSpec, cold_send_bound,
+    server_key,
 };
 use proto::{BackendEntry, RequestLimit, ServerKey, ServerUsage};
 use rand::Rng as _;
@@ -161,6 +162,20 @@
         self.lock().sends.has_room(server, bound, now)
     }
 
+    /// When this gateway may send requests to `servers` up to `end`; `None` if one of them states no
+    /// request limit.
+    pub fn send_times(
+        &self,
+        service: &ServiceSpec,
+        servers: &[BackendEntry],
+        now: Duration,
+        end: Duration,
+    ) -> Option<SendTimes> {
+        let bound = self.send_bound(service);
+        let ids = servers.iter().map(|server| &*server.id);
+        self.lock().sends.send_times(ids, bound, now, end)
+    }
+
     /// Counts a request for a server to which it is sent soon; returns `false`, and counts nothing, if
     /// this gateway's shares of the server's limits do not allow it.
     pub fn reserve_send(&self, service: &ServiceSpec, server: &str, now: Duration) -> bool {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use policy::{AttemptResult, BackendId, choose_plain_server};
+use policy::{AttemptResult, BackendId, choose_plain_server, suggest_retry_after_limit};
 use proto::BackendEntry;
 use runtime::{Body, SingleResponse, timeout};
 use slog::info;
@@ -19,6 +19,8 @@
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// `Retry-After` of refused requests, such as where no server could be reached.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Callers are not told to come back later than this where servers are at their limits.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(15);
 /// An attempt that may be retried times out after this fraction of the time left, or after
 /// `ATTEMPT_TARGET_FACTOR` times the target latency, whichever is longer.
 const ATTEMPT_TIME_FRACTION: f64 = 1.0 / 3.0;
@@ -35,12 +37,12 @@
 pub async fn run(call: &Call) -> Response<Body> {
     let mut tried: Vec<BackendId> = Vec::new();
     let mut error_response: Option<ErrorResponse> = None;
-    let reason = loop {
+    let (reason, retry_after) = loop {
         let Some((server, mut permit)) = choose_server(call, &tried) else {
-            break "no server";
+            break no_server(call, &tried);
         };
         if !call.claim_try() {
-            break "tried enough";
+            break ("tried enough", REFUSAL_RETRY_AFTER);
         }
         let _job = Job::start_plain(&call.shared, &server);
         tried.push(server.id.clone());
@@ -49,14 +51,16 @@
                 error_response = Some(ErrorResponse { server, head, body });
             }
             Ok((head, body)) => return finish(call, &server, &head, body),
-            Err(AttemptError::RetryBudgetSpent) => break "repeats spent",
-            Err(_) if call.remaining().is_zero() || !call.may_run_again() => break "no answer",
+            Err(AttemptError::RetryBudgetSpent) => break ("repeats spent", REFUSAL_RETRY_AFTER),
+            Err(_) if call.remaining().is_zero() || !call.may_run_again() => {
+                break ("no answer", REFUSAL_RETRY_AFTER);
+            }
             Err(_) => {}
         }
     };
     match error_response {
         Some(error) => finish(call, &error.server, &error.head, error.body),
-        None => call.end_without_response(REFUSAL_RETRY_AFTER, reason),
+        None => call.end_without_response(retry_after, reason),
     }
 }
 
@@ -82,6 +86,25 @@
     }
 }
 
+/// Why no server could be chosen, and when the caller should retry.
+fn no_server(call: &Call, tried: &[BackendId]) -> (&'static str, Duration) {
+    let shared = &call.shared;
+    let service = &call.admitted.service;
+    let now = shared.clock.now();
+    let mut servers = shared.store_cache.usable_servers(&service.name, now);
+    servers.retain(|server| !tried.contains(&server.id));
+    let end = now + MAX_RETRY_AFTER;
+    match shared.fleet.send_times(service, &servers, now, end) {
+        Some(times) => {
+            let time = times.time_to_return(0);
+            let wait = time.map(|time| time.saturating_sub(now));
+            let retry_after = suggest_retry_after_limit(wait, rand::random());
+            ("servers at their limits", retry_after)
+        }
+        None => ("no server", REFUSAL_RETRY_AFTER),
+    }
+}
+
 async fn attempt(
     call: &Call,
     server: &BackendEntry,
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -8,14 +8,17 @@
 use async_io::Timer;
 use policy::{
     BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt, sort_queue,
-    suggest_retry_after,
+    SendTimes, ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt,
+    sort_queue, suggest_retry_after, suggest_retry_after_limit,
 };
 use proto::BackendEntry;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Callers are not told to come back later than this where servers are at their limits.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(15);
+
 /// Request for engines for one prompt.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
@@ -164,13 +167,18 @@
         };
         let servers = shared.store_cache.usable_servers(service, now);
         sort_queue(&mut queued, profile, servers.len(), now);
+        let last_deadline = queued.iter().map(|prompt| prompt.deadline).max();
+        let end = last_deadline.unwrap_or(now) + MAX_RETRY_AFTER;
+        let send_times = shared.fleet.send_times(&spec, &servers, now, end);
         let pass = AssignmentPass {
             shared,
             spec: &spec,
             profile,
             servers: &servers,
+            send_times,
             now,
         };
+        let mut ahead = 0;
         for prompt in queued {
             let Some(index) = waiting
                 .iter()
@@ -178,11 +186,14 @@
             else {
                 continue;
             };
-            if let Some(result) = pass.decide(&prompt, &waiting[index].request) {
-                let waiting = waiting.swap_remove(index);
-                // The caller may have left. The assignment is then dropped, which ends its job.
-                let _ = waiting.tx.try_send(result);
-            }
+            let Some(result) = pass.decide(&prompt, &waiting[index].request, ahead) else {
+                ahead += 1;
+                continue;
+            };
+            let waiting = waiting.swap_remove(index);
+            ahead += usize::from(result.is_ok());
+            // The caller may have left. The assignment is then dropped, which ends its job.
+            let _ = waiting.tx.try_send(result);
         }
     }
 
@@ -214,15 +225,19 @@
     spec: &'a Arc<ServiceSpec>,
     profile: &'a EngineProfile,
     servers: &'a [BackendEntry],
+    /// When this gateway may send requests to the servers; `None` unless all state request limits.
+    send_times: Option<SendTimes>,
     now: Duration,
 }
 
 impl AssignmentPass<'_> {
-    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting.
+    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting. `ahead` is the number
+    /// of prompts that are served before it.
     fn decide(
         &self,
         prompt: &QueuedPrompt,
         request: &PlacementRequest,
+        ahead: usize,
     ) -> Option<Result<Assignment, NoEngines>> {
         let untried = self
             .servers
@@ -232,6 +247,9 @@
         if servers.is_empty() {
             return Some(Err(self.refuse("no server", &[])));
         }
+        if let Some(refusal) = self.refuse_beyond_limits(prompt, ahead) {
+            return Some(Err(refusal));
+        }
         let engines = self
             .shared
             .fleet
@@ -257,6 +275,22 @@
         Some(Ok(assignment))
     }
 
+    /// Refuses a prompt that the servers would take too late because of the limits that they state.
+    fn refuse_beyond_limits(&self, prompt: &QueuedPrompt, ahead: usize) -> Option<NoEngines> {
+        let send_times = self.send_times.as_ref()?;
+        let start = send_times.after(ahead);
+        // Engines with a limit do not help each other.
+        if start.is_some_and(|start| !prompt.would_miss_deadline(self.profile, 1, start)) {
+            return None;
+        }
+        let time = send_times.time_to_return(ahead);
+        let wait = time.map(|time| time.saturating_sub(self.now));
+        Some(NoEngines {
+            reason: "servers at their limits",
+            retry_after: suggest_retry_after_limit(wait, rand::random()),
+        })
+    }
+
     fn refuse(&self, reason: &'static str, prefill_backlogs: &[Duration]) -> NoEngines {
         let backlog = prefill_backlogs.iter().sum();
         let retry_after = suggest_retry_after(backlog, prefill_backlogs.len(), rand::random());
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -88,3 +88,17 @@
     let spread = (random % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
     MIN_RETRY_AFTER + backlog_per_engine + (MIN_RETRY_AFTER + backlog_per_engine).mul_f64(spread)
 }
+
+/// Delay after which a caller should retry whose request all servers would take too late, or not at
+/// all, because of the limits that they state. `wait` is the time until this gateway may send one more
+/// request; `None` if other gateways have all shares of the limits.
+///
+/// The delay is lengthened at `random` by up to a quarter, so that callers do not all return at once.
+pub fn suggest_retry_after_limit(wait: Option<Duration>, random: u64) -> Duration {
+    const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+    const MAX_SPREAD_FRACTION: f64 = 0.25;
+    const SPREAD_STEPS: u64 = 64;
+    let spread = (random % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
+    let wait = wait.unwrap_or(MIN_RETRY_AFTER).max(MIN_RETRY_AFTER);
+    wait.mul_f64(1.0 + MAX_SPREAD_FRACTION * spread)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -107,6 +107,7 @@
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{
     QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
+    suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
@@ -143,7 +144,7 @@
 pub use scheduler_types::{
     AbortReason, EngineReport, SchedulerAction, SchedulerConfig, SchedulerEvent, ServerSettings,
 };
-pub use send_limiter::SendLimiter;
+pub use send_limiter::{SendLimiter, SendTimes};
 pub use send_shares::{SendShares, cold_send_bound};
 pub use server_health::{AttemptResult, ServerHealth};
 pub use server_lease::{
--- a/crates/policy/src/send_limiter.rs
+++ b/crates/policy/src/send_limiter.rs
@@ -3,9 +3,9 @@
 use crate::fleet_load::server_key;
 use crate::request_limits::RequestLimits;
 use crate::send_shares::SendShares;
-use crate::sliding_window::SendRateCap;
+use crate::sliding_window::{SendRateCap, counted_span};
 use proto::ServerKey;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Number of servers above which those without recent sends are dropped.
@@ -36,6 +36,30 @@
     request_share: Option<RequestShare>,
 }
 
+/// Times at which a gateway may send requests to servers that all state limits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendTimes {
+    /// One time for each request, in ascending order.
+    times: Vec<Duration>,
+    /// Whether this gateway has a share of any of the limits.
+    has_share: bool,
+    end: Duration,
+}
+
+impl SendTimes {
+    /// When a request can be sent that `ahead` others precede; `None` if that is not before the end
+    /// of what was looked at.
+    pub fn after(&self, ahead: usize) -> Option<Duration> {
+        self.times.get(ahead).copied()
+    }
+
+    /// When a caller should come back whose request cannot wait until [`Self::after`]. `None` if
+    /// this gateway has no share of the limits, so that others have to serve it.
+    pub fn time_to_return(&self, ahead: usize) -> Option<Duration> {
+        self.after(ahead).or(self.has_share.then_some(self.end))
+    }
+}
+
 /// Share of the bound for servers that may be cold.
 #[derive(Debug, Clone, Copy)]
 struct ColdShare {
@@ -131,6 +155,37 @@
         has_room
     }
 
+    /// When this gateway may send requests to `servers` up to `end`. `None` if one of them states no
+    /// limit, as sends are not scarce then.
+    ///
+    /// Load pattern: all servers of a service state limits, and more requests arrive than they take.
+    /// Those at the end of the queue cannot be served in time.
+    pub fn send_times<'a>(
+        &mut self,
+        servers: impl Iterator<Item = &'a str> + Clone,
+        cold_bound: Option<f64>,
+        now: Duration,
+        end: Duration,
+    ) -> Option<SendTimes> {
+        let has_limit = |server: &str| self.limits.rate(server_key(server)).is_some();
+        if servers.clone().next().is_none() || !servers.clone().all(has_limit) {
+            return None;
+        }
+        let mut times = Vec::new();
+        let mut has_share = false;
+        for server in servers {
+            let sends = self.sends_to(server_key(server), cold_bound, now);
+            has_share |= sends.request_share.is_some_and(|share| share.requests > 0);
+            times.extend(sends.send_times(now, end));
+        }
+        times.sort_unstable();
+        Some(SendTimes {
+            times,
+            has_share,
+            end,
+        })
+    }
+
     /// Sends to a server, with the shares of its present limits.
     fn sends_to(
         &mut self,
@@ -176,6 +231,32 @@
     }
 }
 
+impl ServerSends {
+    /// Times up to `end` at which the share of the request limit allows one more send, if each of
+    /// them is used; empty without a limit.
+    fn send_times(&mut self, now: Duration, end: Duration) -> Vec<Duration> {
+        let Some(share) = self.request_share.filter(|share| share.requests > 0) else {
+            return Vec::new();
+        };
+        let mut leaves_window = self.sent.leave_times(now, share.window);
+        let counted = counted_span(share.window);
+        let reserved = std::iter::repeat_n(now + counted, self.reserved);
+        leaves_window.extend(reserved);
+        let surplus = leaves_window.len().saturating_sub(share.requests);
+        leaves_window.drain(..surplus);
+        let free = share.requests - leaves_window.len();
+        let mut next: VecDeque<_> = std::iter::repeat_n(now, free)
+            .chain(leaves_window)
+            .collect();
+        let mut times = Vec::new();
+        while let Some(time) = next.pop_front().filter(|time| *time <= end) {
+            times.push(time);
+            next.push_back(time + counted);
+        }
+        times
+    }
+}
+
 /// The users of the platform count the requests to a server in any span of this length.
 const MIN_LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// A server with a limit of next to nothing is asked about that often whether the limit stands.
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -66,10 +66,15 @@
 /// count.
 const MIN_KEPT: Duration = Duration::from_secs(4);
 
+/// Time after a send for which it counts in a limit on the requests within `span`.
+pub(crate) fn counted_span(span: Duration) -> Duration {
+    span + DELIVERY_JITTER
+}
+
 impl Default for SendRateCap {
     fn default() -> Self {
         Self {
-            window: SlidingWindow::new(MIN_KEPT + DELIVERY_JITTER),
+            window: SlidingWindow::new(counted_span(MIN_KEPT)),
         }
     }
 }
@@ -84,12 +89,19 @@
     /// `span`. The sends must be kept for that long.
     pub fn has_room_within(&mut self, now: Duration, span: Duration, limit: usize) -> bool {
         self.window.count(now);
-        self.window.count_within(now, span + DELIVERY_JITTER) < limit
+        self.window.count_within(now, counted_span(span)) < limit
+    }
+
+    /// Times, in order, at which the sends within the `span` that ends at `now` leave it.
+    pub fn leave_times(&mut self, now: Duration, span: Duration) -> Vec<Duration> {
+        self.window.count(now);
+        let times = self.window.times.iter().map(|at| *at + counted_span(span));
+        times.filter(|at| *at > now).collect()
     }
 
     /// Keeps sends long enough to count those within any `span` from now on.
     pub fn keep_for(&mut self, span: Duration) {
-        self.window.set_length(span.max(MIN_KEPT) + DELIVERY_JITTER);
+        self.window.set_length(counted_span(span.max(MIN_KEPT)));
     }
 
     /// Whether nothing was sent for as long as sends are kept.
--- a/crates/policy/tests/request_limits.rs
+++ b/crates/policy/tests/request_limits.rs
@@ -1,6 +1,8 @@
 //! Limits on requests that servers state for all gateways together, in virtual time.
 
-use policy::{PeerReportEffect, RequestLimits, SendLimiter, SendShares, server_key};
+use policy::{
+    PeerReportEffect, RequestLimits, SendLimiter, SendShares, server_key, suggest_retry_after_limit,
+};
 use proto::RequestLimit;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -349,3 +351,56 @@
         assert!(!limiter.has_room(server, cold_bound, at(40)), "{server}");
     }
 }
+
+/// All servers of a service state limits. The times at which a gateway may send are those at which it
+/// then can, and there are none where one server is free.
+#[test]
+fn send_times_tell_when_requests_can_be_sent() {
+    const SERVERS: [&str; 2] = ["server-1", "server-2"];
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut limiter = SendLimiter::of_starting("gateway-1");
+        limiter.set_shares(SendShares::new("gateway-1", ["gateway-2"].into_iter()));
+        let no_limit = limiter.send_times(SERVERS.into_iter(), None, at(0), at(1_000));
+        assert_eq!(no_limit, None);
+        for server in SERVERS {
+            let rate = Some(rng.random_range(0.5..4.0));
+            let limits = limiter.limits_mut();
+            limits.on_response(server_key(server), rate, at(0), at(0));
+        }
+        for now in 1..6_000 {
+            if rng.random_bool(0.02) {
+                limiter.start_send(SERVERS[rng.random_range(0..2)], None, at(now));
+            }
+        }
+        let (now, end) = (6_000, 20_000);
+        let times = limiter.send_times(SERVERS.into_iter(), None, at(now), at(end));
+        let mut sent = Vec::new();
+        for now in now..=end {
+            for server in SERVERS {
+                while limiter.start_send(server, None, at(now)) {
+                    sent.push(at(now));
+                }
+            }
+        }
+        let times = times.unwrap();
+        for (ahead, sent) in sent.iter().enumerate() {
+            let difference = times.after(ahead).unwrap().abs_diff(*sent);
+            assert!(
+                difference < at(20),
+                "seed {seed}: {ahead} {sent:?} {times:?}"
+            );
+        }
+        assert_eq!(times.after(sent.len()), None, "seed {seed}");
+        assert_eq!(times.time_to_return(sent.len()), Some(at(end)));
+    }
+}
+
+#[test]
+fn callers_come_back_when_a_limit_has_room() {
+    let retry_after = |wait, random| suggest_retry_after_limit(wait, random);
+    assert_eq!(retry_after(Some(at(3_000)), 0), at(3_000));
+    assert!((at(3_000)..=at(3_750)).contains(&retry_after(Some(at(3_000)), 63)));
+    assert_eq!(retry_after(Some(at(10)), 0), at(150));
+    assert_eq!(retry_after(None, 0), at(150));
+}
--- a/crates/trials/tests/request_limits.rs
+++ b/crates/trials/tests/request_limits.rs
@@ -130,3 +130,40 @@
         assert!(ended.await, "{}", later.process.log_tail());
     });
 }
+
+/// All servers of a service take next to nothing. Calls and prompts that they would take too late are
+/// refused as not run, without waiting for their deadline, and are told when to come back.
+#[test]
+fn what_limits_forbid_is_refused_with_a_time_to_come_back() {
+    const RATE: f64 = 0.25;
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let engine = rig
+            .add_server("engine-1", "engines", ServerKind::Engine)
+            .unwrap();
+        let registry = rig
+            .add_server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        for (server, path) in [(&engine, "/stream/x"), (&registry, "/lookup/x")] {
+            wait_until_served(&rig, &rig.gateway, path).await;
+            server.standin().set_request_limit(Some(RATE));
+            let mut refused = None;
+            let is_refused = rig.wait_until(async || {
+                let response = rig.call("limited", path, KEY).await;
+                let status = response.status;
+                refused = Some(response);
+                status == StatusCode::SERVICE_UNAVAILABLE
+            });
+            assert!(is_refused.await, "{path}");
+            let retry_after = refused.and_then(|response| response.retry_after).unwrap();
+            assert!(
+                retry_after.parse::<f64>().unwrap() > 1.0,
+                "{path}: {retry_after}"
+            );
+        }
+        let reason = "refusals_total{reason=\"servers at their limits\"} 2";
+        let metrics = rig.gateway.metrics().await;
+        assert!(metrics.contains(reason), "{metrics}");
+    });
+}
