Gateways that are not heard still count among those that share limits

Cause: the shares of every limit over all gateways (sends to cold servers, request limits, the constant part of the retry budget) were computed from the gateways heard in the last 15 s, and from those whose row was there. Two halves that cannot hear each other each took the whole after 15 s, one and a half times the bound for cold servers, and a gateway that drains was left out at once, though it takes callers and sends until it ends. Change: policy GatewayRoster. A gateway that misses a peer for 6 s renews its row in the store, at most every 10 s; a renewal is a sign of life like a frame. Who removed the row still counts for 15 s, and nobody is dropped while the store cannot be read. A gateway lost for good costs each other one a single write. The streams of peers moved to a file of their own.

--- a/crates/direct/src/gateway_rows.rs
+++ b/crates/direct/src/gateway_rows.rs
@@ -25,6 +25,16 @@
     pub address: SocketAddr,
     /// Random number drawn at each start, by which peers notice a restart.
     pub start: u64,
+    /// Number of times that the row was renewed as a sign of life.
+    #[serde(default)]
+    pub renewals: u64,
+}
+
+impl GatewayRow {
+    /// Whether both rows are of the same process.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.address == other.address && self.start == other.start
+    }
 }
 
 /// Stored row of the certificate authority, as PEM texts.
@@ -87,6 +97,19 @@
     }
 }
 
+/// Renews this gateway's row, whose version is `version`, as a sign of life. A row that was removed
+/// meanwhile stays so.
+pub async fn renew(shared: &Shared, store: &Store, row: &GatewayRow, version: u64) {
+    let key = gateway_key(shared);
+    let value = serde_json::to_vec(row).unwrap_or_default();
+    let renewed = store
+        .put(StoreTable::Gateways, &key, &value, Some(version))
+        .await;
+    if let Err(err) = renewed {
+        info!(shared.log, "peers: cannot renew this gateway's row in the store"; "err" => %err);
+    }
+}
+
 /// Removes this gateway's row from the store. Where that fails, peers stop counting the gateway
 /// once it has been silent for a while.
 pub async fn unregister(shared: &Shared, store: &Store) {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod limit_stream;
 mod local_reply;
 mod metrics;
+mod peer_streams;
 mod peers;
 mod plain;
 mod process;
--- /dev/null
+++ b/crates/direct/src/peer_streams.rs
@@ -0,0 +1,84 @@
+//! Streams between gateways: what peers open here, and the stream of load frames to each peer.
+
+use crate::limit_stream::receive_limits;
+use crate::peers::Peers;
+use crate::shared::Shared;
+use async_channel::Receiver;
+use async_io::Timer;
+use proto::{LoadFrame, StreamOpening};
+use runtime::{FrameReceiver, FrameSender, LinkEndpoint, Peer, Role, StreamHandler};
+use slog::{info, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Backoff before a link is opened again. A gateway that left while the store was unavailable
+/// keeps its row, so links to it are attempted for a long time.
+const MIN_RECONNECT_BACKOFF: Duration = Duration::from_millis(300);
+const MAX_RECONNECT_BACKOFF: Duration = Duration::from_secs(2);
+/// Serves the streams that peers open.
+#[derive(Debug)]
+pub struct PeerStreamHandler(pub Arc<Peers>);
+
+impl StreamHandler for PeerStreamHandler {
+    async fn handle(
+        &self,
+        peer: Peer,
+        opening: StreamOpening,
+        mut tx: FrameSender,
+        mut rx: FrameReceiver,
+    ) {
+        match opening {
+            StreamOpening::Load => {
+                while let Ok(Some(frame)) = rx.receive::<LoadFrame>().await {
+                    self.0.on_frame(&peer.node, frame);
+                }
+            }
+            StreamOpening::RequestLimits => {
+                receive_limits(self.0.shared(), &peer.node, &mut rx).await;
+            }
+            StreamOpening::StoreSnapshot(peer_versions) => {
+                let shared = self.0.shared();
+                let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
+                if let Err(err) = sent {
+                    warn!(shared.log, "peers: cannot send the store snapshot"; "err" => %err);
+                }
+                tx.finish();
+                tx.stopped().await;
+            }
+            _ => {
+                tx.cancel();
+                rx.cancel();
+            }
+        }
+    }
+}
+
+/// Sends load frames to a peer until `frames` is closed.
+pub async fn send_load(
+    shared: Arc<Shared>,
+    link: Arc<LinkEndpoint>,
+    peer: SocketAddr,
+    frames: Receiver<Arc<LoadFrame>>,
+) {
+    let mut backoff = MIN_RECONNECT_BACKOFF;
+    while !frames.is_closed() {
+        match link.open(peer, Role::Gateway, &StreamOpening::Load).await {
+            Ok((mut tx, _rx)) => {
+                info!(shared.log, "peers: link open"; "peer" => %peer);
+                backoff = MIN_RECONNECT_BACKOFF;
+                while let Ok(frame) = frames.recv().await {
+                    if let Err(err) = tx.send(&*frame).await {
+                        info!(shared.log, "peers: link lost"; "peer" => %peer, "err" => %err);
+                        break;
+                    }
+                }
+            }
+            Err(err) => {
+                info!(shared.log, "peers: link not opened"; "peer" => %peer, "err" => %err);
+            }
+        }
+        Timer::after(backoff).await;
+        backoff = (backoff * 2).min(MAX_RECONNECT_BACKOFF);
+    }
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -2,22 +2,20 @@
 //! servers, and the content of the store.
 
 use crate::gateway_rows::{
-    CERTIFICATE_LIFETIME, GatewayRow, load_or_create_authority, register, unregister,
+    CERTIFICATE_LIFETIME, GatewayRow, load_or_create_authority, register, renew, unregister,
 };
-use crate::limit_stream::{receive_limits, send_limits};
+use crate::limit_stream::send_limits;
+use crate::peer_streams::{PeerStreamHandler, send_load};
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::{PeerGateway, should_watch_store};
+use policy::{GatewayRoster, PeerGateway, should_watch_store};
 use proto::{LoadFrame, StoreSnapshot, StoreVersions, StreamOpening};
 use rand::random;
-use runtime::{
-    FrameReceiver, FrameSender, Identity, LinkConfig, LinkEndpoint, LinkError, Peer, Role,
-    StreamHandler, timeout,
-};
+use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role, timeout};
 use slog::{info, warn};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -27,19 +25,12 @@
 
 /// A link is closed after this time without traffic.
 const LINK_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Backoff before a link is opened again. A gateway that left while the store was unavailable
-/// keeps its row, so links to it are attempted for a long time.
-const MIN_RECONNECT_BACKOFF: Duration = Duration::from_millis(300);
-const MAX_RECONNECT_BACKOFF: Duration = Duration::from_secs(2);
 /// Shortest interval between load frames, which applies while there are few peers.
 const MIN_FRAME_INTERVAL: Duration = Duration::from_millis(10);
 /// Limit on the load frames that this gateway sends, over all peers.
 const MAX_FRAMES_PER_SECOND: u32 = 250;
 /// Longest interval between load frames, so that peers can tell a lost gateway from an idle one.
 const MAX_FRAME_INTERVAL: Duration = Duration::from_millis(500);
-/// A gateway that has been silent for this long no longer counts as one that shares the limits.
-/// Longer than the windows over which the limits are counted.
-const PEER_COUNT_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time for a peer to send its snapshot of the store.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shortest interval between fetches from peers. It leaves time for the response to the last fetch
@@ -57,12 +48,23 @@
     limits_tx: Sender<()>,
 }
 
+/// This gateway's row in the store.
+#[derive(Debug)]
+struct OwnRow {
+    row: GatewayRow,
+    /// Version of the stored row; absent until it is read and after it is removed.
+    version: Option<u64>,
+}
+
 /// The other gateways that are registered in the store.
 #[derive(Debug)]
 pub struct Peers {
     shared: Arc<Shared>,
     link: Arc<LinkEndpoint>,
     peers: Mutex<HashMap<Box<str>, PeerState>>,
+    roster: Mutex<GatewayRoster>,
+    store: Store,
+    own_row: Mutex<OwnRow>,
     last_fetch: Mutex<Duration>,
     /// Changes of request limits up to this one were passed to the tasks that send them.
     announced_limits: AtomicU64,
@@ -85,9 +87,20 @@
         let mut cfg = LinkConfig::new(listen);
         cfg.idle_timeout = LINK_IDLE_TIMEOUT;
         let link = LinkEndpoint::bind(shared.executor.clone(), cfg, &identity, shared.log.clone())?;
+        let row = GatewayRow {
+            address: listen,
+            start: random(),
+            renewals: 0,
+        };
         let peers = Arc::new(Self {
             link: Arc::new(link),
             peers: Mutex::default(),
+            roster: Mutex::default(),
+            store: store.clone(),
+            own_row: Mutex::new(OwnRow {
+                row: row.clone(),
+                version: None,
+            }),
             last_fetch: Mutex::default(),
             announced_limits: AtomicU64::new(0),
             listed: AtomicBool::new(false),
@@ -98,10 +111,6 @@
         shared
             .executor
             .detach(async move { link.serve(streams).await });
-        let row = GatewayRow {
-            address: listen,
-            start: random(),
-        };
         register(&shared, store, &row).await;
         if shared.draining.is_started() {
             // A drain that began meanwhile had removed the row before it was written.
@@ -119,6 +128,7 @@
             let peers = self.send_load();
             self.wake_limit_streams();
             self.update_gateway_count();
+            self.renew_own_row();
             self.update_store_watch();
             let paced_interval = Duration::from_secs(1) * peers / MAX_FRAMES_PER_SECOND;
             let interval = paced_interval.max(MIN_FRAME_INTERVAL);
@@ -175,20 +185,48 @@
             return;
         }
         let now = self.shared.clock.now();
-        let peers = self.lock();
-        let counted = peers
-            .iter()
-            .filter(|(_, peer)| now < peer.last_heard + PEER_COUNT_TIMEOUT);
-        let names = counted.map(|(name, _)| &**name);
-        let gateways = self.shared.fleet.set_peers(names);
+        let mut roster = self.lock_roster();
+        if self.shared.is_store_failing() {
+            roster.on_store_unreadable(now);
+        }
+        let gateways = self.shared.fleet.set_peers(roster.sharing(now));
         self.shared.metrics.set_gateways(gateways);
     }
 
+    /// Renews this gateway's row in the store if a peer that is not heard needs a sign of life.
+    fn renew_own_row(self: &Arc<Self>) {
+        let now = self.shared.clock.now();
+        if self.shared.draining.is_started() || !self.lock_roster().claim_renewal(now) {
+            return;
+        }
+        let (row, version) = {
+            let mut own = self.own_row.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(version) = own.version else {
+                return;
+            };
+            own.row.renewals += 1;
+            (own.row.clone(), version)
+        };
+        info!(self.shared.log, "peers: own row renewed, a gateway is not heard";
+            "renewals" => row.renewals);
+        let peers = self.clone();
+        self.shared
+            .executor
+            .detach(async move { renew(&peers.shared, &peers.store, &row, version).await });
+    }
+
+    /// Records the version of this gateway's own row.
+    fn on_own_row(&self, row: &StoreRow) {
+        let mut own = self.own_row.lock().unwrap_or_else(PoisonError::into_inner);
+        own.version = (!row.removed).then_some(row.version);
+    }
+
     fn on_row(self: &Arc<Self>, row: &StoreRow) {
         let Some(name) = row.key.strip_prefix(keys::GATEWAY_PREFIX) else {
             return;
         };
         if *name == *self.shared.settings.name {
+            self.on_own_row(row);
             return;
         }
         let mut peers = self.lock();
@@ -198,16 +236,24 @@
         {
             return;
         }
+        self.lock_roster()
+            .on_row_change(name, !row.removed, self.shared.clock.now());
         let value = row.value.as_deref();
         let Some(found) = value.and_then(|value| serde_json::from_slice(value).ok()) else {
             info!(self.shared.log, "peers: gateway gone"; "peer" => name);
             peers.remove(name);
             return;
         };
-        if peers.get(name).is_some_and(|known| known.row == found) {
+        let found: GatewayRow = found;
+        if let Some(known) = peers
+            .get_mut(name)
+            .filter(|known| known.row.is_same_start(&found))
+        {
+            info!(self.shared.log, "peers: gateway has renewed its row"; "peer" => name,
+                "renewals" => found.renewals);
+            known.version = row.version;
             return;
         }
-        let found: GatewayRow = found;
         info!(self.shared.log, "peers: gateway found"; "peer" => name,
             "address" => %found.address);
         self.link.disconnect(found.address);
@@ -223,17 +269,19 @@
         };
         peers.insert(name.into(), peer);
         let (link, shared) = (self.link.clone(), self.shared.clone());
-        let load_stream = run_load_stream(shared, link, found.address, rx);
+        let load_stream = send_load(shared, link, found.address, rx);
         self.shared.executor.detach(load_stream);
         let (link, shared) = (self.link.clone(), self.shared.clone());
         let limit_stream = send_limits(shared, link, found.address, limits_rx);
         self.shared.executor.detach(limit_stream);
     }
 
-    fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
+    /// Records a load frame of a peer.
+    pub fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
         let now = self.shared.clock.now();
         let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
+        self.lock_roster().on_heard(peer, now);
         let address = {
             let mut peers = self.lock();
             let known = peers.get_mut(peer);
@@ -322,46 +370,17 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Box<str>, PeerState>> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    /// State shared by the tasks of the process.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
     }
-}
 
-/// Serves the streams that peers open.
-#[derive(Debug)]
-struct PeerStreamHandler(Arc<Peers>);
+    fn lock_roster(&self) -> MutexGuard<'_, GatewayRoster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 
-impl StreamHandler for PeerStreamHandler {
-    async fn handle(
-        &self,
-        peer: Peer,
-        opening: StreamOpening,
-        mut tx: FrameSender,
-        mut rx: FrameReceiver,
-    ) {
-        match opening {
-            StreamOpening::Load => {
-                while let Ok(Some(frame)) = rx.receive::<LoadFrame>().await {
-                    self.0.on_frame(&peer.node, frame);
-                }
-            }
-            StreamOpening::RequestLimits => {
-                receive_limits(&self.0.shared, &peer.node, &mut rx).await;
-            }
-            StreamOpening::StoreSnapshot(peer_versions) => {
-                let shared = &self.0.shared;
-                let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
-                if let Err(err) = sent {
-                    warn!(shared.log, "peers: cannot send the store snapshot"; "err" => %err);
-                }
-                tx.finish();
-                tx.stopped().await;
-            }
-            _ => {
-                tx.cancel();
-                rx.cancel();
-            }
-        }
+    fn lock(&self) -> MutexGuard<'_, HashMap<Box<str>, PeerState>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -392,31 +411,3 @@
         }
     }
 }
-
-async fn run_load_stream(
-    shared: Arc<Shared>,
-    link: Arc<LinkEndpoint>,
-    peer: SocketAddr,
-    frames: Receiver<Arc<LoadFrame>>,
-) {
-    let mut backoff = MIN_RECONNECT_BACKOFF;
-    while !frames.is_closed() {
-        match link.open(peer, Role::Gateway, &StreamOpening::Load).await {
-            Ok((mut tx, _rx)) => {
-                info!(shared.log, "peers: link open"; "peer" => %peer);
-                backoff = MIN_RECONNECT_BACKOFF;
-                while let Ok(frame) = frames.recv().await {
-                    if let Err(err) = tx.send(&*frame).await {
-                        info!(shared.log, "peers: link lost"; "peer" => %peer, "err" => %err);
-                        break;
-                    }
-                }
-            }
-            Err(err) => {
-                info!(shared.log, "peers: link not opened"; "peer" => %peer, "err" => %err);
-            }
-        }
-        Timer::after(backoff).await;
-        backoff = (backoff * 2).min(MAX_RECONNECT_BACKOFF);
-    }
-}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether the calls for some table of the store fail at present.
+    pub fn is_store_failing(&self) -> bool {
+        self.failing_tables.load(Ordering::Relaxed) > 0
+    }
+
     /// Sets the metric for the version of the active declarations.
     pub fn update_declarations_metric(&self) {
         if let Some(table) = self.store_cache.route_table() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,6 +42,7 @@
 mod estimate;
 mod fairness;
 mod fleet_load;
+mod gateway_roster;
 mod gossip_event;
 mod herd_avoidance;
 mod home_history;
@@ -111,6 +112,7 @@
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
+pub use gateway_roster::{GatewayName, GatewayRoster};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
 pub use herd_avoidance::HerdAvoidance;
 pub use home_history::{HOME_HANDOVER, HomeHistory};
