--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::request_limit;
 use crate::send_permit::SendPermit;
+use crate::shared::Shared;
 use adapter::{ForwardOptions, Helper, ResponseHead, forwarded_request};
 use policy::AttemptResult;
 use proto::BackendEntry;
@@ -100,15 +101,26 @@
     if !call.admitted.route.kind.is_idempotent() {
         return false;
     }
-    let shared = &call.shared;
-    let reached = SingleExchange::connect(&shared.executor, server.address, PROBE_TIMEOUT).await;
-    if let Err(err) = reached {
-        info!(shared.log, "attempt: server no longer accepts connections"; "req" => &*call.head.id,
-            "server" => &*server.id, "err" => %err);
-        call.record_lost_run();
-        return true;
-    }
-    false
+    if accepts_connections(&call.shared, server).await {
+        return false;
+    }
+    info!(call.shared.log, "attempt: the server that failed is gone"; "req" => &*call.head.id,
+        "server" => &*server.id);
+    call.record_lost_run();
+    true
+}
+
+/// Whether a server accepts a connection, as a running one does at once.
+pub async fn accepts_connections(shared: &Shared, server: &BackendEntry) -> bool {
+    let probe = SingleExchange::connect(&shared.executor, server.address, PROBE_TIMEOUT);
+    match probe.await {
+        Ok(_) => true,
+        Err(err) => {
+            info!(shared.log, "attempt: server does not accept connections";
+                "server" => &*server.id, "err" => %err);
+            false
+        }
+    }
 }
 
 /// A running server accepts a connection within this time.
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -6,8 +6,10 @@
 use crate::prompt_queue::{Assignment, NoEngines, PlacementRequest};
 use crate::reservation::{Reservations, ReserveError};
 use bytes::Bytes;
+use futures_lite::future::or;
 use http_body_util::BodyExt as _;
 use policy::{AttemptResult, BackendId, PromptRequirements};
+use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
 use slog::info;
@@ -28,6 +30,9 @@
 /// longer responses.
 const LENGTH_ESTIMATE_FACTOR: f64 = 1.3;
 
+/// Reason of an attempt or stream that is given up because its engine is lost.
+const ENGINE_LOST: &str = "the engine does not respond, and memory is reserved for it elsewhere";
+
 quick_error! {
     /// Why a stream could not be opened or resumed at an engine.
     #[derive(Debug)]
@@ -84,7 +89,7 @@
     /// Response of the engine, whose body is read by `next`.
     pub response: SingleResponse,
     assignment: Assignment,
-    _reservations: Reservations,
+    reservations: Reservations,
     splitter: EventSplitter,
     sent_at: Duration,
     awaits_first_event: bool,
@@ -138,7 +143,8 @@
         log_assignment(call, &assignment);
         tried.push(assignment.server.id.clone());
         let name = format!("{}-{}", call.head.id, call.sends());
-        let reserved = Reservations::acquire(shared, &name, &assignment.helpers).await;
+        let reserved =
+            Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
         let wait = if call.is_last_run() {
@@ -147,11 +153,17 @@
             first_event_timeout(call, &assignment)
         };
         let Assignment { server, permit, .. } = &mut assignment;
-        let response = send(call, server, permit, &helpers, last_event, wait).await?;
+        let answered = send(call, server, permit, &helpers, last_event, wait);
+        let lost = async {
+            reservations.engine_lost().await;
+            Err(give_up_lost_engine(call, server))
+        };
+        let response = or(answered, lost).await?;
+        reservations.on_engine_heard();
         Ok(Self {
             response,
             assignment,
-            _reservations: reservations,
+            reservations,
             splitter: EventSplitter::after(last_event.or(call.head.last_event_id)),
             sent_at,
             awaits_first_event: true,
@@ -192,16 +204,23 @@
 
     async fn next_within(&mut self, limit: Duration) -> StreamItem {
         loop {
-            let frame = timeout(limit, self.response.body.frame()).await;
-            let data = match frame {
-                Err(_) => return StreamItem::Silent,
-                Ok(None) if self.splitter.has_partial() => {
+            let frame = self.response.body.frame();
+            let frame = async { Some(timeout(limit, frame).await) };
+            let lost = async {
+                self.reservations.engine_lost().await;
+                None
+            };
+            let data = match or(frame, lost).await {
+                None => return StreamItem::Broken(ENGINE_LOST.into()),
+                Some(Err(_)) => return StreamItem::Silent,
+                Some(Ok(None)) if self.splitter.has_partial() => {
                     return StreamItem::Broken("it ended within an event".into());
                 }
-                Ok(None) => return StreamItem::End,
-                Ok(Some(Err(err))) => return StreamItem::Broken(err.to_string().into()),
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Some(Ok(None)) => return StreamItem::End,
+                Some(Ok(Some(Err(err)))) => return StreamItem::Broken(err.to_string().into()),
+                Some(Ok(Some(Ok(frame)))) => frame.into_data().unwrap_or_default(),
             };
+            self.reservations.on_engine_heard();
             match self.splitter.push(&data) {
                 Ok(Some(events)) => return StreamItem::Events(events),
                 Ok(None) => {}
@@ -266,6 +285,22 @@
     }
 }
 
+/// Records that the engine which got the request was given up, and returns the error of the attempt.
+fn give_up_lost_engine(call: &Call, server: &BackendEntry) -> AttemptError {
+    let shared = &call.shared;
+    let now = shared.clock.now();
+    shared
+        .fleet
+        .on_result(&server.id, AttemptResult::Silent, now);
+    shared.metrics.attempt("lost");
+    if call.admitted.route.kind.is_idempotent() {
+        call.record_lost_run();
+    }
+    info!(shared.log, "attempt: no answer"; "req" => &*call.head.id, "server" => &*server.id,
+        "err" => ENGINE_LOST);
+    AttemptError::MayHaveRun(server.id.clone(), ENGINE_LOST.into())
+}
+
 fn placement_request(call: &Call, tried: &[BackendId]) -> PlacementRequest {
     let now = call.shared.clock.now();
     let is_retry = call.sends() > 0;
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -1,29 +1,33 @@
 //! Reservations of KV cache memory at the helpers of a prompt that no single engine can hold.
 
+use crate::attempt::accepts_connections;
 use crate::request_limit;
 use crate::shared::Shared;
+use crate::signal::Signal;
 use adapter::{Helper, MemoryAnswer, release_request, reserve_outcome, reserve_request};
+use async_channel::{Receiver, Sender};
 use async_io::Timer;
+use futures_lite::future::or;
 use hyper::{Request, StatusCode};
-use policy::BackendId;
+use policy::{BackendId, RenewalStep, ReservationRenewal};
 use proto::BackendEntry;
 use quick_error::quick_error;
-use runtime::{Body, Executor, HttpError};
+use runtime::{Body, HttpError};
 use slog::{info, warn};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Lifetime of a reservation, as a fraction of the time within which unused memory must be free:
 /// it expires in time even where the gateway that made it is lost.
 const LIFETIME_FRACTION: f64 = 0.85;
-/// Number of renewals within the lifetime of a reservation.
-const RENEWALS_PER_LIFETIME: u32 = 3;
 /// Time for an engine to respond to a reserve or release order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Limit on the body of a response to an order; the body is not used.
 const MAX_RESPONSE_BYTES: usize = 4 << 10;
+/// Pause before a release is sent again.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(500);
 
 quick_error! {
     /// Why memory could not be reserved. What was reserved for the same prompt is released.
@@ -40,37 +44,53 @@
     }
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Reservation {
     server: BackendId,
     address: SocketAddr,
     id: Box<str>,
     tokens: u64,
+    /// Whether an order got no response. Engines may carry such an order out much later.
+    may_be_ordered_late: AtomicBool,
 }
 
 /// Reservations of one prompt, renewed in the background until this is dropped, and then released.
 #[derive(Debug)]
 pub struct Reservations {
+    state: Arc<State>,
+    /// Closed once the engine that uses the memory is given up.
+    engine_lost: Receiver<()>,
+}
+
+/// State that is shared with the task that renews the reservations.
+#[derive(Debug)]
+struct State {
     shared: Arc<Shared>,
-    reservations: Vec<Reservation>,
-    stopped: Arc<AtomicBool>,
+    /// Engine that uses the memory.
+    engine: BackendEntry,
+    reservations: Vec<Arc<Reservation>>,
+    renewal: Mutex<ReservationRenewal>,
+    stopped: AtomicBool,
+    /// Held while renewals are under way, so that none arrives after a release.
+    renewing: async_lock::Mutex<()>,
+    /// Signalled when the engine is heard while a renewal is due.
+    renewal_due: Signal,
+    engine_lost_tx: Sender<()>,
 }
 
 impl Reservations {
-    /// Reserves memory at the helpers with a token count above 0, under ids that begin with `name`.
+    /// Reserves memory at the helpers with a token count above 0, under ids that begin with `name`,
+    /// for a prompt that `engine` decodes.
     ///
     /// Also returns all helpers in the form in which they are named to the engine that gets the
     /// request.
     pub async fn acquire(
         shared: &Arc<Shared>,
         name: &str,
+        engine: &BackendEntry,
         helpers: &[(BackendEntry, u64)],
     ) -> Result<(Self, Vec<Helper>), ReserveError> {
-        let mut acquired = Self {
-            shared: shared.clone(),
-            reservations: Vec::new(),
-            stopped: Arc::default(),
-        };
+        let mut reservations = Vec::new();
         let mut request_helpers = Vec::new();
         for (index, (server, tokens)) in helpers.iter().enumerate() {
             let id: Box<str> = format!("{name}-{index}").into();
@@ -80,61 +100,146 @@
                 reservation,
             });
             if *tokens > 0 {
-                let reserved = Reservation {
+                reservations.push(Arc::new(Reservation {
                     server: server.id.clone(),
                     address: server.address,
                     id,
                     tokens: *tokens,
-                };
-                acquired.reservations.push(reserved);
+                    may_be_ordered_late: AtomicBool::new(false),
+                }));
             }
         }
-        acquired
-            .shared
-            .metrics
-            .add_reservations(acquired.reservations.len() as i64);
-        for reservation in &acquired.reservations {
+        let metrics = &shared.metrics;
+        metrics.add_reservations(reservations.len() as i64);
+        let (engine_lost_tx, engine_lost) = async_channel::bounded(1);
+        let renewal = ReservationRenewal::new(lifetime(shared), shared.clock.now());
+        let acquired = Self {
+            state: Arc::new(State {
+                shared: shared.clone(),
+                engine: engine.clone(),
+                reservations,
+                renewal: Mutex::new(renewal),
+                stopped: AtomicBool::new(false),
+                renewing: async_lock::Mutex::new(()),
+                renewal_due: Signal::default(),
+                engine_lost_tx,
+            }),
+            engine_lost,
+        };
+        for reservation in &acquired.state.reservations {
             reserve(shared, reservation).await?;
         }
-        acquired.spawn_renewal();
+        if !acquired.state.reservations.is_empty() {
+            let state = acquired.state.clone();
+            shared
+                .executor
+                .detach(async move { state.keep_renewed().await });
+        }
         Ok((acquired, request_helpers))
     }
 
-    /// Starts a task that renews the reservations until they are dropped.
-    fn spawn_renewal(&self) {
-        if self.reservations.is_empty() {
-            return;
+    /// Records a sign of life of the engine that uses the memory.
+    pub fn on_engine_heard(&self) {
+        let now = self.state.shared.clock.now();
+        if self.state.lock_renewal().on_engine_heard(now) {
+            self.state.renewal_due.notify();
         }
-        let shared = self.shared.clone();
-        let reservations = self.reservations.clone();
-        let stopped = self.stopped.clone();
-        self.shared.executor.detach(async move {
-            loop {
-                Timer::after(lifetime(&shared) / RENEWALS_PER_LIFETIME).await;
-                if stopped.load(Ordering::Relaxed) {
-                    return;
+    }
+
+    /// Waits until the engine that uses the memory is given up; forever if nothing is reserved.
+    pub async fn engine_lost(&self) {
+        // Nothing is ever sent; the channel is closed.
+        let _ = self.engine_lost.recv().await;
+    }
+}
+
+impl State {
+    /// Renews the reservations until they are dropped or the engine is lost.
+    async fn keep_renewed(&self) {
+        let clock = &self.shared.clock;
+        while !self.stopped.load(Ordering::Relaxed) {
+            let step = self.lock_renewal().next_step(clock.now());
+            match step {
+                RenewalStep::Wait(pause) => {
+                    let pause = async {
+                        Timer::after(pause).await;
+                    };
+                    or(pause, self.renewal_due.notified()).await;
                 }
-                for reservation in &reservations {
-                    if let Err(err) = reserve(&shared, reservation).await {
-                        warn!(shared.log, "memory: reservation not renewed";
-                            "id" => &*reservation.id, "err" => %err);
+                RenewalStep::Probe => {
+                    let responds = accepts_connections(&self.shared, &self.engine).await;
+                    let mut renewal = self.lock_renewal();
+                    if responds {
+                        renewal.on_engine_heard(clock.now());
+                    } else {
+                        renewal.on_probe_failed(clock.now());
                     }
                 }
+                RenewalStep::Renew => self.renew().await,
+                RenewalStep::GiveUp => {
+                    warn!(self.shared.log, "memory: reservations not renewed, the engine that uses \
+                        them is lost"; "server" => &*self.engine.id);
+                    self.engine_lost_tx.close();
+                    return;
+                }
             }
+        }
+    }
+
+    /// Renews all reservations at the same time.
+    async fn renew(&self) {
+        let _renewing = self.renewing.lock().await;
+        if self.stopped.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        self.lock_renewal().on_renewed(now);
+        let renewals = self.reservations.iter().map(|reservation| {
+            let (shared, reservation) = (self.shared.clone(), reservation.clone());
+            self.shared.executor.spawn(async move {
+                if let Err(err) = reserve(&shared, &reservation).await {
+                    warn!(shared.log, "memory: reservation not renewed";
+                        "id" => &*reservation.id, "err" => %err);
+                }
+            })
         });
+        for renewal in renewals.collect::<Vec<_>>() {
+            renewal.await;
+        }
+    }
+
+    /// Releases a reservation, once renewals that are under way have ended. Repeats the order until it
+    /// is answered, or until the memory has expired if a former order may be carried out late.
+    async fn release(&self, reservation: &Reservation) {
+        let renewing = self.renewing.lock().await;
+        let end = self.shared.clock.now() + lifetime(&self.shared);
+        let mut is_released = release(&self.shared, reservation).await;
+        drop(renewing);
+        loop {
+            let may_come_back = reservation.may_be_ordered_late.load(Ordering::Relaxed);
+            if is_released && !may_come_back || self.shared.clock.now() >= end {
+                return;
+            }
+            Timer::after(RELEASE_INTERVAL).await;
+            is_released = release(&self.shared, reservation).await;
+        }
+    }
+
+    fn lock_renewal(&self) -> MutexGuard<'_, ReservationRenewal> {
+        self.renewal.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for Reservations {
     fn drop(&mut self) {
-        self.stopped.store(true, Ordering::Relaxed);
-        self.shared
-            .metrics
-            .add_reservations(-(self.reservations.len() as i64));
-        for reservation in self.reservations.drain(..) {
-            let shared = self.shared.clone();
-            let executor: Executor = shared.executor.clone();
-            executor.detach(async move { release(&shared, &reservation).await });
+        let state = &self.state;
+        state.stopped.store(true, Ordering::Relaxed);
+        let metrics = &state.shared.metrics;
+        metrics.add_reservations(-(state.reservations.len() as i64));
+        for reservation in &state.reservations {
+            let (state, reservation) = (state.clone(), reservation.clone());
+            let executor = state.shared.executor.clone();
+            executor.detach(async move { state.release(&reservation).await });
         }
     }
 }
@@ -161,20 +266,28 @@
             MemoryAnswer::Reserved => Ok(()),
             answer => Err(ReserveError::Refused(server, answer)),
         },
-        Err(err) => Err(ReserveError::NoResponse(server, err.to_string().into())),
+        Err(err) => {
+            reservation
+                .may_be_ordered_late
+                .store(true, Ordering::Relaxed);
+            Err(ReserveError::NoResponse(server, err.to_string().into()))
+        }
     }
 }
 
-async fn release(shared: &Shared, reservation: &Reservation) {
+/// Sends a release; returns whether it was answered.
+async fn release(shared: &Shared, reservation: &Reservation) -> bool {
     let order = release_request(reservation.address, &reservation.id);
     match send_order(shared, reservation, order).await {
         Ok(status) => {
             info!(shared.log, "memory: reservation released"; "id" => &*reservation.id,
                 "status" => status.as_u16());
+            true
         }
         Err(err) => {
-            warn!(shared.log, "memory: reservation not released, it will expire";
-                "id" => &*reservation.id, "err" => %err);
+            warn!(shared.log, "memory: reservation not released"; "id" => &*reservation.id,
+                "err" => %err);
+            false
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -60,6 +60,7 @@
 mod queue;
 mod rates;
 mod request_limits;
+mod reservation_renewal;
 mod retry;
 mod route_table;
 mod router;
@@ -133,6 +134,7 @@
 pub use plain_choice::{PlainCandidate, choose_plain_server};
 pub use rates::WarmSpeed;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
+pub use reservation_renewal::{RenewalStep, ReservationRenewal};
 pub use retry::{
     FailedAttempt, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry,
     predicted_response_time,
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -39,6 +39,8 @@
     Cut,
     /// It aborts a stream in the middle of the event after the one with this id.
     BreakAfter(u64),
+    /// It runs them, and never responds.
+    Hang,
     /// It responds with the id of another request.
     WrongId,
     /// It pauses a stream for two seconds after the event with this id.
@@ -255,6 +257,7 @@
                 tx.abort("told to cut").await;
                 body
             }
+            ServerBehaviour::Hang => std::future::pending().await,
             _ if self.kind == ServerKind::Engine => {
                 headers.push(("content-type", "text/event-stream".into()));
                 self.stream(&request, behaviour)
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -118,6 +118,11 @@
             .await
     }
 
+    /// Executor on which the stand-ins run.
+    pub fn executor(&self) -> &Executor {
+        &self.executor
+    }
+
     /// Directory of the settings files and logs, deleted when the rig is dropped.
     pub fn directory(&self) -> &TempDir {
         &self.directory
@@ -136,6 +141,7 @@
         "Version": version,
         "Routes": [
             route("stream", "streaming", "engines", true),
+            route("single-run", "streaming", "engines", false),
             route("once", "unsafe", "registry", false),
             route("lookup", "safe", "registry", false),
         ],
--- a/crates/trials/src/fault_proxy.rs
+++ b/crates/trials/src/fault_proxy.rs
@@ -27,6 +27,8 @@
     NoReplies,
     /// Open connections are closed, and new ones are closed on arrival.
     Cut,
+    /// Connections stay open, but no data is forwarded, and new ones are refused. This fault stays.
+    Dark,
 }
 
 /// A proxy to one target address. Clones share the listener and the fault.
@@ -46,7 +48,15 @@
         };
         let (serving, tasks) = (proxy.clone(), executor.clone());
         executor.detach(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let accept = async || {
+                let accepted = async { listener.accept().await.ok() };
+                let dark = async {
+                    serving.wait_for(LinkFault::Dark).await;
+                    None
+                };
+                or(accepted, dark).await
+            };
+            while let Some((stream, _)) = accept().await {
                 let proxy = serving.clone();
                 tasks.detach(async move {
                     // Either side may close at any time; the other side then sees its connection
@@ -72,6 +82,12 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    async fn wait_for(&self, fault: LinkFault) {
+        while self.fault() != fault {
+            Timer::after(FAULT_POLL_INTERVAL).await;
+        }
+    }
+
     async fn forward(&self, caller: Async<TcpStream>, target: SocketAddr) -> io::Result<()> {
         if self.fault() == LinkFault::Cut {
             return Ok(());
@@ -80,9 +96,7 @@
         let requests = self.forward_one_way(&caller, &server, false);
         let replies = self.forward_one_way(&server, &caller, true);
         let cut = async {
-            while self.fault() != LinkFault::Cut {
-                Timer::after(FAULT_POLL_INTERVAL).await;
-            }
+            self.wait_for(LinkFault::Cut).await;
             Ok(())
         };
         or(or(requests, replies), cut).await
@@ -102,7 +116,7 @@
             }
             loop {
                 match self.fault() {
-                    LinkFault::Silent => {}
+                    LinkFault::Silent | LinkFault::Dark => {}
                     LinkFault::NoReplies if is_reply => {}
                     LinkFault::Delayed(delay) => {
                         Timer::after(delay).await;
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -3,11 +3,11 @@
 use hyper::StatusCode;
 use runtime::Executor;
 use serde_json::json;
-use standins::{ServerBehaviour, ServerKind};
+use standins::{PlatformServer, ServerBehaviour, ServerKind, StandinServer};
 use std::collections::BTreeSet;
 use std::process::Command;
 use std::time::Duration;
-use trials::{Binaries, DirectRig, workspace};
+use trials::{Binaries, DirectRig, FaultProxy, LinkFault, workspace};
 
 const KEY: Option<&str> = Some("key-1");
 
@@ -162,6 +162,36 @@
         let reserve_ids = order_ids("reserve");
         assert!(reserve_ids.iter().all(|id| helpers[0].contains(&**id)), "{helpers:?} {reserve_ids:?}");
     };
+    memory_is_not_renewed_for_an_engine_that_goes_dark => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2", "engine-3"].map(|name| {
+            let engine = rig.add_server(name, "engines", ServerKind::Engine).unwrap();
+            let link = FaultProxy::start(rig.executor(), engine.local_addr()).unwrap();
+            rig.register(name, "engines", link.address(), "ready");
+            engine.standin().set_behaviour(ServerBehaviour::Hang);
+            (engine, link)
+        });
+        let links = || engines.iter().map(|(_, link)| link.address().to_string());
+        let are_listed = || links().all(|link| rig.gateway.process.log().contains(&link));
+        assert!(rig.wait_until(async || are_listed()).await);
+        let caller = rig.gateway.caller();
+        let call = rig.executor().spawn(async move { caller.call("m1", "/single-run/x", KEY, 45_000).await });
+        let runs = |engine: &StandinServer<PlatformServer>| !engine.standin().executed_requests().is_empty();
+        assert!(rig.wait_until(async || engines.iter().any(|(engine, _)| runs(engine))).await);
+        for (engine, link) in &engines {
+            if runs(engine) {
+                link.set(LinkFault::Dark);
+            }
+        }
+        let orders = |operation: &str| {
+            let orders = engines.iter().flat_map(|(engine, _)| engine.standin().received_orders());
+            let first_try = orders.filter(|order| order["Id"].as_str().unwrap().starts_with("m1-0-"));
+            first_try.filter(|order| order["Operation"] == *operation).count()
+        };
+        let reserved = orders("reserve");
+        assert!(rig.wait_until(async || orders("release") > 0).await, "{}", rig.gateway.process.log_tail());
+        assert!(orders("reserve") <= reserved + 1, "renewed for a lost engine: {}", orders("reserve"));
+        assert_eq!(call.await.status, StatusCode::BAD_GATEWAY, "it may have run");
+    };
     an_unsafe_call_runs_once_and_is_never_called_not_run => async |rig: &mut DirectRig| {
         let servers = ["registry-1", "registry-2"].map(|name| {
             rig.add_server(name, "registry", ServerKind::Plain).unwrap()
