A stalled engine that sends bytes without whole events counts as silent

Cause: each piece of data started the wait for the next event anew, also when it completed no event. A stalled engine that sends a byte now and then was followed for ever, past the deadline of the call. Found by asking whether what operators of similar systems report can happen here. Change: the wait for the next event ends at a fixed time, whatever bytes come.

--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -181,7 +181,7 @@
     pub async fn next(&mut self, call: &Call) -> StreamItem {
         let item = loop {
             let limit = self.silence_limit(call).min(call.remaining());
-            match self.next_within(limit).await {
+            match self.next_within(call, limit).await {
                 StreamItem::Silent if self.should_wait_on(call).await => {}
                 item => break item,
             }
@@ -196,16 +196,21 @@
     /// Waits for the next item of an engine that has already been silent for too long, up to the
     /// deadline of the call.
     pub async fn next_late(&mut self, call: &Call) -> StreamItem {
-        let item = self.next_within(call.remaining()).await;
+        let item = self.next_within(call, call.remaining()).await;
         info!(call.shared.log, "stream: the silent engine goes on"; "req" => &*call.head.id,
             "server" => &*self.assignment.server.id, "how" => item.outcome());
         item
     }
 
-    async fn next_within(&mut self, limit: Duration) -> StreamItem {
+    /// Waits for complete events up to `limit`. Bytes of an event that is not complete do not extend
+    /// it, so that a stalled engine that sends a byte now and then counts as silent.
+    async fn next_within(&mut self, call: &Call, limit: Duration) -> StreamItem {
+        let clock = &call.shared.clock;
+        let end = clock.now() + limit;
         loop {
+            let left = end.saturating_sub(clock.now());
             let frame = self.response.body.frame();
-            let frame = async { Some(timeout(limit, frame).await) };
+            let frame = async { Some(timeout(left, frame).await) };
             let lost = async {
                 self.reservations.engine_lost().await;
                 None
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -15,6 +15,8 @@
 /// Time for the data written before an abort to reach the caller.
 const FLUSH_DELAY: Duration = Duration::from_millis(30);
 const PAUSE_DURATION: Duration = Duration::from_secs(2);
+/// Interval between the bytes of a stream that drips.
+const DRIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Id of the last event of a stream.
 const LAST_EVENT_ID: u64 = 12;
 
@@ -45,6 +47,9 @@
     WrongId,
     /// It pauses a stream for two seconds after the event with this id.
     PauseAfter(u64),
+    /// After the event with this id it sends a byte of a comment now and then, and no event, until the
+    /// caller disconnects.
+    DripAfter(u64),
     /// It sends nothing more after the event with this id, but keeps the stream open until the
     /// caller disconnects.
     StallAfter(u64),
@@ -198,6 +203,14 @@
             ServerBehaviour::PauseAfter(last) if id == last + 1 => {
                 Timer::after(PAUSE_DURATION).await;
             }
+            ServerBehaviour::DripAfter(last) if id > last => {
+                let mut byte = Bytes::from_static(b":");
+                while tx.send(byte).await.is_ok() {
+                    byte = Bytes::from_static(b".");
+                    Timer::after(DRIP_INTERVAL).await;
+                }
+                return StreamEnd::CallerDisconnected;
+            }
             ServerBehaviour::StallAfter(last) if id > last => {
                 tx.closed().await;
                 return StreamEnd::CallerDisconnected;
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -127,6 +127,22 @@
         let response = rig.call("s1", "/stream/x", KEY).await;
         assert_eq!(response.body.unwrap(), events(0..=12), "{}", rig.gateway.process.log_tail());
     };
+    an_engine_that_drips_bytes_is_replaced_as_a_silent_one => async |rig: &mut DirectRig| {
+        let engines = ["engine-1", "engine-2"].map(|name| {
+            rig.add_server(name, "engines", ServerKind::Engine).unwrap()
+        });
+        assert!(rig.wait_until(async || rig.gateway.process.log().matches("row changed").count() == 2).await);
+        rig.call("p1", "/stream/x", KEY).await;
+        let serving = engines.iter().position(|engine| !engine.standin().executed_requests().is_empty()).unwrap();
+        engines[serving].standin().set_behaviour(ServerBehaviour::DripAfter(4));
+        let response = runtime::timeout(Duration::from_secs(20), rig.call("s1", "/stream/x", KEY)).await;
+        let response = response.expect("the stream must end by its deadline of 8 s");
+        assert_eq!(response.body.unwrap(), events(0..=12), "{}", rig.gateway.process.log_tail());
+        engines[1 - serving].standin().set_behaviour(ServerBehaviour::DripAfter(4));
+        let response = runtime::timeout(Duration::from_secs(20), rig.call("s2", "/stream/x", KEY)).await;
+        let response = response.expect("the stream must end by its deadline of 8 s");
+        assert_eq!(response.body, None, "neither engine goes on: it must not look whole");
+    };
     a_silent_engine_that_goes_on_first_is_followed => async |rig: &mut DirectRig| {
         let engines = ["engine-1", "engine-2"].map(|name| {
             rig.add_server(name, "engines", ServerKind::Engine).unwrap()
