Reservations end when the engine that uses them has started anew

By its trace (--log all) the engine was dark from 16.1 s, three probes failed, and from 18.3 s a new process accepted connections at its address: the probe took that for the old one. Cause: a new connection shows that something listens, and not that the request is still there. Change: the connection of a request with reserved memory has TCP keep-alive (1 s, 3 probes), so an engine that has started anew resets it within a second.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -139,7 +139,14 @@
     let shared = &call.shared;
     let name = || server.id.clone();
     let connect = CONNECT_TIMEOUT.min(call.remaining());
-    let exchange = SingleExchange::connect(&shared.executor, server.address, connect).await;
+    let executor = &shared.executor;
+    let holds_memory = helpers.iter().any(|helper| helper.reservation.is_some());
+    let exchange = if holds_memory {
+        // Shows whether the engine has started anew and lost the request.
+        SingleExchange::connect_kept_alive(executor, server.address, connect).await
+    } else {
+        SingleExchange::connect(executor, server.address, connect).await
+    };
     let exchange = exchange.map_err(|err| AttemptError::NotRun(name(), error_text(&err)))?;
     if !shared.store_cache.is_usable(&server.id, shared.clock.now()) {
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -159,7 +159,7 @@
             Err(give_up_lost_engine(call, server))
         };
         let response = or(answered, lost).await?;
-        reservations.on_engine_heard();
+        reservations.on_data();
         Ok(Self {
             response,
             assignment,
@@ -225,7 +225,7 @@
                 Some(Ok(Some(Err(err)))) => return StreamItem::Broken(err.to_string().into()),
                 Some(Ok(Some(Ok(frame)))) => frame.into_data().unwrap_or_default(),
             };
-            self.reservations.on_engine_heard();
+            self.reservations.on_data();
             match self.splitter.push(&data) {
                 Ok(Some(events)) => return StreamItem::Events(events),
                 Ok(None) => {}
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -73,7 +73,7 @@
     stopped: AtomicBool,
     /// Held while renewals are under way, so that none arrives after a release.
     renewing: async_lock::Mutex<()>,
-    /// Signalled when the engine is heard while a renewal is due.
+    /// Signalled when data arrives while a renewal is due.
     renewal_due: Signal,
     engine_lost_tx: Sender<()>,
 }
@@ -138,10 +138,10 @@
         Ok((acquired, request_helpers))
     }
 
-    /// Records a sign of life of the engine that uses the memory.
-    pub fn on_engine_heard(&self) {
+    /// Records that data of the engine that uses the memory has arrived.
+    pub fn on_data(&self) {
         let now = self.state.shared.clock.now();
-        if self.state.lock_renewal().on_engine_heard(now) {
+        if self.state.lock_renewal().on_data(now) {
             self.state.renewal_due.notify();
         }
     }
@@ -168,12 +168,7 @@
                 }
                 RenewalStep::Probe => {
                     let responds = accepts_connections(&self.shared, &self.engine).await;
-                    let mut renewal = self.lock_renewal();
-                    if responds {
-                        renewal.on_engine_heard(clock.now());
-                    } else {
-                        renewal.on_probe_failed(clock.now());
-                    }
+                    self.lock_renewal().on_probe(responds, clock.now());
                 }
                 RenewalStep::Renew => self.renew().await,
                 RenewalStep::GiveUp => {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -37,7 +37,7 @@
 pub use link_stream::{FrameReceiver, FrameSender};
 pub use log::{LogFormat, logger};
 pub use shutdown::{ShutdownSignal, termination_signal};
-pub use single_exchange::{SingleExchange, SingleResponse};
+pub use single_exchange::{KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, SingleExchange, SingleResponse};
 pub use timeline::Timeline;
 pub use timeout::{Elapsed, timeout};
 pub use tls::{Authority, HostCertificate, Identity, Peer, Role, TlsError, TlsFiles};
--- a/crates/runtime/src/single_exchange.rs
+++ b/crates/runtime/src/single_exchange.rs
@@ -9,11 +9,25 @@
 use hyper::client::conn::http1;
 use hyper::http::response::Parts;
 use hyper::{Request, Response};
+use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 use std::io::{Error, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// Interval of TCP keep-alive probes on an idle connection, the shortest that the kernel allows.
+pub const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without a response after which a connection fails.
+pub const KEEPALIVE_PROBES: u32 = 3;
+
+fn enable_keepalive(stream: &TcpStream) -> std::io::Result<()> {
+    sockopt::set_tcp_keepidle(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepintvl(stream, KEEPALIVE_INTERVAL)?;
+    sockopt::set_tcp_keepcnt(stream, KEEPALIVE_PROBES)?;
+    sockopt::set_socket_keepalive(stream, true)?;
+    Ok(())
+}
+
 /// A connection that carries exactly one request.
 ///
 /// Connections are not reused, so bytes that a server sends late, twice or after a response cannot
@@ -43,12 +57,32 @@
         executor: &Executor,
         peer: SocketAddr,
         timeout: Duration,
+    ) -> Result<Self, HttpError> {
+        Self::connect_with(executor, peer, timeout, |_| Ok(())).await
+    }
+
+    /// As [`SingleExchange::connect`]. The exchange fails within [`KEEPALIVE_INTERVAL`] after the
+    /// peer's host has started anew, or after [`KEEPALIVE_PROBES`] of them without a response.
+    pub async fn connect_kept_alive(
+        executor: &Executor,
+        peer: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, HttpError> {
+        Self::connect_with(executor, peer, timeout, enable_keepalive).await
+    }
+
+    async fn connect_with(
+        executor: &Executor,
+        peer: SocketAddr,
+        timeout: Duration,
+        configure: impl FnOnce(&TcpStream) -> std::io::Result<()>,
     ) -> Result<Self, HttpError> {
         let connect = Async::<TcpStream>::connect(peer);
         let stream = crate::timeout(timeout, connect).await;
         let stream = stream.unwrap_or_else(|_| Err(Error::from(ErrorKind::TimedOut)));
         let stream = stream.map_err(|err| HttpError::Connect(peer, err))?;
         let _ = stream.get_ref().set_nodelay(true);
+        configure(stream.get_ref()).map_err(|err| HttpError::Connect(peer, err))?;
         let handshake = http1::handshake(FuturesIo::new(stream)).await;
         let (tx, connection) = handshake.map_err(|err| HttpError::Exchange(peer, err))?;
         let connection = executor.spawn(async move {
