Log a key by which a request is recognized when it is sent again

Cause: each attempt of a caller has its own id, so the logs could not tell one request that comes again from different requests on one route. Change: the key, a hash of team, method, host, path and body, in `attempt: sent` and `servers: engine crashed`. No decision depends on it.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -236,7 +236,7 @@
     info!(shared.log, "attempt: sent"; "req" => &*call.head.id, "server" => &*server.id,
         "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
         "left_ms" => options.time_left.as_millis() as u64,
-        "parts" => format_parts(&call.head.shared_parts));
+        "parts" => format_parts(&call.head.shared_parts), "key" => format!("{:016x}", call.key));
     let abandoned = AbandonedRun(call);
     let response = timeout(wait.min(call.remaining()), exchange.send(req)).await;
     // The future was not dropped, so `send` records a possible run according to the result.
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::http::request::Parts;
-use policy::{Route, ServiceSpec, TeamEntry};
+use policy::{RequestContent, Route, ServiceSpec, TeamEntry};
+use proto::RequestKey;
 use runtime::Body;
 use slog::info;
 use std::sync::Arc;
@@ -44,6 +45,8 @@
     pub parts: Parts,
     /// Request body; empty until it has been read.
     pub body: Bytes,
+    /// Key of the content, by which the request is recognized when it is sent again; set with the body.
+    pub key: RequestKey,
     /// Route, service and team of the request.
     pub admitted: Admission,
     /// Arrival time.
@@ -88,6 +91,7 @@
             head,
             parts,
             body: Bytes::new(),
+            key: RequestKey::default(),
             admitted,
             arrived,
             deadline: arrived + limit,
@@ -95,6 +99,20 @@
         }
     }
 
+    /// Sets the body once it has been read.
+    pub fn set_body(&mut self, body: Bytes) {
+        let path = self.parts.uri.path_and_query();
+        let content = RequestContent {
+            team: self.admitted.team.as_ref().map(|team| &*team.name),
+            method: self.parts.method.as_str(),
+            hostname: &self.head.hostname,
+            path: path.map_or("", |path| path.as_str()),
+            body: &body,
+        };
+        self.key = content.key();
+        self.body = body;
+    }
+
     /// Priority rank; 0 is served first. The rank of the team overrides that of the route.
     pub fn rank(&self) -> u8 {
         let team = self.admitted.team.as_ref().and_then(|team| team.rank);
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -105,7 +105,7 @@
     let body = Limited::new(body, call.admitted.body_bytes).collect();
     match timeout(call.remaining(), body).await {
         Ok(Ok(body)) => {
-            call.body = body.to_bytes();
+            call.set_body(body.to_bytes());
             Ok(())
         }
         Ok(Err(err)) if err.is::<LengthLimitError>() => Err(LocalReply::TooLarge),
--- a/crates/direct/src/prompt_guard.rs
+++ b/crates/direct/src/prompt_guard.rs
@@ -155,7 +155,8 @@
     });
     shared.metrics.engine_crash();
     info!(shared.log, "servers: engine crashed"; "req" => &*call.head.id,
-        "server" => &*server.id, "domain" => &*server.domain, "parts" => format_parts(&suspects));
+        "key" => format!("{:016x}", call.key), "server" => &*server.id,
+        "domain" => &*server.domain, "parts" => format_parts(&suspects));
 }
 
 /// Ids of parts of prompts, for logs.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -63,6 +63,7 @@
 mod prompt_runs;
 mod queue;
 mod rates;
+mod request_key;
 mod request_limits;
 mod reservation_renewal;
 mod retry;
@@ -142,6 +143,7 @@
 pub use plain_choice::{PlainCandidate, choose_plain_server};
 pub use prompt_runs::{PromptRuns, RunId, RunProof};
 pub use rates::WarmSpeed;
+pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
 pub use reservation_renewal::{RenewalStep, ReservationRenewal};
 pub use retry::{
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -40,7 +40,9 @@
     StoreSnapshot, StoreVersions,
 };
 pub use opening::StreamOpening;
-pub use prompt_crash::{BlockedPart, CrashReport, PartKey, PromptCrashFrame, ProvenPart};
+pub use prompt_crash::{
+    BlockedPart, CrashReport, PartKey, PromptCrashFrame, ProvenPart, RequestKey,
+};
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
--- a/crates/proto/src/prompt_crash.rs
+++ b/crates/proto/src/prompt_crash.rs
@@ -7,6 +7,9 @@
 /// Key of a part of a prompt that other prompts may share.
 pub type PartKey = u64;
 
+/// Key of a request that a caller may send again, from its content.
+pub type RequestKey = u64;
+
 /// A crash of an engine, as far as one gateway knows of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
