Failing tests: a request that crashes servers is sent on

Cause: a request under which its server crashed is tried at the next one, by each attempt of its caller and at each gateway; nothing knows it when it comes again. Change: tests only. The stand-in of a server crashes when it runs a request with a given body; what both tests of crashes need is one module.

--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -84,7 +84,7 @@
     kind: ServerKind,
     executor: Executor,
     state: Arc<Mutex<State>>,
-    /// Set when a prompt has crashed it.
+    /// Set when a request has crashed it.
     crashed: ShutdownSignal,
     shutdown: OnceLock<ShutdownSignal>,
 }
@@ -101,6 +101,8 @@
     is_leaving: bool,
     event_interval: Duration,
     fatal_part: Option<Box<str>>,
+    fatal_body: Option<Bytes>,
+    run_time: Duration,
 }
 
 impl PlatformServer {
@@ -136,7 +138,17 @@
         self.lock().fatal_part = Some(part.into());
     }
 
-    /// Whether a prompt has crashed it.
+    /// Sets the body of requests that crash it, as [`Self::set_fatal_part`] does for prompts.
+    pub fn set_fatal_body(&self, body: &str) {
+        self.lock().fatal_body = Some(Bytes::copy_from_slice(body.as_bytes()));
+    }
+
+    /// Sets how long a request of a plain service runs, also until it crashes the server; zero at first.
+    pub fn set_run_time(&self, time: Duration) {
+        self.lock().run_time = time;
+    }
+
+    /// Whether a request has crashed it.
     pub fn has_crashed(&self) -> bool {
         self.crashed.is_started()
     }
@@ -226,12 +238,16 @@
         body
     }
 
-    /// Whether a prompt crashes this server.
+    /// Whether a request crashes this server.
     fn is_fatal(&self, request: &ExecutedRequest) -> bool {
-        let fatal = self.lock().fatal_part.clone();
+        let state = self.lock();
+        if state.fatal_body.as_ref() == Some(&request.body) {
+            return true;
+        }
+        let fatal = state.fatal_part.as_deref();
         let parts = request.prompt_parts.as_deref().unwrap_or_default();
         let mut ids = parts.split(',').filter_map(|part| part.split(':').next());
-        fatal.is_some_and(|fatal| ids.any(|id| *id == *fatal))
+        fatal.is_some_and(|fatal| ids.any(|id| id == fatal))
     }
 
     /// Ends as a process that crashes: new connections are refused, then the open ones are reset.
@@ -326,6 +342,14 @@
 }
 
 impl PlatformServer {
+    /// Body of a response that breaks off before its first byte.
+    async fn cut_body(&self, headers: &mut Vec<(&str, String)>) -> Body {
+        let (tx, body) = Body::stream();
+        headers.push(("content-length", "1".into()));
+        tx.abort("cut").await;
+        body
+    }
+
     /// Handles a request that is not an order.
     async fn run(&self, call: &Call) -> Response<Body> {
         let mut response = Response::new(Body::empty());
@@ -337,6 +361,16 @@
             return response;
         }
         let (request, behaviour) = self.record_request(call);
+        if self.kind == ServerKind::Plain && behaviour == ServerBehaviour::Normal {
+            let run_time = self.lock().run_time;
+            let crash = async {
+                self.crashed.started().await;
+            };
+            let run = async {
+                Timer::after(run_time).await;
+            };
+            or(crash, run).await;
+        }
         if self.is_fatal(&request) {
             self.crash().await;
         }
@@ -349,11 +383,9 @@
                 headers.extend(pause.map(|seconds| ("retry-after", seconds.into_string())));
                 Body::empty()
             }
-            ServerBehaviour::Cut => {
-                let (tx, body) = Body::stream();
-                headers.push(("content-length", "1".into()));
-                tx.abort("told to cut").await;
-                body
+            ServerBehaviour::Cut => self.cut_body(&mut headers).await,
+            _ if self.kind == ServerKind::Plain && self.has_crashed() => {
+                self.cut_body(&mut headers).await
             }
             ServerBehaviour::Hang => std::future::pending().await,
             _ if self.kind == ServerKind::Engine => {
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -127,6 +127,7 @@
             executor: self.executor.clone(),
             address: self.frontend_address,
             prompt_parts: Box::default(),
+            body: None,
         }
     }
 
@@ -146,6 +147,7 @@
     executor: Executor,
     address: SocketAddr,
     prompt_parts: Box<str>,
+    body: Option<Box<str>>,
 }
 
 impl DirectCaller {
@@ -155,6 +157,12 @@
         self
     }
 
+    /// Sends this body in all requests, instead of one that differs by the request's id.
+    pub fn with_body(mut self, body: &str) -> Self {
+        self.body = Some(body.into());
+        self
+    }
+
     /// Sends a request and reads the whole response. `prompt` is the number of prompt tokens stated
     /// in the request's headers.
     pub async fn call(&self, id: &str, path: &str, key: Option<&str>, prompt: u64) -> CallerAnswer {
@@ -190,6 +198,9 @@
         let exchange =
             SingleExchange::connect(&self.executor, self.address, CONNECT_TIMEOUT).await?;
         let mut req = request(id, path, key, prompt);
+        if let Some(body) = &self.body {
+            *req.body_mut() = Body::full(body.to_string());
+        }
         if let Ok(parts) = self.prompt_parts.parse() {
             req.headers_mut().insert("x-prompt-prefix", parts);
         }
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -62,7 +62,18 @@
         service: &str,
         kind: ServerKind,
     ) -> Result<StandinServer<PlatformServer>, TrialError> {
-        let server = PlatformServer::bind(&self.executor, loopback(0), name, kind);
+        self.add_server_at(loopback(0), name, service, kind)
+    }
+
+    /// As [`Self::add_server`], at an address that nothing listens at.
+    pub fn add_server_at(
+        &self,
+        address: SocketAddr,
+        name: &str,
+        service: &str,
+        kind: ServerKind,
+    ) -> Result<StandinServer<PlatformServer>, TrialError> {
+        let server = PlatformServer::bind(&self.executor, address, name, kind);
         let server = server.map_err(|err| TrialError::File(name.into(), err))?;
         self.register(name, service, server.local_addr(), "ready");
         Ok(server)
