--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one backend server and classifies the result.
 
 use crate::call::Call;
-use crate::prompt_guard::{BLOCKED_REASON, checked_parts, format_parts, is_blocked, record_crash};
+use crate::crash_guard::{BLOCKED_REASON, is_blocked, record_crash};
 use crate::request_limit;
 use crate::send_permit::SendPermit;
 use crate::server_pause;
@@ -11,7 +11,7 @@
 };
 use hyper::http::response::Parts;
 use policy::AttemptResult;
-use proto::BackendEntry;
+use proto::{BackendEntry, PartKey};
 use quick_error::quick_error;
 use runtime::{Body, HttpError, SingleExchange, SingleResponse, timeout};
 use slog::info;
@@ -43,7 +43,7 @@
         Paused(server: Box<str>) {
             display("{server} has asked for a pause")
         }
-        /// The prompt has a part that crashes engines. Nothing was sent.
+        /// The request crashes servers. Nothing was sent.
         Blocked {
             display("{BLOCKED_REASON}")
         }
@@ -212,7 +212,7 @@
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
     }
     let sent_at = shared.clock.now();
-    if is_blocked(shared, checked_parts(call)) && !call.is_trial() {
+    if !call.is_trial() && is_blocked(shared, &call.suspects) {
         return Err(AttemptError::Blocked);
     }
     if !permit.start_send() {
@@ -311,6 +311,12 @@
     }
 }
 
+/// Ids of parts of prompts, for logs.
+fn format_parts(parts: &[PartKey]) -> String {
+    let ids = parts.iter().map(|part| format!("{part:x}"));
+    ids.collect::<Vec<_>>().join(" ")
+}
+
 fn error_text(err: &HttpError) -> Box<str> {
     err.to_string().into()
 }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::http::request::Parts;
 use policy::{RequestContent, Route, ServiceSpec, TeamEntry};
-use proto::RequestKey;
+use proto::{RequestKey, Suspect};
 use runtime::Body;
 use slog::info;
 use std::sync::Arc;
@@ -47,6 +47,8 @@
     pub body: Bytes,
     /// Key of the content, by which the request is recognized when it is sent again; set with the body.
     pub key: RequestKey,
+    /// What may crash servers that run the request; set with the body.
+    pub suspects: Box<[Suspect]>,
     /// Route, service and team of the request.
     pub admitted: Admission,
     /// Arrival time.
@@ -68,7 +70,7 @@
     possible_runs: AtomicU32,
     /// How many of them are gone.
     lost_runs: AtomicU32,
-    /// Whether the prompt may be sent once though it has a blocked part.
+    /// Whether the request may be sent once though it is blocked.
     is_trial: AtomicBool,
     ended: AtomicBool,
 }
@@ -92,6 +94,7 @@
             parts,
             body: Bytes::new(),
             key: RequestKey::default(),
+            suspects: Box::default(),
             admitted,
             arrived,
             deadline: arrived + limit,
@@ -110,9 +113,17 @@
             body: &body,
         };
         self.key = content.key();
+        self.suspects = self.prompt_parts().collect();
         self.body = body;
     }
 
+    /// Parts of the prompt that other prompts may share; none in a request to a plain service.
+    fn prompt_parts(&self) -> impl Iterator<Item = Suspect> {
+        let has_engines = self.admitted.service.engine.is_some();
+        let parts = self.head.shared_parts.iter().filter(move |_| has_engines);
+        parts.map(|part| Suspect::Part(*part))
+    }
+
     /// Priority rank; 0 is served first. The rank of the team overrides that of the route.
     pub fn rank(&self) -> u8 {
         let team = self.admitted.team.as_ref().and_then(|team| team.rank);
@@ -149,17 +160,17 @@
         allowed
     }
 
-    /// Allows to send the prompt once although it has a blocked part.
+    /// Allows to send the request once although it is blocked.
     pub fn allow_trial(&self) {
         self.progress.is_trial.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the prompt may be sent once although it has a blocked part.
+    /// Whether the request may be sent once although it is blocked.
     pub fn is_trial(&self) -> bool {
         self.progress.is_trial.load(Ordering::Relaxed)
     }
 
-    /// Takes back the permission that [`Self::allow_trial`] gave, as the prompt is sent now.
+    /// Takes back the permission that [`Self::allow_trial`] gave, as the request is sent now.
     pub fn end_trial(&self) {
         self.progress.is_trial.store(false, Ordering::Relaxed);
     }
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -2,8 +2,8 @@
 
 use crate::attempt::{AttemptError, detect_crashed_server, detect_lost_server, send};
 use crate::call::Call;
+use crate::crash_guard::{BLOCKED_REASON, GuardedRun, admit};
 use crate::event_splitter::EventSplitter;
-use crate::prompt_guard::{BLOCKED_REASON, PromptRun, admit, checked_parts};
 use crate::prompt_queue::{Assignment, NoEngines, PlacementRequest};
 use crate::reservation::{Reservations, ReserveError};
 use bytes::Bytes;
@@ -47,7 +47,7 @@
             display("{err}")
             from()
         }
-        /// The prompt has a part that crashes engines; it was not sent.
+        /// The prompt crashes engines; it was not sent.
         Blocked {
             display("{BLOCKED_REASON}")
         }
@@ -95,7 +95,7 @@
     pub response: SingleResponse,
     assignment: Assignment,
     reservations: Reservations,
-    run: PromptRun,
+    run: GuardedRun,
     splitter: EventSplitter,
     sent_at: Duration,
     awaits_first_event: bool,
@@ -162,7 +162,7 @@
             first_event_timeout(call, &assignment)
         };
         let Assignment { server, permit, .. } = &mut assignment;
-        let run = PromptRun::start(call, server);
+        let run = GuardedRun::start(call, server);
         let answered = send(call, server, permit, &helpers, last_event, wait);
         let lost = async {
             reservations.engine_lost().await;
@@ -345,7 +345,7 @@
             .deadline
             .min(since + call.admitted.route.caller_wait_limit()),
         tried_servers: tried.to_vec(),
-        shared_parts: checked_parts(call).into(),
+        suspects: call.suspects.clone(),
         is_trial: call.is_trial(),
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,9 +13,10 @@
 
 mod answer_body;
 mod attempt;
-mod blocked_part_rows;
+mod blocked_rows;
 mod call;
 mod command;
+mod crash_guard;
 mod engine_stream;
 mod event_splitter;
 pub mod explain_command;
@@ -30,7 +31,6 @@
 mod peers;
 mod plain;
 mod process;
-mod prompt_guard;
 mod prompt_queue;
 mod request_limit;
 mod reservation;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a direct gateway.
 
+use policy::BlockedCounts;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -25,8 +26,9 @@
     gateways: IntGauge,
     reservations: IntGauge,
     limited_servers: IntGauge,
-    engine_crashes: IntCounter,
+    server_crashes: IntCounter,
     blocked_parts: IntGauge,
+    blocked_requests: IntGauge,
     pauses: IntCounter,
     paused_servers: IntGauge,
     invalid_answers: IntCounterVec,
@@ -85,11 +87,11 @@
             "Attempts that the shared budget of repeats did not allow",
         )?;
         registry.register(Box::new(retries_denied.clone()))?;
-        let engine_crashes = IntCounter::new(
+        let server_crashes = IntCounter::new(
             "bergamothold_direct_engine_crashes_total",
-            "Tries that ended because the engine crashed",
+            "Tries that ended because the server crashed",
         )?;
-        registry.register(Box::new(engine_crashes.clone()))?;
+        registry.register(Box::new(server_crashes.clone()))?;
         let pauses = IntCounter::new(
             "bergamothold_direct_pauses_total",
             "Refusals of backend servers that ask for a pause",
@@ -105,7 +107,7 @@
                 "Prompts that wait for engines",
             )?,
             retries_denied,
-            engine_crashes,
+            server_crashes,
             invalid_answers,
             pauses,
             store_calls,
@@ -129,6 +131,10 @@
                 "bergamothold_direct_blocked_parts",
                 "Parts of prompts that crash engines, so that prompts with them are refused",
             )?,
+            blocked_requests: gauge(
+                "bergamothold_direct_blocked_requests",
+                "Requests that crash servers, so that they are refused when they are sent again",
+            )?,
             paused_servers: gauge(
                 "bergamothold_direct_paused_servers",
                 "Backend servers in a pause for which they have asked",
@@ -164,9 +170,9 @@
         self.retries_denied.inc();
     }
 
-    /// Counts a try that ended because the engine crashed.
-    pub fn engine_crash(&self) {
-        self.engine_crashes.inc();
+    /// Counts a try that ended because the server crashed.
+    pub fn server_crash(&self) {
+        self.server_crashes.inc();
     }
 
     /// Counts a call to the store, by operation and result.
@@ -209,9 +215,10 @@
         self.invalid_answers.with_label_values(&[reason]).inc();
     }
 
-    /// Sets the number of blocked parts of prompts.
-    pub fn set_blocked_parts(&self, parts: usize) {
-        self.blocked_parts.set(parts as i64);
+    /// Sets the numbers of parts of prompts and of requests that are blocked.
+    pub fn set_blocked(&self, blocked: BlockedCounts) {
+        self.blocked_parts.set(blocked.parts as i64);
+        self.blocked_requests.set(blocked.requests as i64);
     }
 
     /// Adds `change`, which may be negative, to the number of reservations that are held.
--- a/crates/direct/src/peer_streams.rs
+++ b/crates/direct/src/peer_streams.rs
@@ -1,8 +1,8 @@
 //! Streams between gateways: what peers open here, and the stream of load frames to each peer.
 
+use crate::crash_guard::CrashNews;
 use crate::news_stream::receive_news;
 use crate::peers::Peers;
-use crate::prompt_guard::CrashNews;
 use crate::request_limit::LimitNews;
 use crate::shared::Shared;
 use async_channel::Receiver;
@@ -39,7 +39,7 @@
             StreamOpening::RequestLimits => {
                 receive_news::<LimitNews>(self.0.shared(), &peer.node, &mut rx).await;
             }
-            StreamOpening::PromptCrashes => {
+            StreamOpening::Crashes => {
                 receive_news::<CrashNews>(self.0.shared(), &peer.node, &mut rx).await;
             }
             StreamOpening::StoreSnapshot(peer_versions) => {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -1,13 +1,13 @@
 //! Links with the other gateways, over which they exchange the load that each has placed on
 //! servers, and the content of the store.
 
-use crate::blocked_part_rows;
+use crate::blocked_rows;
+use crate::crash_guard::CrashNews;
 use crate::gateway_rows::{
     CERTIFICATE_LIFETIME, GatewayRow, load_or_create_authority, register, renew, unregister,
 };
 use crate::news_stream::{PeerNews, send_news};
 use crate::peer_streams::{PeerStreamHandler, send_load};
-use crate::prompt_guard::CrashNews;
 use crate::request_limit::LimitNews;
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
@@ -236,7 +236,7 @@
 
     fn on_row(self: &Arc<Self>, row: &StoreRow) {
         let Some(name) = row.key.strip_prefix(keys::GATEWAY_PREFIX) else {
-            blocked_part_rows::on_row(&self.shared, row);
+            blocked_rows::on_row(&self.shared, row);
             return;
         };
         if *name == *self.shared.settings.name {
@@ -422,7 +422,7 @@
         for row in &listing.rows {
             self.0.on_row(row);
         }
-        blocked_part_rows::on_row_listing(&self.0.shared, &listing.rows);
+        blocked_rows::on_row_listing(&self.0.shared, &listing.rows);
         self.0.listed.store(true, Ordering::Relaxed);
         self.0.update_gateway_count();
     }
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -1,6 +1,6 @@
 //! Runs the process: starts its tasks, handles signals, and drains requests before it ends.
 
-use crate::blocked_part_rows;
+use crate::blocked_rows;
 use crate::front::Frontend;
 use crate::gateway_rows::unregister;
 use crate::peers::{GatewayTableHandler, Peers};
@@ -104,7 +104,7 @@
     executor.detach(watch(shared.clone(), store.clone(), OperatorTableHandler));
     executor.detach(watch(shared.clone(), store.clone(), ServerTableHandler));
     executor.detach(PromptQueue::run(shared.clone()));
-    executor.detach(blocked_part_rows::maintain(shared.clone()));
+    executor.detach(blocked_rows::maintain(shared.clone()));
     let peers: Arc<Mutex<Option<Arc<Peers>>>> = Arc::default();
     executor.detach(join_peers(shared.clone(), store.clone(), peers.clone()));
     let frontend = Arc::new(Frontend {
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -1,7 +1,7 @@
 //! Queue of prompts that wait for engines, and the assignment of engines to them.
 
+use crate::crash_guard::{BLOCKED_REASON, BLOCKED_RETRY_AFTER, is_blocked};
 use crate::job::Job;
-use crate::prompt_guard::{BLOCKED_REASON, BLOCKED_RETRY_AFTER, is_blocked};
 use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
@@ -12,7 +12,7 @@
     SendTimes, ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt,
     sort_queue, suggest_retry_after, suggest_retry_after_limit,
 };
-use proto::{BackendEntry, PartKey};
+use proto::{BackendEntry, Suspect};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -41,9 +41,9 @@
     pub deadline: Duration,
     /// Servers that were already tried for the call, and are not assigned again.
     pub tried_servers: Vec<BackendId>,
-    /// Parts of the prompt because of which it may be refused.
-    pub shared_parts: Box<[PartKey]>,
-    /// Whether the prompt is served although a part of it is blocked.
+    /// What may have to be blocked because it crashes engines.
+    pub suspects: Box<[Suspect]>,
+    /// Whether the prompt is served although a suspect of it is blocked.
     pub is_trial: bool,
 }
 
@@ -250,7 +250,7 @@
         request: &PlacementRequest,
         ahead: usize,
     ) -> Option<Result<Assignment, NoEngines>> {
-        if !request.is_trial && is_blocked(self.shared, &request.shared_parts) {
+        if !request.is_trial && is_blocked(self.shared, &request.suspects) {
             return Some(Err(NoEngines {
                 reason: BLOCKED_REASON,
                 retry_after: BLOCKED_RETRY_AFTER,
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,9 +1,9 @@
 //! State that all tasks of a direct gateway share.
 
 use crate::answer_body::BUFFERED_BYTES;
+use crate::crash_guard::SharedCrashGuard;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
-use crate::prompt_guard::PromptGuard;
 use crate::prompt_queue::PromptQueue;
 use crate::store_cache::StoreCache;
 use adapter::{HostSettings, Store};
@@ -38,7 +38,7 @@
     /// Queue of prompts that wait for engines.
     pub prompt_queue: PromptQueue,
     /// Prompts at engines, and those that crash them.
-    pub prompt_guard: PromptGuard,
+    pub crash_guard: SharedCrashGuard,
     /// Started when the process begins to drain.
     pub draining: ShutdownSignal,
     store_contact_ms: AtomicU64,
@@ -68,7 +68,7 @@
             store_cache: StoreCache::new(log.clone()),
             fleet: Fleet::new(&settings),
             prompt_queue: PromptQueue::default(),
-            prompt_guard: PromptGuard::default(),
+            crash_guard: SharedCrashGuard::default(),
             draining: ShutdownSignal::default(),
             store_contact_ms: AtomicU64::new(0),
             failing_tables: AtomicUsize::new(0),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -3,9 +3,9 @@
 use crate::answer_body::read_body;
 use crate::attempt::AttemptError;
 use crate::call::Call;
+use crate::crash_guard::{BLOCKED_REASON, BLOCKED_RETRY_AFTER};
 use crate::engine_stream::{EngineStream, OpenError, StreamItem};
 use crate::plain::caller_response;
-use crate::prompt_guard::{BLOCKED_REASON, BLOCKED_RETRY_AFTER};
 use adapter::response_headers;
 use bytes::Bytes;
 use futures_lite::future::or;
--- a/crates/policy/src/blocked_parts.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -1,25 +1,25 @@
-//! Parts of prompts that crash engines and are refused, with their rows in the store.
+//! Suspects that crash servers and are refused, with their rows in the store.
 
-use proto::{BlockedPart, PartKey};
+use proto::{BlockedSuspect, Suspect};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Trials of a blocked part, over all gateways together.
+/// Trials of a blocked suspect, over all gateways together.
 const MAX_TRIALS: u32 = 3;
-/// Times from the block to the first trial, where one of several parts must be the cause and where
-/// only one part can be.
+/// Times from the block to the first trial, where one of several suspects must be the cause and where
+/// only one suspect can be.
 const TIED_TRIAL_DELAY: Duration = Duration::from_secs(1);
 const TRIAL_DELAY: Duration = Duration::from_secs(8);
-/// Times from the first trial to the second, and from there to the third. A part that does crash engines
+/// Times from the first trial to the second, and from there to the third. A suspect that does crash servers
 /// should not use up the trials while its requests of before the block may still be counted.
 const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(12);
 const THIRD_TRIAL_DELAY: Duration = Duration::from_secs(600);
-/// Parts that are blocked at the same time have their trials up to this much apart: the trial of the one
-/// that crashes engines would spoil another one at the same engine.
+/// Suspects that are blocked at the same time have their trials up to this much apart: the trial of the one
+/// that crashes servers would spoil another one at the same server.
 const MAX_TRIAL_OFFSET: Duration = Duration::from_secs(3);
-/// A prompt with several blocked parts is no trial until its trial is overdue for this long: prompts
+/// A request with several blocked suspects is no trial until its trial is overdue for this long: requests
 /// with only one of them tell more.
 const JOINT_TRIAL_DELAY: Duration = Duration::from_secs(5);
 /// Pause before a trial or a change of a row that did not succeed is tried again.
@@ -27,48 +27,57 @@
 /// Gateways that are not the first to remove or restore a row do so after this time, up to twice of it,
 /// if it was not done.
 const STAND_IN_DELAY: Duration = Duration::from_secs(4);
-/// A part of which no gateway has seen a prompt for this long is no longer blocked.
+/// A suspect of which no gateway has seen a request for this long is no longer blocked.
 const UNSEEN_LIFETIME: Duration = Duration::from_secs(600);
-/// Interval at which the row of a part that is still seen is written again.
+/// Interval at which the row of a suspect that is still seen is written again.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(60);
-/// Bound of the parts that are blocked; the one that was not seen for longest is dropped.
-const MAX_BLOCKED_PARTS: usize = 1_024;
+/// Bound of the suspects that are blocked; the one that was not seen for longest is dropped.
+const MAX_BLOCKED_SUSPECTS: usize = 1_024;
 
-/// Stored row of a blocked part.
+/// Stored row of a blocked suspect.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BlockedPartRow {
+pub struct BlockedRow {
     /// Trials that were begun.
     #[serde(default)]
     pub trials: u32,
 }
 
-/// A change of the row of a part in the store.
+/// Numbers of blocked suspects, by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BlockedCounts {
+    /// Parts of prompts.
+    pub parts: usize,
+    /// Requests.
+    pub requests: usize,
+}
+
+/// A change of the row of a suspect in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RowChange {
     /// Write it, if it has this version; 0 if there must be none.
     Put {
-        /// The part.
-        part: PartKey,
+        /// The suspect.
+        suspect: Suspect,
         /// The new content.
-        row: BlockedPartRow,
+        row: BlockedRow,
         /// Version that the row must have.
         version: u64,
     },
     /// Remove it.
     Remove {
-        /// The part.
-        part: PartKey,
+        /// The suspect.
+        suspect: Suspect,
     },
 }
 
-/// How a part came to be blocked at this gateway.
+/// How a suspect came to be blocked at this gateway.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct NewBlock {
     /// Since when it is blocked, anywhere.
     pub since: Duration,
     /// Revision of this gateway's news, if it was blocked by the evidence here.
     pub revision: Option<u64>,
-    /// Whether other parts fit the evidence as well.
+    /// Whether other suspects fit the evidence as well.
     pub is_tied: bool,
     /// Time after which this gateway writes the row unless it is seen before.
     pub write_after: Duration,
@@ -88,22 +97,22 @@
     revision: Option<u64>,
 }
 
-/// The blocked parts. Times are those of this gateway.
+/// The blocked suspects. Times are those of this gateway.
 #[derive(Debug, Default)]
-pub(crate) struct BlockedParts {
-    blocks: HashMap<PartKey, Block>,
-    /// Rows of released parts, and when to remove each unless that is seen before.
-    removals: HashMap<PartKey, Duration>,
+pub(crate) struct BlockedSuspects {
+    blocks: HashMap<Suspect, Block>,
+    /// Rows of released suspects, and when to remove each unless that is seen before.
+    removals: HashMap<Suspect, Duration>,
 }
 
-impl BlockedParts {
-    /// Blocks a part. Returns whether it was not blocked.
-    pub fn block(&mut self, part: PartKey, new: NewBlock, now: Duration) -> bool {
-        if self.blocks.contains_key(&part) {
+impl BlockedSuspects {
+    /// Blocks a suspect. Returns whether it was not blocked.
+    pub fn block(&mut self, suspect: Suspect, new: NewBlock, now: Duration) -> bool {
+        if self.blocks.contains_key(&suspect) {
             return false;
         }
         self.make_room();
-        self.removals.remove(&part);
+        self.removals.remove(&suspect);
         let trial_delay = if new.is_tied {
             TIED_TRIAL_DELAY
         } else {
@@ -113,61 +122,73 @@
             since: new.since,
             last_seen: now,
             trials: 0,
-            next_trial: now + trial_delay + trial_offset(part),
+            next_trial: now + trial_delay + trial_offset(suspect),
             row: None,
             write_at: Some(now + new.write_after),
             revision: new.revision,
         };
-        self.blocks.insert(part, block);
+        self.blocks.insert(suspect, block);
         true
     }
 
     fn make_room(&mut self) {
-        if self.blocks.len() < MAX_BLOCKED_PARTS {
+        if self.blocks.len() < MAX_BLOCKED_SUSPECTS {
             return;
         }
         let unseen = self.blocks.iter().min_by_key(|(_, block)| block.last_seen);
-        if let Some(part) = unseen.map(|(part, _)| *part) {
-            self.blocks.remove(&part);
+        if let Some(suspect) = unseen.map(|(suspect, _)| *suspect) {
+            self.blocks.remove(&suspect);
         }
     }
 
-    /// Releases a part. Its row is removed, soon if this gateway `is_first` to know. Returns whether the
-    /// part was blocked.
-    pub fn release(&mut self, part: PartKey, is_first: bool, now: Duration, jitter: f64) -> bool {
-        let Some(block) = self.blocks.remove(&part) else {
+    /// Releases a suspect. Its row is removed, soon if this gateway `is_first` to know. Returns whether the
+    /// suspect was blocked.
+    pub fn release(
+        &mut self,
+        suspect: Suspect,
+        is_first: bool,
+        now: Duration,
+        jitter: f64,
+    ) -> bool {
+        let Some(block) = self.blocks.remove(&suspect) else {
             return false;
         };
         if is_first {
-            self.removals.insert(part, now);
+            self.removals.insert(suspect, now);
         } else if block.row.is_some() {
-            self.expect_removal(part, now, jitter);
+            self.expect_removal(suspect, now, jitter);
         }
         true
     }
 
-    /// Removes the row of a part that is not blocked, if no other gateway does.
-    pub fn expect_removal(&mut self, part: PartKey, now: Duration, jitter: f64) {
+    /// Removes the row of a suspect that is not blocked, if no other gateway does.
+    pub fn expect_removal(&mut self, suspect: Suspect, now: Duration, jitter: f64) {
         let stand_in = STAND_IN_DELAY.mul_f64(1.0 + jitter);
-        self.removals.entry(part).or_insert(now + stand_in);
+        self.removals.entry(suspect).or_insert(now + stand_in);
     }
 
-    pub fn is_blocked(&self, part: PartKey) -> bool {
-        self.blocks.contains_key(&part)
+    pub fn is_blocked(&self, suspect: Suspect) -> bool {
+        self.blocks.contains_key(&suspect)
     }
 
-    pub fn len(&self) -> usize {
-        self.blocks.len()
+    pub fn counts(&self) -> BlockedCounts {
+        let suspects = self.blocks.keys();
+        let requests = suspects.filter(|suspect| matches!(suspect, Suspect::Request(_)));
+        let requests = requests.count();
+        BlockedCounts {
+            parts: self.blocks.len() - requests,
+            requests,
+        }
     }
 
-    /// Time since which a part is blocked.
-    pub fn since(&self, part: PartKey) -> Option<Duration> {
-        Some(self.blocks.get(&part)?.since)
+    /// Time since which a suspect is blocked.
+    pub fn since(&self, suspect: Suspect) -> Option<Duration> {
+        Some(self.blocks.get(&suspect)?.since)
     }
 
-    /// Records that a caller has sent a prompt with this part.
-    pub fn on_seen(&mut self, part: PartKey, now: Duration) {
-        let Some(block) = self.blocks.get_mut(&part) else {
+    /// Records that a caller has sent a request with this suspect.
+    pub fn on_seen(&mut self, suspect: Suspect, now: Duration) {
+        let Some(block) = self.blocks.get_mut(&suspect) else {
             return;
         };
         block.last_seen = now;
@@ -177,34 +198,34 @@
         }
     }
 
-    /// Begins a trial with a prompt that has these blocked parts, if one is due. The rows that are
-    /// returned must be written before the prompt is sent; all gateways together then make no more
+    /// Begins a trial with a request that has these blocked suspects, if one is due. The rows that are
+    /// returned must be written before the request is sent; all gateways together then make no more
     /// trials than are allowed.
-    pub fn begin_trial(&mut self, parts: &[PartKey], now: Duration) -> Option<Vec<RowChange>> {
-        let overdue = if parts.len() > 1 {
+    pub fn begin_trial(&mut self, suspects: &[Suspect], now: Duration) -> Option<Vec<RowChange>> {
+        let overdue = if suspects.len() > 1 {
             JOINT_TRIAL_DELAY
         } else {
             Duration::ZERO
         };
-        let is_due = |part: &PartKey| {
-            let block = self.blocks.get(part);
+        let is_due = |suspect: &Suspect| {
+            let block = self.blocks.get(suspect);
             block.is_some_and(|block| {
                 block.row.is_some()
                     && block.trials < MAX_TRIALS
                     && now >= block.next_trial + overdue
             })
         };
-        if parts.is_empty() || !parts.iter().all(is_due) {
+        if suspects.is_empty() || !suspects.iter().all(is_due) {
             return None;
         }
-        let claims = parts.iter().filter_map(|part| {
-            let block = self.blocks.get_mut(part)?;
+        let claims = suspects.iter().filter_map(|suspect| {
+            let block = self.blocks.get_mut(suspect)?;
             block.next_trial = now + RETRY_PAUSE;
             let (version, _) = block.row?;
             let trials = block.trials + 1;
-            let row = BlockedPartRow { trials };
+            let row = BlockedRow { trials };
             Some(RowChange::Put {
-                part: *part,
+                suspect: *suspect,
                 row,
                 version,
             })
@@ -213,19 +234,19 @@
     }
 
     /// Records that the row of a trial was written.
-    pub fn on_trial_claimed(&mut self, part: PartKey, now: Duration) {
-        if let Some(block) = self.blocks.get_mut(&part) {
+    pub fn on_trial_claimed(&mut self, suspect: Suspect, now: Duration) {
+        if let Some(block) = self.blocks.get_mut(&suspect) {
             block.trials += 1;
-            block.next_trial = now + delay_after(block.trials) + trial_offset(part);
+            block.next_trial = now + delay_after(block.trials) + trial_offset(suspect);
         }
     }
 
-    /// Records the row of a part as it was read from the store.
-    pub fn on_row(&mut self, part: PartKey, row: BlockedPartRow, version: u64, now: Duration) {
-        if let Some(block) = self.blocks.get_mut(&part) {
+    /// Records the row of a suspect as it was read from the store.
+    pub fn on_row(&mut self, suspect: Suspect, row: BlockedRow, version: u64, now: Duration) {
+        if let Some(block) = self.blocks.get_mut(&suspect) {
             if row.trials > block.trials {
                 block.trials = row.trials;
-                block.next_trial = now + delay_after(row.trials) + trial_offset(part);
+                block.next_trial = now + delay_after(row.trials) + trial_offset(suspect);
             }
             block.row = Some((version, now));
             block.write_at = None;
@@ -233,18 +254,18 @@
         }
     }
 
-    /// Records that a part has no row. Returns whether it had one before and is blocked.
-    pub fn on_row_removed(&mut self, part: PartKey) -> bool {
-        self.removals.remove(&part);
+    /// Records that a suspect has no row. Returns whether it had one before and is blocked.
+    pub fn on_row_removed(&mut self, suspect: Suspect) -> bool {
+        self.removals.remove(&suspect);
         self.blocks
-            .get(&part)
+            .get(&suspect)
             .is_some_and(|block| block.row.is_some())
     }
 
     /// Records a listing of the rows: those that are missing are written again.
-    pub fn on_listing(&mut self, listed: &[PartKey], now: Duration, jitter: f64) {
-        for (part, block) in &mut self.blocks {
-            if block.row.is_some() && !listed.contains(part) {
+    pub fn on_listing(&mut self, listed: &[Suspect], now: Duration, jitter: f64) {
+        for (suspect, block) in &mut self.blocks {
+            if block.row.is_some() && !listed.contains(suspect) {
                 block.row = None;
                 block.write_at = Some(now + STAND_IN_DELAY.mul_f64(jitter));
             }
@@ -252,60 +273,60 @@
     }
 
     /// Changes of rows that are due. Each counts as begun, and is repeated unless its effect is seen.
-    /// Parts that were not seen for long are released.
+    /// Suspects that were not seen for long are released.
     pub fn due_row_changes(&mut self, now: Duration) -> Vec<RowChange> {
         let unseen = self.blocks.iter();
         let unseen = unseen.filter(|(_, block)| now >= block.last_seen + UNSEEN_LIFETIME);
-        for part in unseen.map(|(part, _)| *part).collect::<Vec<_>>() {
-            self.release(part, true, now, 0.0);
+        for suspect in unseen.map(|(suspect, _)| *suspect).collect::<Vec<_>>() {
+            self.release(suspect, true, now, 0.0);
         }
         let mut changes = Vec::new();
-        for (part, block) in &mut self.blocks {
+        for (suspect, block) in &mut self.blocks {
             if block.write_at.is_some_and(|at| now >= at) {
                 block.write_at = Some(now + RETRY_PAUSE);
                 let version = block.row.map_or(0, |(version, _)| version);
-                let row = BlockedPartRow {
+                let row = BlockedRow {
                     trials: block.trials,
                 };
                 changes.push(RowChange::Put {
-                    part: *part,
+                    suspect: *suspect,
                     row,
                     version,
                 });
             }
         }
-        for (part, at) in &mut self.removals {
+        for (suspect, at) in &mut self.removals {
             if now >= *at {
                 *at = now + RETRY_PAUSE;
-                changes.push(RowChange::Remove { part: *part });
+                changes.push(RowChange::Remove { suspect: *suspect });
             }
         }
         changes
     }
 
-    /// Records that the row of a released part was removed.
-    pub fn on_removed(&mut self, part: PartKey) {
-        self.removals.remove(&part);
+    /// Records that the row of a released suspect was removed.
+    pub fn on_removed(&mut self, suspect: Suspect) {
+        self.removals.remove(&suspect);
     }
 
-    /// Blocked parts that peers have to hear of: those that this gateway has blocked by its own
+    /// Blocked suspects that peers have to hear of: those that this gateway has blocked by its own
     /// evidence after `revision`, or all for a peer that has heard of nothing.
-    pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> Vec<BlockedPart> {
+    pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> Vec<BlockedSuspect> {
         let blocks = self.blocks.iter().filter(|(_, block)| {
             revision.is_none_or(|heard| block.revision.is_some_and(|own| own > heard))
         });
-        let reports = blocks.map(|(part, block)| BlockedPart {
-            part: *part,
+        let reports = blocks.map(|(suspect, block)| BlockedSuspect {
+            suspect: *suspect,
             age: now.saturating_sub(block.since),
         });
         reports.collect()
     }
 }
 
-/// Time by which the trials of a part come later; the same at all gateways.
-fn trial_offset(part: PartKey) -> Duration {
+/// Time by which the trials of a suspect come later; the same at all gateways.
+fn trial_offset(suspect: Suspect) -> Duration {
     const STEPS: u64 = 1_024;
-    let step = xxh3_64(&part.to_le_bytes()) % STEPS;
+    let step = xxh3_64(&suspect.key().to_le_bytes()) % STEPS;
     MAX_TRIAL_OFFSET.mul_f64(step as f64 / STEPS as f64)
 }
 
--- a/crates/policy/src/part_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -1,42 +1,42 @@
-//! Keeps prompts with parts that crash engines away from engines.
+//! Keeps requests with suspects that crash servers away from servers.
 
-use crate::blocked_parts::{BlockedPartRow, BlockedParts, NewBlock, RowChange};
+use crate::blocked_suspects::{BlockedCounts, BlockedRow, BlockedSuspects, NewBlock, RowChange};
 use crate::crash_evidence::CrashEvidence;
 use crate::fleet_load::server_key;
-use crate::prompt_runs::{PromptRuns, RunId, RunProof};
 use crate::send_shares::SendShares;
-use proto::{BlockedPart, CrashReport, PartKey, PromptCrashFrame, ProvenPart};
+use crate::server_runs::{RunId, RunProof, ServerRuns};
+use proto::{BlockedSuspect, CrashFrame, CrashReport, ProvenSuspect, Suspect};
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Gateways that write the row of a part that is blocked: how many of them, in an order that differs for
-/// each part, and after which time if no row is seen before. All others write it last.
+/// Gateways that write the row of a suspect that is blocked: how many of them, in an order that differs for
+/// each suspect, and after which time if no row is seen before. All others write it last.
 const ROW_WRITERS: [(usize, Duration); 3] = [
     (2, Duration::ZERO),
     (8, Duration::from_millis(700)),
     (32, Duration::from_millis(1_400)),
 ];
 const LAST_WRITE_DELAY: Duration = Duration::from_secs(4);
-/// Rows of a part that are read within this time after it has proven harmless may be older than that.
+/// Rows of a suspect that are read within this time after it has proven harmless may be older than that.
 const STALE_ROW_SPAN: Duration = Duration::from_secs(10);
 /// Proofs that peers have to hear of are kept up to this number.
 const MAX_SHARED_PROOFS: usize = 512;
 
-/// Whether a prompt may be sent to an engine.
+/// Whether a request may be sent to a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PromptCheck {
+pub enum GuardVerdict {
     /// It may.
     Allowed,
-    /// It has this blocked part.
-    Blocked(PartKey),
-    /// It may once these rows are written, as a trial whether its blocked parts still crash engines.
+    /// It has this blocked suspect.
+    Blocked(Suspect),
+    /// It may once these rows are written, as a trial whether its blocked suspects still crash servers.
     Trial(Vec<RowChange>),
 }
 
-/// Why a part was blocked or released, for logs.
+/// Why a suspect was blocked or released, for logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GuardReason {
-    /// Engines crashed under it, or were seen not to.
+    /// Servers crashed under it, or were seen not to.
     Evidence,
     /// A peer says so.
     Peer,
@@ -44,11 +44,11 @@
     Row,
 }
 
-/// A part that was blocked or released.
+/// A suspect that was blocked or released.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GuardChange {
-    /// The part.
-    pub part: PartKey,
+    /// The suspect.
+    pub suspect: Suspect,
     /// Whether it is blocked now.
     pub is_blocked: bool,
     /// Why.
@@ -72,56 +72,56 @@
     revision: u64,
 }
 
-/// Decides which parts of prompts crash engines, from what this gateway sees and what its peers tell.
+/// Decides which suspects crash servers, from what this gateway sees and what its peers tell.
 ///
-/// Load pattern: each engine that begins to answer a prompt with one part crashes, and prompts with it
+/// Load pattern: each server that begins to answer a request with one suspect crashes, and requests with it
 /// come to all gateways, each of which sees a few crashes. Were they repeated and admitted as
-/// others, they would take down engine after engine, with all other requests there.
+/// others, they would take down server after server, with all other requests there.
 #[derive(Debug, Default)]
-pub struct PartGuard {
-    runs: PromptRuns,
+pub struct CrashGuard {
+    runs: ServerRuns,
     evidence: CrashEvidence,
-    blocked: BlockedParts,
-    shared_proofs: HashMap<PartKey, SharedProof>,
+    blocked: BlockedSuspects,
+    shared_proofs: HashMap<Suspect, SharedProof>,
     /// Whether crashes were reported that have not counted yet.
     is_review_due: bool,
     revision: u64,
 }
 
-impl PartGuard {
-    /// Checks a prompt that has come from a caller.
-    pub fn check(&mut self, parts: &[PartKey], now: Duration) -> PromptCheck {
-        let blocked: Vec<_> = self.blocked_among(parts).collect();
+impl CrashGuard {
+    /// Checks a request that has come from a caller.
+    pub fn check(&mut self, suspects: &[Suspect], now: Duration) -> GuardVerdict {
+        let blocked: Vec<_> = self.blocked_among(suspects).collect();
         let Some(first) = blocked.first().copied() else {
-            return PromptCheck::Allowed;
+            return GuardVerdict::Allowed;
         };
-        for part in &blocked {
-            self.blocked.on_seen(*part, now);
+        for suspect in &blocked {
+            self.blocked.on_seen(*suspect, now);
         }
         match self.blocked.begin_trial(&blocked, now) {
-            Some(claims) => PromptCheck::Trial(claims),
-            None => PromptCheck::Blocked(first),
+            Some(claims) => GuardVerdict::Trial(claims),
+            None => GuardVerdict::Blocked(first),
         }
     }
 
-    /// The first blocked part of a prompt.
-    pub fn blocked_part(&self, parts: &[PartKey]) -> Option<PartKey> {
-        self.blocked_among(parts).next()
+    /// The first blocked suspect of a request.
+    pub fn blocked_suspect(&self, suspects: &[Suspect]) -> Option<Suspect> {
+        self.blocked_among(suspects).next()
     }
 
-    /// Number of blocked parts.
-    pub fn blocked_parts(&self) -> usize {
-        self.blocked.len()
+    /// Numbers of blocked suspects.
+    pub fn blocked_counts(&self) -> BlockedCounts {
+        self.blocked.counts()
     }
 
     /// Records that the row of a trial was written, so that the trial may go on.
-    pub fn on_trial_claimed(&mut self, part: PartKey, now: Duration) {
-        self.blocked.on_trial_claimed(part, now);
+    pub fn on_trial_claimed(&mut self, suspect: Suspect, now: Duration) {
+        self.blocked.on_trial_claimed(suspect, now);
     }
 
-    /// Records that a prompt is sent to an engine.
-    pub fn start_run(&mut self, server: &str, parts: &[PartKey]) -> RunId {
-        self.runs.start(server, parts)
+    /// Records that a request is sent to a server.
+    pub fn start_run(&mut self, server: &str, suspects: &[Suspect]) -> RunId {
+        self.runs.start(server, suspects)
     }
 
     /// Records that an event of an answer has arrived.
@@ -141,7 +141,7 @@
     }
 
     /// Reviews what time has changed: crashes of which all gateways have told by now, and answers that
-    /// were complete some time ago at engines that have not crashed since.
+    /// were complete some time ago at servers that have not crashed since.
     pub fn review_all(&mut self, now: Duration, spread: Spread<'_>) -> Vec<GuardChange> {
         let proofs = self.runs.take_matured(now);
         let changes = proofs.iter().flat_map(|proof| self.on_proof(proof, now));
@@ -152,8 +152,8 @@
         changes
     }
 
-    /// Records that an engine crashed at `at`. Returns the parts of the prompts that may have caused it.
-    pub fn on_crash(&mut self, server: &str, at: Duration) -> Vec<PartKey> {
+    /// Records that a server crashed at `at`. Returns the suspects of the requests that may have caused it.
+    pub fn on_crash(&mut self, server: &str, at: Duration) -> Vec<Suspect> {
         let suspects = self.runs.suspects(server);
         let own = Some(self.revision + 1);
         if self
@@ -169,16 +169,16 @@
     /// Records what a peer tells.
     pub fn on_peer_frame(
         &mut self,
-        frame: &PromptCrashFrame,
+        frame: &CrashFrame,
         now: Duration,
         spread: Spread<'_>,
     ) -> Vec<GuardChange> {
         let mut changes = Vec::new();
         for proven in &frame.proven {
             let began = now.saturating_sub(proven.age);
-            self.evidence.add_proof(proven.part, began);
+            self.evidence.add_proof(proven.suspect, began);
             changes.extend(self.release_proven(
-                proven.part,
+                proven.suspect,
                 began,
                 GuardReason::Peer,
                 now,
@@ -192,7 +192,7 @@
             let at = now.saturating_sub(crash.age);
             let is_news = self
                 .evidence
-                .add_crash(crash.server, &crash.parts, at, None);
+                .add_crash(crash.server, &crash.suspects, at, None);
             self.is_review_due |= is_news;
         }
         changes
@@ -200,51 +200,51 @@
 
     fn on_peer_block(
         &mut self,
-        report: &BlockedPart,
+        report: &BlockedSuspect,
         now: Duration,
         spread: Spread<'_>,
     ) -> Option<GuardChange> {
         let since = now.saturating_sub(report.age);
-        if let Some(began) = self.evidence.proven_at(report.part)
+        if let Some(began) = self.evidence.proven_at(report.suspect)
             && began >= since
         {
-            self.share_proof(report.part, began);
+            self.share_proof(report.suspect, began);
             return None;
         }
         let block = NewBlock {
             since,
             revision: None,
             is_tied: false,
-            write_after: write_delay(report.part, spread),
+            write_after: write_delay(report.suspect, spread),
         };
-        let is_new = self.blocked.block(report.part, block, now);
-        is_new.then(|| self.change(report.part, true, GuardReason::Peer))
+        let is_new = self.blocked.block(report.suspect, block, now);
+        is_new.then(|| self.change(report.suspect, true, GuardReason::Peer))
     }
 
-    /// Records the row of a part, or with `None` that it was removed.
+    /// Records the row of a suspect, or with `None` that it was removed.
     pub fn on_row(
         &mut self,
-        part: PartKey,
-        row: Option<BlockedPartRow>,
+        suspect: Suspect,
+        row: Option<BlockedRow>,
         version: u64,
         now: Duration,
         jitter: f64,
     ) -> Option<GuardChange> {
         let Some(row) = row else {
-            let is_released =
-                self.blocked.on_row_removed(part) && self.blocked.release(part, true, now, jitter);
-            self.blocked.on_removed(part);
+            let is_released = self.blocked.on_row_removed(suspect)
+                && self.blocked.release(suspect, true, now, jitter);
+            self.blocked.on_removed(suspect);
             if is_released {
-                self.evidence.add_proof(part, now);
+                self.evidence.add_proof(suspect, now);
             }
-            return is_released.then(|| self.change(part, false, GuardReason::Row));
+            return is_released.then(|| self.change(suspect, false, GuardReason::Row));
         };
-        if !self.blocked.is_blocked(part)
+        if !self.blocked.is_blocked(suspect)
             && self
                 .evidence
-                .is_proven_since(part, now.saturating_sub(STALE_ROW_SPAN))
+                .is_proven_since(suspect, now.saturating_sub(STALE_ROW_SPAN))
         {
-            self.blocked.expect_removal(part, now, jitter);
+            self.blocked.expect_removal(suspect, now, jitter);
             return None;
         }
         let block = NewBlock {
@@ -253,13 +253,13 @@
             is_tied: false,
             write_after: Duration::ZERO,
         };
-        let is_new = self.blocked.block(part, block, now);
-        self.blocked.on_row(part, row, version, now);
-        is_new.then(|| self.change(part, true, GuardReason::Row))
+        let is_new = self.blocked.block(suspect, block, now);
+        self.blocked.on_row(suspect, row, version, now);
+        is_new.then(|| self.change(suspect, true, GuardReason::Row))
     }
 
-    /// Records which parts have rows, by a listing of all rows.
-    pub fn on_row_listing(&mut self, listed: &[PartKey], now: Duration, jitter: f64) {
+    /// Records which suspects have rows, by a listing of all rows.
+    pub fn on_row_listing(&mut self, listed: &[Suspect], now: Duration, jitter: f64) {
         self.blocked.on_listing(listed, now, jitter);
     }
 
@@ -268,9 +268,9 @@
         self.blocked.due_row_changes(now)
     }
 
-    /// Records that the row of a released part was removed.
-    pub fn on_row_removed(&mut self, part: PartKey) {
-        self.blocked.on_removed(part);
+    /// Records that the row of a released suspect was removed.
+    pub fn on_row_removed(&mut self, suspect: Suspect) {
+        self.blocked.on_removed(suspect);
     }
 
     /// Number of the last change that peers have to hear of.
@@ -280,22 +280,23 @@
 
     /// What peers have to hear of that have heard of `revision`, or of nothing yet, and the present
     /// revision.
-    pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> (PromptCrashFrame, u64) {
+    pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> (CrashFrame, u64) {
         let heard = revision.unwrap_or(0);
         let crashes = self.evidence.crashes();
-        let crashes = crashes.filter(|crash| crash.revision > heard && !crash.own_parts.is_empty());
+        let crashes =
+            crashes.filter(|crash| crash.revision > heard && !crash.own_suspects.is_empty());
         let crashes = crashes.map(|crash| CrashReport {
             server: crash.server,
-            parts: crash.own_parts.clone(),
+            suspects: crash.own_suspects.clone(),
             age: now.saturating_sub(crash.at),
         });
         let proofs = self.shared_proofs.iter();
         let proofs = proofs.filter(|(_, proof)| proof.revision > heard);
-        let proofs = proofs.map(|(part, proof)| ProvenPart {
-            part: *part,
+        let proofs = proofs.map(|(suspect, proof)| ProvenSuspect {
+            suspect: *suspect,
             age: now.saturating_sub(proof.began),
         });
-        let frame = PromptCrashFrame {
+        let frame = CrashFrame {
             crashes: crashes.collect(),
             proven: proofs.collect(),
             blocked: self.blocked.changed_since(revision, now),
@@ -303,88 +304,88 @@
         (frame, self.revision)
     }
 
-    fn blocked_among(&self, parts: &[PartKey]) -> impl Iterator<Item = PartKey> {
-        let parts = parts.iter().copied();
-        parts.filter(|part| self.blocked.is_blocked(*part))
+    fn blocked_among(&self, suspects: &[Suspect]) -> impl Iterator<Item = Suspect> {
+        let suspects = suspects.iter().copied();
+        suspects.filter(|suspect| self.blocked.is_blocked(*suspect))
     }
 
-    /// Blocks the parts that the evidence names.
+    /// Blocks the suspects that the evidence names.
     fn review(&mut self, now: Duration, spread: Spread<'_>) -> Vec<GuardChange> {
         let causes = self
             .evidence
-            .causes(|part| self.blocked.is_blocked(part), now);
+            .causes(|suspect| self.blocked.is_blocked(suspect), now);
         self.is_review_due = self.evidence.is_unsettled(now);
         let mut changes = Vec::new();
         let is_tied = causes.len() > 1;
-        for part in &causes {
+        for suspect in &causes {
             self.revision += 1;
             let block = NewBlock {
                 since: now,
                 revision: Some(self.revision),
                 is_tied,
-                write_after: write_delay(*part, spread),
+                write_after: write_delay(*suspect, spread),
             };
-            self.blocked.block(*part, block, now);
-            changes.push(self.change(*part, true, GuardReason::Evidence));
+            self.blocked.block(*suspect, block, now);
+            changes.push(self.change(*suspect, true, GuardReason::Evidence));
         }
         changes
     }
 
     fn on_proof(&mut self, proof: &RunProof, now: Duration) -> Vec<GuardChange> {
         let mut changes = Vec::new();
-        for part in &proof.parts {
-            // Peers that suspect or block the part have to hear of it.
+        for suspect in &proof.suspects {
+            // Peers that suspect or block the suspect have to hear of it.
             let is_needed =
-                self.blocked.is_blocked(*part) || self.evidence.crashes_under(*part) > 0;
-            if self.evidence.add_proof(*part, proof.began) && is_needed {
-                self.share_proof(*part, proof.began);
+                self.blocked.is_blocked(*suspect) || self.evidence.crashes_under(*suspect) > 0;
+            if self.evidence.add_proof(*suspect, proof.began) && is_needed {
+                self.share_proof(*suspect, proof.began);
             }
             let reason = GuardReason::Evidence;
-            changes.extend(self.release_proven(*part, proof.began, reason, now, 0.0));
+            changes.extend(self.release_proven(*suspect, proof.began, reason, now, 0.0));
         }
         changes
     }
 
-    /// Releases a part with which an answer began at `began` that has not crashed its engine, if that
-    /// was after all that speaks against the part.
+    /// Releases a suspect with which an answer began at `began` that has not crashed its server, if that
+    /// was after all that speaks against the suspect.
     fn release_proven(
         &mut self,
-        part: PartKey,
+        suspect: Suspect,
         began: Duration,
         reason: GuardReason,
         now: Duration,
         jitter: f64,
     ) -> Option<GuardChange> {
-        let since = self.blocked.since(part)?;
+        let since = self.blocked.since(suspect)?;
         if began < since {
             return None;
         }
-        let change = self.change(part, false, reason);
+        let change = self.change(suspect, false, reason);
         let is_first = reason == GuardReason::Evidence;
-        self.blocked.release(part, is_first, now, jitter);
+        self.blocked.release(suspect, is_first, now, jitter);
         Some(change)
     }
 
-    fn share_proof(&mut self, part: PartKey, began: Duration) {
+    fn share_proof(&mut self, suspect: Suspect, began: Duration) {
         if self.shared_proofs.len() >= MAX_SHARED_PROOFS {
             let oldest = self
                 .shared_proofs
                 .iter()
                 .min_by_key(|(_, proof)| proof.began);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+            if let Some(oldest) = oldest.map(|(suspect, _)| *suspect) {
                 self.shared_proofs.remove(&oldest);
             }
         }
         self.revision += 1;
         let revision = self.revision;
         self.shared_proofs
-            .insert(part, SharedProof { began, revision });
+            .insert(suspect, SharedProof { began, revision });
     }
 
-    fn change(&self, part: PartKey, is_blocked: bool, reason: GuardReason) -> GuardChange {
-        let crashes = self.evidence.crashes_under(part);
+    fn change(&self, suspect: Suspect, is_blocked: bool, reason: GuardReason) -> GuardChange {
+        let crashes = self.evidence.crashes_under(suspect);
         GuardChange {
-            part,
+            suspect,
             is_blocked,
             reason,
             crashes,
@@ -392,10 +393,10 @@
     }
 }
 
-/// Time after which a gateway writes the row of a part that it has blocked.
-fn write_delay(part: PartKey, spread: Spread<'_>) -> Duration {
+/// Time after which a gateway writes the row of a suspect that it has blocked.
+fn write_delay(suspect: Suspect, spread: Spread<'_>) -> Duration {
     let mut writers = ROW_WRITERS.iter();
-    let own = writers.find(|(count, _)| spread.shares.is_among_first(part, *count));
+    let own = writers.find(|(count, _)| spread.shares.is_among_first(suspect.key(), *count));
     own.map_or(
         LAST_WRITE_DELAY.mul_f64(1.0 + spread.jitter),
         |(_, delay)| *delay,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,7 +21,7 @@
 mod admission;
 mod affinity;
 mod baseline;
-mod blocked_parts;
+mod blocked_suspects;
 mod candidates;
 mod claim_event;
 mod claim_op;
@@ -35,6 +35,7 @@
 mod config_gossip;
 mod config_rows;
 mod crash_evidence;
+mod crash_guard;
 mod dispatch;
 mod domain_tracker;
 mod engine_choice;
@@ -56,11 +57,9 @@
 mod memory_reconcile;
 mod neighbours;
 mod order_controller;
-mod part_guard;
 mod placement;
 mod plain_choice;
 pub mod prelude;
-mod prompt_runs;
 mod queue;
 mod rates;
 mod request_key;
@@ -79,6 +78,7 @@
 mod server_lease;
 mod server_load;
 mod server_pauses;
+mod server_runs;
 mod server_set;
 mod sliding_window;
 mod span_leader;
@@ -90,7 +90,7 @@
 
 pub use active_config::ActiveConfig;
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
-pub use blocked_parts::{BlockedPartRow, RowChange};
+pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use claim_event::{
     ClaimAction, ClaimConfig, ClaimCounts, ClaimEvent, ClaimRequest, ClaimWrite, CommitFailure,
     TableCallId, VersionedRow,
@@ -108,6 +108,7 @@
     command_key, history_key,
 };
 pub use crash_evidence::CrashEvidence;
+pub use crash_guard::{CrashGuard, GuardChange, GuardReason, GuardVerdict, Spread};
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
 pub use engine_choice::{
     EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements,
@@ -138,10 +139,8 @@
     DesiredState, EngineRole, EngineState, MAX_ORDER_BACKOFF, ModelVersion, Order, OrderAction,
     OrderConfig, OrderController, OrderEvent, OrderResult,
 };
-pub use part_guard::{GuardChange, GuardReason, PartGuard, PromptCheck, Spread};
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
-pub use prompt_runs::{PromptRuns, RunId, RunProof};
 pub use rates::WarmSpeed;
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
@@ -166,6 +165,7 @@
     LeaseAction, LeaseCommitResult, LeaseEvent, LeaseRow, ServerLease, ServerLeaseConfig,
 };
 pub use server_pauses::ServerPauses;
+pub use server_runs::{RunId, RunProof, ServerRuns};
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
 pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
 pub use span_leader::SpanLeader;
--- a/crates/policy/src/prompt_runs.rs
+++ b/crates/policy/src/server_runs.rs
@@ -1,39 +1,39 @@
-//! Prompts that this gateway has sent to engines and whose answers are under way.
+//! Requests that this gateway has sent to servers and whose answers are under way.
 
 use crate::fleet_load::server_key;
-use proto::{PartKey, ServerKey};
+use proto::{ServerKey, Suspect};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-/// Number of a run of a prompt at an engine.
+/// Number of a run of a request at a server.
 pub type RunId = u64;
 
-/// An engine that has sent events of an answer for this long, and `PROOF_EVENTS` of them, was not
-/// crashed by the prompt. A prompt that crashes engines does so with the first tokens of its answer,
-/// which take longer on an engine that is busy or has just started.
+/// A server that has sent events of an answer for this long, and `PROOF_EVENTS` of them, was not
+/// crashed by the request. A request that crashes servers does so with the first tokens of its answer,
+/// which take longer on a server that is busy or has just started.
 const PROOF_TIME: Duration = Duration::from_millis(500);
 const PROOF_EVENTS: u32 = 6;
 
-/// An answer that was complete proves the same after this time, if its engine has not crashed by then.
+/// An answer that was complete proves the same after this time, if its server has not crashed by then.
 const COMPLETE_PROOF_TIME: Duration = Duration::from_millis(1_500);
 /// Bound of the complete answers that are kept for that; the oldest is dropped.
 const MAX_COMPLETE_RUNS: usize = 1_024;
 
-/// One run of a prompt at one engine.
+/// One run of a request at one server.
 #[derive(Debug)]
 struct Run {
     server: ServerKey,
-    parts: Box<[PartKey]>,
+    suspects: Box<[Suspect]>,
     first_event_at: Option<Duration>,
     events: u32,
     is_proven: bool,
 }
 
-/// Shared parts of a prompt that an engine answers without harm.
+/// Suspects of a request that a server answers without harm.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunProof {
-    /// The parts.
-    pub parts: Box<[PartKey]>,
+    /// The suspects.
+    pub suspects: Box<[Suspect]>,
     /// When the answer began.
     pub began: Duration,
 }
@@ -46,23 +46,23 @@
     completed_at: Duration,
 }
 
-/// Runs of prompts at engines, by which the ones that may have crashed an engine are known.
+/// Runs of requests at servers, by which the ones that may have crashed a server are known.
 #[derive(Debug, Default)]
-pub struct PromptRuns {
+pub struct ServerRuns {
     runs: HashMap<RunId, Run>,
     /// In the order of their ends.
     complete: VecDeque<CompleteRun>,
     next_id: RunId,
 }
 
-impl PromptRuns {
-    /// Records that a prompt with these shared parts is sent to an engine.
-    pub fn start(&mut self, server: &str, parts: &[PartKey]) -> RunId {
+impl ServerRuns {
+    /// Records that a request with these suspects is sent to a server.
+    pub fn start(&mut self, server: &str, suspects: &[Suspect]) -> RunId {
         let id = self.next_id;
         self.next_id += 1;
         let run = Run {
             server: server_key(server),
-            parts: parts.into(),
+            suspects: suspects.into(),
             first_event_at: None,
             events: 0,
             is_proven: false,
@@ -71,8 +71,8 @@
         id
     }
 
-    /// Records that events of the answer have arrived. Returns, once for each run, that the prompt has
-    /// not crashed the engine.
+    /// Records that events of the answer have arrived. Returns, once for each run, that the request has
+    /// not crashed the server.
     pub fn on_events(&mut self, id: RunId, events: u32, now: Duration) -> Option<RunProof> {
         let run = self.runs.get_mut(&id)?;
         let began = *run.first_event_at.get_or_insert(now);
@@ -82,7 +82,7 @@
         }
         run.is_proven = true;
         Some(RunProof {
-            parts: run.parts.clone(),
+            suspects: run.suspects.clone(),
             began,
         })
     }
@@ -98,14 +98,14 @@
         self.complete.push_back(CompleteRun {
             server: run.server,
             proof: RunProof {
-                parts: run.parts,
+                suspects: run.suspects,
                 began: run.first_event_at.unwrap_or(now),
             },
             completed_at: now,
         });
     }
 
-    /// Proofs of answers that were complete some time ago, at engines that have not crashed since.
+    /// Proofs of answers that were complete some time ago, at servers that have not crashed since.
     pub fn take_matured(&mut self, now: Duration) -> Vec<RunProof> {
         let complete = &self.complete;
         let is_mature = |run: &CompleteRun| now >= run.completed_at + COMPLETE_PROOF_TIME;
@@ -119,21 +119,23 @@
         self.runs.remove(&id);
     }
 
-    /// Shared parts of the prompts that may have crashed an engine which has just crashed, in order and
+    /// Suspects of the requests that may have crashed a server which has just crashed, in order and
     /// without duplicates.
-    pub fn suspects(&mut self, server: &str) -> Vec<PartKey> {
+    pub fn suspects(&mut self, server: &str) -> Vec<Suspect> {
         let server = server_key(server);
         let runs = self.runs.values();
         let suspects = runs.filter(|run| run.server == server && !run.is_proven);
-        let mut parts: Vec<_> = suspects.flat_map(|run| run.parts.iter().copied()).collect();
+        let mut suspects: Vec<_> = suspects
+            .flat_map(|run| run.suspects.iter().copied())
+            .collect();
         self.complete.retain(|run| {
             if run.server == server {
-                parts.extend(&run.proof.parts);
+                suspects.extend(&run.proof.suspects);
             }
             run.server != server
         });
-        parts.sort_unstable();
-        parts.dedup();
-        parts
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
     }
 }
--- a/crates/policy/tests/crashes/mod.rs
+++ b/crates/policy/tests/crashes/mod.rs
@@ -1,15 +1,15 @@
 //! A world of gateways, engines, callers and a store, one millisecond after the other.
 
-use policy::{BlockedPartRow, PartGuard, PromptCheck, RowChange, RunId, SendShares, Spread};
-use proto::{PartKey, PromptCrashFrame};
+use policy::{BlockedRow, CrashGuard, GuardVerdict, RowChange, RunId, SendShares, Spread};
+use proto::{CrashFrame, Suspect};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng as _, SeedableRng as _};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-pub const FATAL_PART: PartKey = 0xbad0;
-const COMMON_PART: PartKey = 0xa1;
+pub const FATAL_PART: Suspect = Suspect::Part(0xbad0);
+const COMMON_PART: Suspect = Suspect::Part(0xa1);
 const ENGINES: usize = 12;
 const DOMAINS: usize = 3;
 /// Crashes after which the users of the platform count, and the time that gateways have then.
@@ -75,14 +75,14 @@
 struct Run {
     gateway: usize,
     run: RunId,
-    parts: Vec<PartKey>,
+    parts: Vec<Suspect>,
     begins_at: u64,
     events: u32,
     tries: usize,
 }
 
 struct Gateway {
-    guard: PartGuard,
+    guard: CrashGuard,
     started_at: u64,
     /// Time that it was frozen, which its clock does not count.
     frozen_ms: u64,
@@ -98,9 +98,9 @@
     gateways: Vec<Gateway>,
     engines: Vec<Engine>,
     next_engine: usize,
-    rows: BTreeMap<PartKey, (Option<BlockedPartRow>, u64)>,
+    rows: BTreeMap<Suspect, (Option<BlockedRow>, u64)>,
     version: u64,
-    frames: BTreeMap<u64, Vec<(usize, usize, PromptCrashFrame)>>,
+    frames: BTreeMap<u64, Vec<(usize, usize, CrashFrame)>>,
     /// Times of crashes.
     pub crashes: Vec<u64>,
     fatal_crashes: Vec<u64>,
@@ -182,11 +182,11 @@
     }
 
     /// Parts that any gateway blocks.
-    pub fn blocked_parts(&self) -> BTreeSet<PartKey> {
+    pub fn blocked_suspects(&self) -> BTreeSet<Suspect> {
         let gateways = self.gateways.iter();
         let frames = gateways.map(|gateway| gateway.guard.changed_since(None, Duration::ZERO).0);
         let blocked = frames.flat_map(|frame| frame.blocked);
-        blocked.map(|blocked| blocked.part).collect()
+        blocked.map(|blocked| blocked.suspect).collect()
     }
 
     fn clock(&self, gateway: usize) -> Duration {
@@ -251,17 +251,17 @@
             } else {
                 self.rng.random_range(0..10)
             };
-            self.request(&[team, FATAL_PART]);
+            self.request(&[Suspect::Part(team), FATAL_PART]);
         }
         let sound_rate = if is_seldom { 0.03 } else { 0.036 };
         if self.rng.random_bool(sound_rate) {
             let team = self.rng.random_range(0..10);
             let subject = self.rng.random_range(100..140);
-            self.request(&[team, subject]);
+            self.request(&[team, subject].map(Suspect::Part));
         }
     }
 
-    fn request(&mut self, parts: &[PartKey]) {
+    fn request(&mut self, parts: &[Suspect]) {
         let mut parts = parts.to_vec();
         if self.callers == Callers::CommonPart {
             parts.insert(0, COMMON_PART);
@@ -273,13 +273,13 @@
     }
 
     /// Sends a prompt to a random engine, unless the gateway refuses it.
-    fn send(&mut self, gateway: usize, parts: Vec<PartKey>, tries: usize) {
+    fn send(&mut self, gateway: usize, parts: Vec<Suspect>, tries: usize) {
         let now = self.clock(gateway);
         let check = self.gateways[gateway].guard.check(&parts, now);
         let allowed = match check {
-            PromptCheck::Allowed => true,
-            PromptCheck::Blocked(_) => false,
-            PromptCheck::Trial(claims) => self.claim(gateway, &claims),
+            GuardVerdict::Allowed => true,
+            GuardVerdict::Blocked(_) => false,
+            GuardVerdict::Trial(claims) => self.claim(gateway, &claims),
         };
         let is_fatal = parts.contains(&FATAL_PART);
         if !is_fatal && tries == 1 {
@@ -315,7 +315,7 @@
         let now = self.clock(gateway);
         let claimed = claims.iter().all(|claim| self.write_row(*claim));
         for claim in claims {
-            if let (RowChange::Put { part, .. }, true) = (claim, claimed) {
+            if let (RowChange::Put { suspect: part, .. }, true) = (claim, claimed) {
                 self.gateways[gateway].guard.on_trial_claimed(*part, now);
             }
         }
@@ -327,12 +327,16 @@
             return false;
         }
         let (part, row, is_expected) = match change {
-            RowChange::Put { part, row, version } => {
+            RowChange::Put {
+                suspect: part,
+                row,
+                version,
+            } => {
                 let known = self.rows.get(&part).filter(|(row, _)| row.is_some());
                 let known = known.map_or(0, |(_, version)| *version);
                 (part, Some(row), known == version)
             }
-            RowChange::Remove { part } => (part, None, self.rows.contains_key(&part)),
+            RowChange::Remove { suspect: part } => (part, None, self.rows.contains_key(&part)),
         };
         if is_expected {
             self.version += 1;
@@ -424,7 +428,7 @@
             );
             for change in guard.due_row_changes(clock) {
                 let is_done = self.write_row(change);
-                if let (RowChange::Remove { part }, true) = (change, is_done) {
+                if let (RowChange::Remove { suspect: part }, true) = (change, is_done) {
                     self.gateways[index].guard.on_row_removed(part);
                 }
             }
@@ -491,7 +495,7 @@
 
 fn gateway(started_at: u64) -> Gateway {
     Gateway {
-        guard: PartGuard::default(),
+        guard: CrashGuard::default(),
         started_at,
         frozen_ms: 0,
         sent: None,
--- a/crates/policy/tests/prompt_part_crashes.rs
+++ b/crates/policy/tests/prompt_part_crashes.rs
@@ -35,11 +35,11 @@
         );
         assert!(
             world
-                .blocked_parts()
+                .blocked_suspects()
                 .iter()
                 .all(|part| *part == crashes::FATAL_PART),
             "seed {seed}: {:x?}",
-            world.blocked_parts()
+            world.blocked_suspects()
         );
     }
 }
@@ -113,14 +113,15 @@
 /// Parts are many, and each crash names others.
 #[test]
 fn memory_stays_bounded_when_parts_are_many() {
-    use policy::{PartGuard, SendShares, Spread};
+    use policy::{CrashGuard, SendShares, Spread};
+    use proto::Suspect;
     use std::time::Duration;
-    let mut guard = PartGuard::default();
+    let mut guard = CrashGuard::default();
     let shares = SendShares::new("gateway-1", std::iter::empty());
     for n in 0..20_000_u64 {
         let now = Duration::from_millis(40 * n);
         let server = format!("engine-{n}");
-        let run = guard.start_run(&server, &[n, n + 1]);
+        let run = guard.start_run(&server, &[n, n + 1].map(Suspect::Part));
         guard.on_crash(&server, now);
         guard.end_run(run);
         guard.review_all(
@@ -133,5 +134,5 @@
     }
     let (frame, _) = guard.changed_since(None, Duration::from_secs(800));
     assert!(frame.crashes.len() <= 128 && frame.proven.len() <= 512);
-    assert!(guard.blocked_parts() <= 1_024);
+    assert!(guard.blocked_counts().parts <= 1_024);
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -15,12 +15,12 @@
 
 mod codec;
 mod control;
+mod crash;
 mod hints;
 mod ids;
 mod load;
 mod opening;
 pub mod prelude;
-mod prompt_crash;
 mod request;
 mod span;
 mod timeline;
@@ -30,6 +30,9 @@
     ConfigChange, ConfigContent, ConfigMessage, ConfigSummary, ConfigWant, LendAnswer, LendRequest,
     NodeSighting, QueryAnswer, QueryRequest,
 };
+pub use crash::{
+    BlockedSuspect, CrashFrame, CrashReport, PartKey, ProvenSuspect, RequestKey, Suspect,
+};
 pub use hints::{CacheHint, Hints, Warmth};
 pub use ids::{
     AttemptId, ConfigVersion, DomainId, Epoch, GrantId, HostId, ModelId, NodeId, OperatorId,
@@ -40,9 +43,6 @@
     StoreSnapshot, StoreVersions,
 };
 pub use opening::StreamOpening;
-pub use prompt_crash::{
-    BlockedPart, CrashReport, PartKey, PromptCrashFrame, ProvenPart, RequestKey,
-};
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -54,7 +54,9 @@
     /// Request limits that backend servers state to the sender. [`crate::RequestLimitFrame`]s follow,
     /// nothing comes back.
     RequestLimits,
-    /// Crashes of engines under the sender's prompts, and parts of prompts that crash engines.
-    /// [`crate::PromptCrashFrame`]s follow, nothing comes back.
+    /// Opened by earlier builds only, and refused.
     PromptCrashes,
+    /// Crashes of servers under the sender's requests, and what crashes servers.
+    /// [`crate::CrashFrame`]s follow, nothing comes back.
+    Crashes,
 }
