Tell peers whether a blocked suspect was one of several that fitted

Cause: where several suspects fit the evidence, all are blocked and tried after one second; a gateway that heard of the block from a peer or from a row took it for the only one and waited eight. Since calls review the evidence when they are sent again, a gateway is told by a peer more often than it finds out by itself. Change: frames and rows of blocked suspects say whether others fitted.

--- a/crates/policy/src/blocked_suspects.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -42,6 +42,9 @@
     /// Trials that were begun.
     #[serde(default)]
     pub trials: u32,
+    /// Whether other suspects fitted the evidence as well.
+    #[serde(default)]
+    pub is_tied: bool,
 }
 
 /// Numbers of blocked suspects, by kind.
@@ -88,6 +91,7 @@
 #[derive(Debug)]
 struct Block {
     since: Duration,
+    is_tied: bool,
     last_seen: Duration,
     trials: u32,
     next_trial: Duration,
@@ -122,6 +126,7 @@
         };
         let block = Block {
             since: new.since,
+            is_tied: new.is_tied,
             last_seen: now,
             trials: 0,
             next_trial: now + trial_delay + trial_offset(suspect),
@@ -230,8 +235,10 @@
             let block = self.blocks.get_mut(suspect)?;
             block.next_trial = now + RETRY_PAUSE;
             let (version, _) = block.row?;
-            let trials = block.trials + 1;
-            let row = BlockedRow { trials };
+            let row = BlockedRow {
+                trials: block.trials + 1,
+                is_tied: block.is_tied,
+            };
             Some(RowChange::Put {
                 suspect: *suspect,
                 row,
@@ -295,6 +302,7 @@
                 let version = block.row.map_or(0, |(version, _)| version);
                 let row = BlockedRow {
                     trials: block.trials,
+                    is_tied: block.is_tied,
                 };
                 changes.push(RowChange::Put {
                     suspect: *suspect,
@@ -325,6 +333,7 @@
         });
         let reports = blocks.map(|(suspect, block)| BlockedSuspect {
             suspect: *suspect,
+            is_tied: block.is_tied,
             age: now.saturating_sub(block.since),
         });
         reports.collect()
--- a/crates/policy/src/crash_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -220,7 +220,7 @@
         let block = NewBlock {
             since,
             revision: None,
-            is_tied: false,
+            is_tied: report.is_tied,
             write_after: write_delay(report.suspect, spread),
         };
         let is_new = self.blocked.block(report.suspect, block, now);
@@ -256,7 +256,7 @@
         let block = NewBlock {
             since: now,
             revision: None,
-            is_tied: false,
+            is_tied: row.is_tied,
             write_after: Duration::ZERO,
         };
         let is_new = self.blocked.block(suspect, block, now);
--- a/crates/policy/tests/request_crashes.rs
+++ b/crates/policy/tests/request_crashes.rs
@@ -3,7 +3,7 @@
 mod crashes;
 
 use crashes::{Callers, FATAL_REQUEST, Faults, Service, World};
-use policy::{CrashGuard, GuardVerdict, SendShares, Spread};
+use policy::{BlockedRow, CrashGuard, GuardVerdict, SendShares, Spread};
 use proto::Suspect;
 use std::time::Duration;
 
@@ -229,3 +229,32 @@
     assert!(frame.crashes.len() <= 128 && frame.proven.len() <= 512);
     assert!(guarded.guard.blocked_counts().requests <= 1_024);
 }
+
+/// A gateway that heard of a blocked part by its peer made the first trial seven seconds later than the
+/// peer would have, which got no prompts for one.
+#[test]
+fn a_trial_comes_as_soon_at_gateways_that_were_told_of_the_block() {
+    let (mut first, mut told) = (Guarded::new(), Guarded::new());
+    for n in 0..5 {
+        let run_suspects = [n, 7, 8].map(Suspect::Part);
+        let server = format!("engine-{n}");
+        let run = first.guard.start_run(&server, &run_suspects);
+        first.guard.on_crash(&server, at(100 * n));
+        first.guard.end_run(run);
+    }
+    first.review(at(1_000));
+    let (frame, _) = first.guard.changed_since(None, at(1_000));
+    let spread = Spread {
+        shares: &told.shares,
+        jitter: 0.5,
+    };
+    told.guard.on_peer_frame(&frame, at(1_000), spread);
+    let row = BlockedRow {
+        trials: 0,
+        is_tied: true,
+    };
+    told.guard
+        .on_row(Suspect::Part(7), Some(row), 1, at(1_100), 0.5);
+    let verdict = told.guard.check(&[Suspect::Part(7)], at(5_100));
+    assert!(matches!(verdict, GuardVerdict::Trial(_)), "{verdict:?}");
+}
--- a/crates/proto/src/crash.rs
+++ b/crates/proto/src/crash.rs
@@ -53,6 +53,8 @@
 pub struct BlockedSuspect {
     /// The suspect.
     pub suspect: Suspect,
+    /// Whether other suspects fitted the evidence as well.
+    pub is_tied: bool,
     /// Time since it was blocked.
     pub age: Duration,
 }
