Trials of suspects that met once do not meet again

Cause: the offset of a suspect's trials depended on the suspect only. Two suspects with nearly the same offset were tried within 0.2 s each time, and where both met at one engine the guilty one spoilt the trial of the other twice; the third comes ten minutes later. Change: the offset depends on the number of trials before as well.

--- a/crates/policy/src/blocked_suspects.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Trials of a blocked suspect, over all gateways together.
 const MAX_TRIALS: u32 = 3;
@@ -129,7 +129,7 @@
             is_tied: new.is_tied,
             last_seen: now,
             trials: 0,
-            next_trial: now + trial_delay + trial_offset(suspect),
+            next_trial: now + trial_delay + trial_offset(suspect, 0),
             row: None,
             write_at: Some(now + new.write_after),
             revision: new.revision,
@@ -252,7 +252,8 @@
     pub fn on_trial_claimed(&mut self, suspect: Suspect, now: Duration) {
         if let Some(block) = self.blocks.get_mut(&suspect) {
             block.trials += 1;
-            block.next_trial = now + delay_after(suspect, block.trials) + trial_offset(suspect);
+            block.next_trial =
+                now + delay_after(suspect, block.trials) + trial_offset(suspect, block.trials);
         }
     }
 
@@ -261,7 +262,8 @@
         if let Some(block) = self.blocks.get_mut(&suspect) {
             if row.trials > block.trials {
                 block.trials = row.trials;
-                block.next_trial = now + delay_after(suspect, row.trials) + trial_offset(suspect);
+                block.next_trial =
+                    now + delay_after(suspect, row.trials) + trial_offset(suspect, row.trials);
             }
             block.row = Some((version, now));
             block.write_at = None;
@@ -340,11 +342,12 @@
     }
 }
 
-/// Time by which the trials of a suspect come later; the same at all gateways.
-fn trial_offset(suspect: Suspect) -> Duration {
+/// Time by which the trial of a suspect after so many others comes later; the same at all gateways. Two
+/// suspects whose trials meet once do not meet again.
+fn trial_offset(suspect: Suspect, trials: u32) -> Duration {
     const STEPS: u64 = 1_024;
-    let step = xxh3_64(&suspect.key().to_le_bytes()) % STEPS;
-    MAX_TRIAL_OFFSET.mul_f64(step as f64 / STEPS as f64)
+    let hash = xxh3_64_with_seed(&suspect.key().to_le_bytes(), u64::from(trials));
+    MAX_TRIAL_OFFSET.mul_f64((hash % STEPS) as f64 / STEPS as f64)
 }
 
 /// Time from the last of `trials` to the next one.
