Breaks for the guard of requests

Cause: nothing checked that the new tests notice when the mechanisms are taken out. Change: four breaks: threshold of crashes, turns, proofs, and parts explained by one request. The break of turns was not noticed at first: in the tests' plain services all answers came sooner than the crash. The crash comes first there now.

--- a/crates/policy/tests/crashes/mod.rs
+++ b/crates/policy/tests/crashes/mod.rs
@@ -28,8 +28,10 @@
 const NOTICE_MS: u64 = 3_000;
 /// Time from which they compare how sound prompts are served.
 const SOUND_NOTICE_MS: u64 = 6_000;
-/// Time from the first token of a fatal prompt to the crash, and until the engine is back.
+/// Time from the first token of a fatal prompt to the crash, and from the start of a fatal request at a
+/// plain service, which is shorter than all answers there; and time until the server is back.
 const CRASH_MS: u64 = 80;
+const PLAIN_CRASH_MS: u64 = 10;
 const RESTART_MS: u64 = 2_500;
 const EVENT_MS: u64 = 45;
 const EVENTS: u32 = 30;
@@ -579,10 +581,12 @@
 
     fn step_server(&mut self, index: usize) {
         let now = self.now;
-        let runs = &self.servers[index].runs;
-        let crashes = runs
-            .iter()
-            .any(|run| self.is_fatal(run) && now >= run.begins_at + CRASH_MS);
+        let crash_time = match self.service {
+            Service::Engines => CRASH_MS,
+            Service::Plain | Service::PlainUnsafe => PLAIN_CRASH_MS,
+        };
+        let mut runs = self.servers[index].runs.iter();
+        let crashes = runs.any(|run| self.is_fatal(run) && now >= run.begins_at + crash_time);
         if crashes {
             self.fatal_crashes.push(now);
             return self.end_server(index);
