--- a/crates/direct/src/crash_guard.rs
+++ b/crates/direct/src/crash_guard.rs
@@ -81,8 +81,8 @@
 /// A request is held for at most this fraction of the time that it has.
 const MAX_HOLD_FRACTION: u32 = 3;
 
-/// Waits until a call may be sent, as far as crashes of servers under the same request matter, and
-/// reviews what is known then. Returns its turn if its own server has crashed.
+/// Delays a call whose server has crashed until its turn to be sent again, which is returned, and a new
+/// call while the same request is a suspect.
 pub async fn await_turn(call: &Call, tried: &[BackendId]) -> Option<RetryTurn> {
     if !call.take_crash() {
         if call.sends() == 0 {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -71,6 +71,7 @@
     }
 }
 
+/// Why a blocked request is refused, and when the caller should retry.
 fn blocked(call: &Call) -> (&'static str, Duration) {
     let retry_after = blocked_retry_after(&call.shared, &call.suspects);
     (BLOCKED_REASON, retry_after)
@@ -94,6 +95,7 @@
             server_in_turn(shared, turn, &servers, |index| candidates[index].suspect)
         });
         if let Some(preferred) = in_turn {
+            // The other servers are left for the case that this one refuses.
             for (index, candidate) in candidates.iter_mut().enumerate() {
                 candidate.suspect = index != preferred;
             }
--- a/crates/policy/src/blocked_suspects.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -18,8 +18,8 @@
 const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(12);
 /// Time to each later trial. For a request that is the second: no other request spoils its first.
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(600);
-/// Suspects that are blocked at the same time have their trials up to this much apart: the trial of the one
-/// that crashes servers would spoil another one at the same server.
+/// Suspects that are blocked at the same time have their trials up to this much apart: the trial of the
+/// one that crashes servers would spoil another one at the same server.
 const MAX_TRIAL_OFFSET: Duration = Duration::from_secs(3);
 /// A request with several blocked suspects is no trial until its trial is overdue for this long: requests
 /// with only one of them tell more.
@@ -148,8 +148,8 @@
         }
     }
 
-    /// Releases a suspect. Its row is removed, soon if this gateway `is_first` to know. Returns whether the
-    /// suspect was blocked.
+    /// Releases a suspect. Its row is removed, soon if this gateway `is_first` to know. Returns whether
+    /// the suspect was blocked.
     pub fn release(
         &mut self,
         suspect: Suspect,
--- a/crates/policy/src/crash_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -1,4 +1,4 @@
-//! Keeps requests with suspects that crash servers away from servers.
+//! Decides which requests are refused because they crash servers.
 
 use crate::blocked_suspects::{BlockedCounts, BlockedRow, BlockedSuspects, NewBlock, RowChange};
 use crate::crash_evidence::{Cause, CrashEvidence};
@@ -12,8 +12,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Gateways that write the row of a suspect that is blocked: how many of them, in an order that differs for
-/// each suspect, and after which time if no row is seen before. All others write it last.
+/// Gateways that write the row of a blocked suspect: how many of them, in an order that differs for each
+/// suspect, and after which time if no row is seen before. All others write it last.
 const ROW_WRITERS: [(usize, Duration); 3] = [
     (2, Duration::ZERO),
     (8, Duration::from_millis(700)),
@@ -36,9 +36,9 @@
 
 /// Decides which suspects crash servers, from what this gateway sees and what its peers tell.
 ///
-/// Load pattern: each server that begins to answer a request with one suspect crashes, and requests with it
-/// come to all gateways, each of which sees a few crashes. Were they repeated and admitted as
-/// others, they would take down server after server, with all other requests there.
+/// Load pattern: each server that runs one request, or prompts with one part, crashes, and these come to
+/// all gateways, each of which sees a few crashes. Were they repeated and admitted as others, they would
+/// take down server after server, with all other requests there.
 #[derive(Debug, Default)]
 pub struct CrashGuard {
     runs: ServerRuns,
@@ -158,7 +158,7 @@
         changes
     }
 
-    /// Records that a server crashed at `at`. Returns the suspects of the requests that may have caused it.
+    /// Records that a server crashed at `at`. Returns what may have caused it.
     pub fn on_crash(&mut self, server: &str, at: Duration) -> Vec<Suspect> {
         let suspects = self.runs.suspects(server);
         let own = Some(self.revision + 1);
--- a/crates/policy/src/retry_turn.rs
+++ b/crates/policy/src/retry_turn.rs
@@ -10,13 +10,14 @@
 pub(crate) const RECENT_TIME: Duration = Duration::from_secs(2);
 /// Time that a server has for each request that is sent there again, before the next one follows.
 const TURN_TIME: Duration = Duration::from_millis(120);
-
-/// A request that comes while it is a suspect waits for this long after the crash: the send under which the
-/// server crashed is repeated within that time, and shows whether the request is the cause.
+/// A request that comes while it is a suspect is held until this long after the crash. Until then the
+/// send under which the server crashed is repeated, and shows whether the request is the cause.
 const HOLD_TIME: Duration = Duration::from_millis(700);
 
-/// Place of a request among those that died with the same server. All gateways know the same ones by
-/// then, so that each of them goes to another server, or to the same one later: the request that
+/// Place of a request among those that died with the same server.
+///
+/// Once the reports of a crash have arrived, all gateways know the same requests and work out the same
+/// places. Each request then goes to another server, or to the same one later, so that the one that
 /// crashes servers is alone with its next crash, and the others are answered.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RetryTurn {
@@ -29,7 +30,7 @@
         let Some(crash) = last_crash(evidence, request, now) else {
             return Duration::ZERO;
         };
-        // Sent again, it may well be the cause; by then it may be known to be.
+        // After a second crash it is probably the cause, and is blocked once its crashes count.
         let is_repeated = evidence.crashes_under(request) > 1;
         let time = if is_repeated {
             SETTLE_TIME
