Count a gateway's own placements among the signs of a burst

Cause: the estimate of unseen placements used only peers' reports of the last second. There are none in the first moments of a burst or of a start, and while links are cut, so all gateways placed short prompts on the first engines of the shared order. Change: FleetLoad::known_placements collects what is known: peers' reports (the last quarter second counts as well as the last second), the gateway's own placements of the last quarter second, the time since the last report, and whether at least half of the peers have been heard for half a second. HerdAvoidance::estimate takes that. Own placements count, times the number of peers, where they exceed two standard deviations of what the reported rate explains; without reports prompts are spread over all engines. Two whole intervals were ruled out as the age of reports at many gateways: an interval up to 100 ms, else half of it, keeps the estimate for 103 gateways. a_burst_shows_in_the_reports_of_peers takes the new argument; its checks are the same.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,9 +4,9 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    LimitRevision, PLACEMENT_WINDOW, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
-    SendLimiter, SendShares, SendTimes, ServerHealth, ServerPauses, ServiceName, ServiceSpec,
-    cold_send_bound, server_key,
+    LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits, SendLimiter,
+    SendShares, SendTimes, ServerHealth, ServerPauses, ServiceName, ServiceSpec, cold_send_bound,
+    server_key,
 };
 use proto::{BackendEntry, RequestLimit, ServerKey, ServerUsage};
 use rand::Rng as _;
@@ -102,18 +102,13 @@
     ) -> HerdAvoidance {
         let bound = self.send_bound(service);
         let mut state = self.lock();
-        let placements = servers
-            .iter()
-            .map(|server| state.load.peer_placements(server_key(&server.id), now));
-        let reported_count: usize = placements.sum();
+        let peers = state.sends.shares().gateways() - 1;
         let interval = self.update_interval_micros.load(Ordering::Relaxed);
-        HerdAvoidance::estimate(
-            state.sends.shares().gateways() - 1,
-            reported_count as f64 / PLACEMENT_WINDOW.as_secs_f64(),
-            Duration::from_micros(interval),
-            state.sends.shares().sender_fraction(bound),
-            rand::rng().random(),
-        )
+        let interval = Duration::from_micros(interval);
+        let keys = servers.iter().map(|server| server_key(&server.id));
+        let known = state.load.known_placements(keys, peers, interval, now);
+        let sender_fraction = state.sends.shares().sender_fraction(bound);
+        HerdAvoidance::estimate(&known, sender_fraction, rand::rng().random())
     }
 
     /// Returns the id for a new job.
--- a/crates/policy/src/fleet_load.rs
+++ b/crates/policy/src/fleet_load.rs
@@ -1,5 +1,6 @@
 //! Load that all gateways together place on each backend server, as one gateway knows it.
 
+use crate::herd_avoidance::KnownPlacements;
 use crate::sliding_window::SlidingWindow;
 use proto::{ServerKey, ServerUsage};
 use std::collections::HashMap;
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 struct LocalJob {
     load: JobLoad,
+    placed_at: Duration,
     prefill_ends_at: Duration,
     prefilling: bool,
 }
@@ -48,6 +50,17 @@
 /// Span over which placements that peers report are counted.
 pub const PLACEMENT_WINDOW: Duration = Duration::from_secs(1);
 
+/// Span over which a gateway counts its own placements: the first quarter second of a burst shows.
+pub(crate) const OWN_PLACEMENT_WINDOW: Duration = Duration::from_millis(250);
+
+/// Time after the first report of a peer from which its load is known well: gateways report at
+/// least twice a second, so that it has reported again.
+const MIN_REPORTED_SPAN: Duration = Duration::from_millis(500);
+
+/// Age of the last report of a peer from which it counts as not heard. Gateways report at least twice a
+/// second.
+const MAX_HEARD_AGE: Duration = Duration::from_millis(700);
+
 /// Number of servers above which those that no peer uses any more are dropped.
 const MAX_TRACKED_SERVERS: usize = 4_096;
 
@@ -82,6 +95,8 @@
 /// Last report of one peer. The load that it contained is kept by server.
 #[derive(Debug)]
 struct PeerReport {
+    /// Time of the first of the reports that came without a gap.
+    first_reported_at: Duration,
     reported_at: Duration,
     servers: Vec<ServerKey>,
 }
@@ -93,6 +108,7 @@
             let queued = self.total(part.server, now).prefill_remaining;
             let local_job = LocalJob {
                 load: *part,
+                placed_at: now,
                 prefill_ends_at: now + queued + part.prefill_time,
                 prefilling: true,
             };
@@ -136,6 +152,9 @@
         let index = known.unwrap_or_else(|| self.add_peer(peer));
         let report = &mut self.reports[index];
         let is_update = known.is_some() && now < report.reported_at + PEER_LOAD_TTL;
+        if !is_update {
+            report.first_reported_at = now;
+        }
         report.reported_at = now;
         let keys = servers.iter().map(|(key, _)| *key).collect();
         let dropped = mem::replace(&mut report.servers, keys);
@@ -161,6 +180,7 @@
         let index = self.reports.len();
         self.peer_indices.insert(peer.into(), index);
         self.reports.push(PeerReport {
+            first_reported_at: Duration::ZERO,
             reported_at: Duration::ZERO,
             servers: Vec::new(),
         });
@@ -174,6 +194,62 @@
         load.map_or(0, |load| load.placements.count(now))
     }
 
+    /// What is known of the latest placements on `servers` by this gateway and by `peers` others, which
+    /// report their load every `report_interval`.
+    pub fn known_placements(
+        &mut self,
+        servers: impl Iterator<Item = ServerKey>,
+        peers: usize,
+        report_interval: Duration,
+        now: Duration,
+    ) -> KnownPlacements {
+        let (mut reported, mut reported_lately, mut own) = (0, 0, 0);
+        for server in servers {
+            if let Some(load) = self.peers.get_mut(&server) {
+                reported += load.placements.count(now);
+                reported_lately += load.placements.count_within(now, OWN_PLACEMENT_WINDOW);
+            }
+            own += self.own_placements(server, now);
+        }
+        let rate = |count: usize, window: Duration| count as f64 / window.as_secs_f64();
+        let lately = rate(reported_lately, OWN_PLACEMENT_WINDOW);
+        KnownPlacements {
+            peers,
+            hears_peers: self.hears_peers(peers, now),
+            reported_rate: rate(reported, PLACEMENT_WINDOW).max(lately),
+            own,
+            report_interval,
+            silence: self.silence(now),
+        }
+    }
+
+    /// Number of prompts on a server that this gateway has placed there within the last
+    /// [`OWN_PLACEMENT_WINDOW`], without those that only prefill there.
+    fn own_placements(&self, server: ServerKey, now: Duration) -> usize {
+        let jobs = self
+            .local
+            .get(&server)
+            .into_iter()
+            .flat_map(HashMap::values);
+        jobs.filter(|job| job.load.decodes && now < job.placed_at + OWN_PLACEMENT_WINDOW)
+            .count()
+    }
+
+    /// Whether at least half of `peers` other gateways have reported for a while without a gap.
+    fn hears_peers(&self, peers: usize, now: Duration) -> bool {
+        let heard = self.reports.iter().filter(|report| {
+            now < report.reported_at + MAX_HEARD_AGE
+                && now >= report.first_reported_at + MIN_REPORTED_SPAN
+        });
+        2 * heard.count() >= peers
+    }
+
+    /// Time since the last report of any peer; zero if there was none yet.
+    fn silence(&self, now: Duration) -> Duration {
+        let last = self.reports.iter().map(|report| report.reported_at).max();
+        last.map_or(Duration::ZERO, |last| now.saturating_sub(last))
+    }
+
     /// Load that this gateway places on servers; servers without any are left out.
     pub fn local(&self, now: Duration) -> Vec<(ServerKey, ServerUsage)> {
         let servers = self.local.iter();
--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -1,6 +1,7 @@
 //! Placement of prompts by gateways that do not know of each other's latest placements.
 
 use crate::engine_choice::EngineCandidate;
+use crate::fleet_load::OWN_PLACEMENT_WINDOW;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -14,6 +15,63 @@
 /// their share of the placements.
 const ROOM_PER_UNSEEN_PLACEMENT: f64 = 5.0;
 
+/// Unseen placements that are assumed while no reports of peers arrive: more than the engines of a
+/// service have slots, so that prompts are spread over all of them.
+const UNSEEN_WITHOUT_REPORTS: f64 = 10_000.0;
+
+/// Number of standard deviations by which the own placements may exceed the expected number before
+/// they count as a burst.
+const MAX_CHANCE_DEVIATIONS: f64 = 2.0;
+/// Age of the reports up to which it is a whole interval.
+const MAX_SEND_TIME: Duration = Duration::from_millis(100);
+
+/// Placements of the last moments, as far as a gateway knows them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KnownPlacements {
+    /// Number of other gateways.
+    pub peers: usize,
+    /// Whether the reports of peers have had time to arrive. They have not while the gateway starts
+    /// or its links are cut.
+    pub hears_peers: bool,
+    /// New prompts per second in the reports of all peers.
+    pub reported_rate: f64,
+    /// Prompts that this gateway has placed within the last quarter second.
+    pub own: usize,
+    /// Interval at which peers report.
+    pub report_interval: Duration,
+    /// Time since the last report of any peer. It grows while links are cut.
+    pub silence: Duration,
+}
+
+impl KnownPlacements {
+    fn estimate_unseen(&self) -> f64 {
+        if !self.hears_peers {
+            return UNSEEN_WITHOUT_REPORTS;
+        }
+        let unseen = self.placement_rate() * self.report_age().as_secs_f64();
+        unseen.max(MIN_UNSEEN_PER_PEER * self.peers as f64)
+    }
+
+    /// Prompts that peers place per second: as reported, or if this gateway has placed more of late
+    /// than chance explains at that rate, as many by each peer as by this gateway.
+    fn placement_rate(&self) -> f64 {
+        let window = OWN_PLACEMENT_WINDOW.as_secs_f64();
+        let expected = self.reported_rate * window / self.peers.max(1) as f64;
+        let own = self.own as f64;
+        if own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt() {
+            return self.reported_rate;
+        }
+        self.reported_rate.max(own / window * self.peers as f64)
+    }
+
+    /// Mean age of the reports: half an interval, and the time that a gateway takes to send them,
+    /// which grows with the number of peers as the interval does; and the time since the last of them.
+    fn report_age(&self) -> Duration {
+        let interval = self.report_interval;
+        interval.min(MAX_SEND_TIME).max(interval / 2) + self.silence
+    }
+}
+
 /// Randomizes placements, because the load that a gateway knows of is out of date.
 ///
 /// Load pattern: many gateways whose load reports arrive late. Each of them would choose the engine
@@ -29,25 +87,16 @@
 }
 
 impl HerdAvoidance {
-    /// Estimates the unseen placements of `peers` gateways, whose reports show `rate` new prompts
-    /// per second.
+    /// Estimates the unseen placements from those that are known.
     ///
-    /// Load pattern: bursts of a few seconds, in which one kind of prompt prevails after another. A
-    /// gateway's own arrivals are too few to show them in time. While the estimate is too low, short
-    /// prompts overfill some engines; while it is too high, they take the engines that long prompts
-    /// need.
-    pub fn estimate(
-        peers: usize,
-        rate: f64,
-        report_interval: Duration,
-        sender_fraction: f64,
-        random: u64,
-    ) -> Self {
-        // On average, a load report is half an interval old.
-        let unseen = rate * report_interval.as_secs_f64() / 2.0;
-        let unseen_placements = unseen.max(MIN_UNSEEN_PER_PEER * peers as f64);
+    /// Load pattern: bursts of a few seconds, in which one kind of prompt prevails after another, and
+    /// starts of all gateways at once. While the estimate is too low, short prompts overfill some
+    /// engines; while it is too high, they take the engines that long prompts need. Reports show a
+    /// burst only after its first moments. Until then the gateway's own arrivals show it: the other
+    /// gateways get about as many.
+    pub fn estimate(known: &KnownPlacements, sender_fraction: f64, random: u64) -> Self {
         Self {
-            unseen_placements,
+            unseen_placements: known.estimate_unseen(),
             sender_fraction,
             random,
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -127,7 +127,7 @@
 pub use gateway_roster::{GatewayName, GatewayRoster};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
 pub use guard_verdict::{GuardChange, GuardReason, GuardVerdict, Spread};
-pub use herd_avoidance::HerdAvoidance;
+pub use herd_avoidance::{HerdAvoidance, KnownPlacements};
 pub use home_history::{HOME_HANDOVER, HomeHistory};
 pub use job::{Job, LengthClass};
 pub use lending::{QuotaBorrower, QuotaDecision, QuotaLender, home_gateway};
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -5,9 +5,10 @@
 
 use engine::model;
 use policy::{
-    AttemptResult, CallerIdentity, CallerLimits, FleetLoad, HerdAvoidance, JobLoad, PlainCandidate,
-    PromptRequirements, QueuedPrompt, Route, RouteKind, RouteTable, ServerHealth, TeamEntry,
-    choose_plain_server, next_check_after, sort_queue, suggest_retry_after,
+    AttemptResult, CallerIdentity, CallerLimits, FleetLoad, HerdAvoidance, JobLoad,
+    KnownPlacements, PlainCandidate, PromptRequirements, QueuedPrompt, Route, RouteKind,
+    RouteTable, ServerHealth, TeamEntry, choose_plain_server, next_check_after, sort_queue,
+    suggest_retry_after,
 };
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
@@ -195,7 +196,17 @@
     assert_eq!(load.peer_placements(8, ms(700)), 200);
     assert_eq!(load.total(8, ms(700)).jobs, 100);
     assert_eq!(load.peer_placements(8, ms(1_400)), 0);
-    let estimate = |reported_rate| HerdAvoidance::estimate(100, reported_rate, ms(400), 1.0, 0);
+    let estimate = |reported_rate| {
+        let known = KnownPlacements {
+            peers: 100,
+            hears_peers: true,
+            reported_rate,
+            own: 0,
+            report_interval: ms(400),
+            silence: ms(0),
+        };
+        HerdAvoidance::estimate(&known, 1.0, 0)
+    };
     assert_eq!(estimate(300.0).unseen_placements, 60.0);
     assert_eq!(
         estimate(0.0).unseen_placements,
