Tell failing engines from unreachable ones

Cause: a suspect engine was chosen only if no other was left, however overloaded the others were, whether it could not be reached or failed one request in four. Change: ServerHealth::suspect_kind says Failing or Unreachable (the kind of the last failure; an answer shows that the server can be reached), and EngineCandidate.suspect holds it. A short prompt goes to a failing engine that meets its targets before a healthy one that does not, and to an unreachable one last. A long prompt uses failing engines if the healthy ones could not serve it in time even if idle, or in the last tenth of its target before its latest start. A retry's engine in turn stays first: the others count as unreachable for it. Failing engines count as usable before a prompt is refused as too late.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -137,7 +137,7 @@
                     && !health.is_full(now)
                     && state.pauses.has_room(&server.id, now),
                 is_limited: state.sends.limits().rate(key).is_some(),
-                suspect: health.is_suspect(now),
+                suspect: health.suspect_kind(now),
             }
         });
         candidates.collect()
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -9,7 +9,7 @@
 use async_io::Timer;
 use policy::{
     BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RetryTurn, SendTimes, ServiceName, ServiceSpec, is_short_prompt, next_check_after,
+    RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind, is_short_prompt, next_check_after,
     place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect};
@@ -225,11 +225,11 @@
     names
 }
 
-/// Whether to count on an engine for the prefill of a waiting prompt: it is not suspect, and no
+/// Whether to count on an engine for the prefill of a waiting prompt: it can be reached, and no
 /// request that decodes there has a shorter target for the gap between events than the prompt has.
 /// A prefill would delay the events of such a request for too long.
 fn can_prefill(engine: &EngineCandidate, requirements: &PromptRequirements) -> bool {
-    !engine.suspect && engine.load.min_event_gap_target >= requirements.event_gap_target
+    !engine.is_unreachable() && engine.load.min_event_gap_target >= requirements.event_gap_target
 }
 
 /// One check of the waiting prompts of a service.
@@ -310,12 +310,12 @@
         servers: &[BackendEntry],
         engines: &mut [EngineCandidate],
     ) {
-        let is_suspect = |index: usize| engines[index].suspect;
+        let is_suspect = |index: usize| engines[index].suspect.is_some();
         let Some(preferred) = server_in_turn(self.shared, turn, servers, is_suspect) else {
             return;
         };
         for (index, engine) in engines.iter_mut().enumerate() {
-            engine.suspect = index != preferred;
+            engine.suspect = (index != preferred).then_some(SuspectKind::Unreachable);
         }
     }
 
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -8,6 +8,8 @@
 
 use crate::engine_profile::EngineProfile;
 use crate::herd_avoidance::HerdAvoidance;
+use crate::server_health::SuspectKind;
+use crate::short_prompt_choice::place_short;
 use proto::ServerUsage;
 use std::time::Duration;
 
@@ -15,9 +17,9 @@
 pub const MAX_HELPERS: usize = 16;
 /// Fraction of the tightest gap target on an engine that one iteration may fill. The rest allows
 /// for load reports that arrive late.
-const GAP_FRACTION: f64 = 0.75;
+pub(crate) const GAP_FRACTION: f64 = 0.75;
 /// Fraction of the first event target that the forecast of a placement may fill.
-const TARGET_FRACTION: f64 = 0.8;
+pub(crate) const TARGET_FRACTION: f64 = 0.8;
 /// Fraction of an engine's memory that is allocated. The rest allows for answers longer than
 /// expected.
 const MEMORY_FRACTION: f64 = 0.94;
@@ -32,6 +34,10 @@
 /// of its engines is wasted.
 const LATE_START_FRACTION: f64 = 0.4;
 
+/// Share of the first event target by which a long prompt may use failing engines before its latest
+/// start: a few checks of the queue. Until then healthy engines may become free.
+const FAILING_START_FRACTION: f64 = 0.1;
+
 /// An engine to which a prompt could be sent.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineCandidate {
@@ -47,8 +53,19 @@
     /// Whether it states a limit on the requests that it takes. It is no helper then: it has to be
     /// spared, and each reservation of its memory and each renewal would be a further request.
     pub is_limited: bool,
-    /// Whether it failed recently.
-    pub suspect: bool,
+    /// Why it is avoided, if it failed recently.
+    pub suspect: Option<SuspectKind>,
+}
+
+impl EngineCandidate {
+    /// Whether it could not be reached or was silent recently.
+    pub fn is_unreachable(&self) -> bool {
+        self.suspect == Some(SuspectKind::Unreachable)
+    }
+
+    fn is_healthy(&self) -> bool {
+        self.suspect.is_none()
+    }
 }
 
 /// What a prompt needs from the engines that serve it.
@@ -126,122 +143,13 @@
     profile.prefill_time(request.prompt_tokens) / parts as u32 + profile.decode_iteration_time(0)
 }
 
-fn usable_tokens(profile: &EngineProfile) -> u64 {
+pub(crate) fn usable_tokens(profile: &EngineProfile) -> u64 {
     (profile.kv_capacity_tokens as f64 * MEMORY_FRACTION) as u64
 }
 
-fn place_short(
-    profile: &EngineProfile,
-    request: &PromptRequirements,
-    engines: &[EngineCandidate],
-    herd_avoidance: HerdAvoidance,
-) -> Option<EnginePlacement> {
-    let prefill = profile.prefill_time(request.prompt_tokens);
-    let mut choices: Vec<_> = engines
-        .iter()
-        .enumerate()
-        .filter(|(_, engine)| can_decode(profile, request, engine))
-        .map(|(index, engine)| (short_prompt_rank(profile, request, engine, prefill), index))
-        .collect();
-    choices.sort();
-    let (best, _) = choices.first()?;
-    let equals = choices.partition_point(|(rank, _)| rank.is_tied_with(best));
-    let rooms: Vec<_> = choices[..equals]
-        .iter()
-        .map(|(_, index)| short_prompt_room(profile, request, &engines[*index], prefill))
-        .collect();
-    let (_, decoder) = choices[herd_avoidance.pick(&rooms)];
-    Some(EnginePlacement {
-        decoder,
-        helpers: Vec::new(),
-        part_prefill_time: prefill,
-        first_event_forecast: iteration_time(profile, &engines[decoder], prefill),
-    })
-}
-
-/// Whether an engine has a slot, and memory for the whole prompt and its answer.
-fn can_decode(
-    profile: &EngineProfile,
-    request: &PromptRequirements,
-    engine: &EngineCandidate,
-) -> bool {
-    let free = usable_tokens(profile).saturating_sub(engine.load.tokens);
-    engine.accepts_requests
-        && engine.load.jobs < profile.slots
-        && free >= request.prompt_tokens + request.expected_output_tokens
-}
-
-/// Longest iteration with which a short prompt and the requests that decode on the engine meet their
-/// targets.
-fn iteration_limit(request: &PromptRequirements, engine: &EngineCandidate) -> Duration {
-    let gap_target = request
-        .event_gap_target
-        .min(engine.load.min_event_gap_target);
-    let gap_limit = gap_target.mul_f64(GAP_FRACTION);
-    gap_limit.min(request.first_event_target.mul_f64(TARGET_FRACTION))
-}
-
-/// Number of prompts like this one that an engine has slots for, and can prefill in one iteration
-/// within the targets if it meets them at all; at least one.
-fn short_prompt_room(
-    profile: &EngineProfile,
-    request: &PromptRequirements,
-    engine: &EngineCandidate,
-    prefill: Duration,
-) -> u32 {
-    let slots = profile.slots.saturating_sub(engine.load.jobs);
-    let limit = iteration_limit(request, engine);
-    let iteration = iteration_time(profile, engine, prefill);
-    if iteration > limit {
-        return slots.max(1);
-    }
-    let spare = limit - iteration;
-    let further = spare.as_secs_f64() / prefill.mul_f64(engine.slowdown).as_secs_f64().max(1e-3);
-    slots.min(1 + further as u32).max(1)
-}
-
-fn short_prompt_rank(
-    profile: &EngineProfile,
-    request: &PromptRequirements,
-    engine: &EngineCandidate,
-    prefill: Duration,
-) -> ShortPromptRank {
-    let iteration = iteration_time(profile, engine, prefill);
-    // A part of a long prompt can take longer than forecast, and all other work waits for it.
-    let is_free = engine.load.long_prefills == 0;
-    let meets_targets = is_free && iteration <= iteration_limit(request, engine);
-    ShortPromptRank {
-        suspect: engine.suspect,
-        misses_targets: !meets_targets,
-        forecast: if meets_targets {
-            Duration::ZERO
-        } else {
-            iteration
-        },
-        shared_order: engine.shared_order,
-    }
-}
-
-/// Sort key of an engine for a short prompt; the lowest is the best. Engines that meet the targets
-/// differ only by the shared order, so that prompts are packed onto the first of them.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct ShortPromptRank {
-    suspect: bool,
-    misses_targets: bool,
-    forecast: Duration,
-    shared_order: u64,
-}
-
-impl ShortPromptRank {
-    /// Whether both are equally suspect and equally able to meet the targets.
-    fn is_tied_with(&self, other: &Self) -> bool {
-        self.suspect == other.suspect && self.misses_targets == other.misses_targets
-    }
-}
-
 /// Time of an iteration in which this engine does its queued prefills and a further one that takes
 /// `prefill`, and decodes one request more than now.
-fn iteration_time(
+pub(crate) fn iteration_time(
     profile: &EngineProfile,
     engine: &EngineCandidate,
     prefill: Duration,
@@ -268,11 +176,56 @@
     request: &PromptRequirements,
     engines: &[EngineCandidate],
     herd_avoidance: HerdAvoidance,
+) -> Option<EnginePlacement> {
+    let healthy = fastest_placement(profile, request, engines, herd_avoidance, |engine| {
+        engine.is_healthy()
+    });
+    let limit = request.first_event_target;
+    let first_event = |placement: &EnginePlacement| request.waited + placement.first_event_forecast;
+    if healthy
+        .as_ref()
+        .is_some_and(|placement| first_event(placement) <= limit)
+    {
+        return healthy;
+    }
+    let min_time = |engines| request.waited + min_first_event_time(profile, request, engines);
+    let healthy_engines = engines.iter().filter(|engine| engine.is_healthy()).count();
+    if healthy_engines < engines.len() {
+        let any = fastest_placement(profile, request, engines, herd_avoidance, |engine| {
+            !engine.is_unreachable()
+        });
+        // Earlier, healthy engines may still become free in time.
+        let begin = if min_time(healthy_engines) <= limit {
+            limit.mul_f64(1.0 - FAILING_START_FRACTION)
+        } else {
+            Duration::ZERO
+        };
+        let is_due =
+            |placement: &EnginePlacement| (begin..=limit).contains(&first_event(placement));
+        if any.as_ref().is_some_and(is_due) {
+            return any;
+        }
+    }
+    // A start that misses the target is worthwhile only if no start could meet it any more. Until
+    // then, waiting may free more engines.
+    let can_meet_target = min_time(engines.len()) <= limit;
+    let late_limit = request.remaining.mul_f64(LATE_START_FRACTION);
+    healthy.filter(|placement| !can_meet_target && placement.first_event_forecast <= late_limit)
+}
+
+/// The placement on those engines that `may_use` allows which is fast enough with the fewest of them, or
+/// the fastest one.
+fn fastest_placement(
+    profile: &EngineProfile,
+    request: &PromptRequirements,
+    engines: &[EngineCandidate],
+    herd_avoidance: HerdAvoidance,
+    may_use: impl Fn(&EngineCandidate) -> bool,
 ) -> Option<EnginePlacement> {
     let fast_enough = request
         .first_event_target
         .mul_f64(TARGET_FRACTION * ENOUGH_ENGINES_FRACTION);
-    let candidates = prefill_candidates(profile, engines, herd_avoidance);
+    let candidates = prefill_candidates(profile, engines, herd_avoidance, may_use);
     let mut fastest: Option<EnginePlacement> = None;
     for parts in 1..=candidates.len() {
         let Some(placement) = place_on(profile, request, engines, &candidates[..parts]) else {
@@ -287,27 +240,20 @@
             fastest = Some(placement);
         }
     }
-    // A start that misses the target is worthwhile only if no start could meet it any more. Until
-    // then, waiting may free more engines.
-    let can_meet_target = request.waited + min_first_event_time(profile, request, engines.len())
-        <= request.first_event_target;
-    let late_limit = request.remaining.mul_f64(LATE_START_FRACTION);
-    fastest.filter(|placement| {
-        let on_time = request.waited + placement.first_event_forecast <= request.first_event_target;
-        on_time || !can_meet_target && placement.first_event_forecast <= late_limit
-    })
+    fastest
 }
 
 /// Engines that may prefill a part: first the best one that may also decode the answer, then all
-/// others without a request limit by falling prefill budget.
+/// others without a request limit by falling prefill budget, all of those that `may_use` allows.
 fn prefill_candidates(
     profile: &EngineProfile,
     engines: &[EngineCandidate],
     herd_avoidance: HerdAvoidance,
+    may_use: impl Fn(&EngineCandidate) -> bool,
 ) -> Vec<PrefillCandidate> {
     let available = engines.iter().enumerate();
     let available =
-        available.filter(|(_, engine)| !engine.suspect && engine.load.long_prefills == 0);
+        available.filter(|(_, engine)| may_use(engine) && engine.load.long_prefills == 0);
     let mut candidates: Vec<_> = available
         .map(|(index, engine)| prefill_candidate(profile, engine, index))
         .collect();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -82,6 +82,7 @@
 mod server_pauses;
 mod server_runs;
 mod server_set;
+mod short_prompt_choice;
 mod sliding_window;
 mod span_leader;
 mod span_member;
@@ -164,7 +165,7 @@
 };
 pub use send_limiter::{SendLimiter, SendTimes};
 pub use send_shares::{SendShares, cold_send_bound};
-pub use server_health::{AttemptResult, ServerHealth};
+pub use server_health::{AttemptResult, ServerHealth, SuspectKind};
 pub use server_lease::{
     LeaseAction, LeaseCommitResult, LeaseEvent, LeaseRow, ServerLease, ServerLeaseConfig,
 };
--- a/crates/policy/src/server_health.rs
+++ b/crates/policy/src/server_health.rs
@@ -15,6 +15,15 @@
     Silent,
 }
 
+/// Why a server is avoided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectKind {
+    /// It fails some of its requests and answers the others.
+    Failing,
+    /// It could not be reached, or was silent.
+    Unreachable,
+}
+
 /// First and longest time for which a server is avoided after failures.
 const MIN_PAUSE: Duration = Duration::from_millis(600);
 const MAX_PAUSE: Duration = Duration::from_secs(5);
@@ -39,6 +48,8 @@
     failure_rate: f64,
     pause: Duration,
     avoided_until: Duration,
+    /// Kind of the last failure.
+    kind: SuspectKind,
     full_until: Duration,
     slowdown: f64,
     slowdown_at: Duration,
@@ -50,6 +61,7 @@
             failure_rate: 0.0,
             pause: Duration::ZERO,
             avoided_until: Duration::ZERO,
+            kind: SuspectKind::Failing,
             full_until: Duration::ZERO,
             slowdown: MIN_SLOWDOWN,
             slowdown_at: Duration::ZERO,
@@ -63,18 +75,22 @@
         match result {
             AttemptResult::Answered => {
                 self.failure_rate *= 1.0 - RESULT_WEIGHT;
+                // It can be reached.
+                self.kind = SuspectKind::Failing;
                 if now >= self.avoided_until {
                     self.pause /= 2;
                 }
             }
             AttemptResult::Full => self.full_until = now + FULL_PAUSE,
             AttemptResult::Failed => {
+                self.kind = SuspectKind::Failing;
                 self.failure_rate += RESULT_WEIGHT * (1.0 - self.failure_rate);
                 if self.failure_rate >= SUSPECT_FAILURE_RATE {
                     self.avoid(now);
                 }
             }
             AttemptResult::Silent => {
+                self.kind = SuspectKind::Unreachable;
                 self.failure_rate += RESULT_WEIGHT * (1.0 - self.failure_rate);
                 self.avoid(now);
             }
@@ -96,6 +112,11 @@
         now < self.avoided_until
     }
 
+    /// Why the server should be avoided; `None` if it should not.
+    pub fn suspect_kind(&self, now: Duration) -> Option<SuspectKind> {
+        self.is_suspect(now).then_some(self.kind)
+    }
+
     /// Whether the server recently answered that it is full.
     pub fn is_full(&self, now: Duration) -> bool {
         now < self.full_until
--- a/crates/trials/src/capacity_placement.rs
+++ b/crates/trials/src/capacity_placement.rs
@@ -78,7 +78,7 @@
         slowdown: 1.0,
         accepts_requests: true,
         is_limited: false,
-        suspect: false,
+        suspect: None,
     };
     keys.iter().map(candidate).collect()
 }
