--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -3,8 +3,12 @@
 mod engine;
 
 use engine::model;
-use policy::{EngineCandidate, HerdAvoidance, PromptRequirements, is_short_prompt, place_prompt};
+use policy::{
+    EngineCandidate, HerdAvoidance, PromptRequirements, SuspectKind, is_short_prompt, place_prompt,
+};
 use proto::ServerUsage;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -19,7 +23,7 @@
         slowdown: 1.0,
         accepts_requests: true,
         is_limited: false,
-        suspect: false,
+        suspect: None,
     }
 }
 
@@ -179,6 +183,34 @@
     assert!(placement.first_event_forecast <= ms(3_600), "{placement:?}");
 }
 
+/// Engines become free one after another while a long prompt waits, and its prefill takes a twentieth
+/// longer than forecast. A start with a forecast close to the target would end late, while a later one
+/// on more engines is on time.
+#[test]
+fn a_start_at_the_very_target_waits_for_more_engines() {
+    const PROMPTS: usize = 200;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let is_on_time = |_: &usize| {
+        let free_at: Vec<_> = (0..14).map(|_| ms(rng.random_range(0..2_000))).collect();
+        let mut checks = (0..3_000).step_by(20).map(ms);
+        let start = checks.find_map(|waited| {
+            let engines = engines(14, |order| match free_at[order as usize] {
+                free_at if free_at <= waited => idle(order),
+                free_at => prefilling(order, free_at - waited),
+            });
+            let need = PromptRequirements {
+                waited,
+                ..long(300_000)
+            };
+            let placement = place_prompt(&model(), &need, &engines, HerdAvoidance::default());
+            placement.map(|placement| waited + placement.first_event_forecast.mul_f64(1.05))
+        });
+        start.is_some_and(|first_event| first_event <= ms(3_000))
+    };
+    let on_time = (0..PROMPTS).filter(is_on_time).count();
+    assert!(on_time >= PROMPTS * 95 / 100, "{on_time} of {PROMPTS}");
+}
+
 /// A prompt larger than the memory of any engine: helpers hold what the decoding engine lacks.
 #[test]
 fn the_longest_prompts_are_held_by_several_engines() {
@@ -217,12 +249,12 @@
     );
 }
 
-/// An engine that failed recently is used only if no other engine has a slot.
+/// An engine that cannot be reached is used only if no other engine has a slot.
 #[test]
 fn suspect_engines_come_last() {
     let mut engines = vec![
         EngineCandidate {
-            suspect: true,
+            suspect: Some(SuspectKind::Unreachable),
             ..idle(0)
         },
         idle(1),
@@ -242,6 +274,49 @@
     );
 }
 
+fn suspects(count: u64, kind: SuspectKind) -> Vec<EngineCandidate> {
+    engines(count, |order| EngineCandidate {
+        suspect: Some(kind),
+        ..idle(order)
+    })
+}
+
+/// A burst of long prompts while some engines fail a part of their requests. A short prompt that no
+/// healthy engine would answer in time goes to one that answers most of its requests, but not to one that
+/// cannot be reached.
+#[test]
+fn short_prompts_prefer_failing_engines_to_late_answers() {
+    let place = |engines: &[EngineCandidate]| {
+        place_prompt(&model(), &draft(), engines, HerdAvoidance::default()).unwrap()
+    };
+    let mut engines = suspects(4, SuspectKind::Unreachable);
+    engines.extend((4..14).map(|order| prefilling(order, ms(900))));
+    engines.extend(suspects(4, SuspectKind::Failing));
+    assert!(place(&engines).decoder >= 14);
+    engines.push(decoding(18, 6, ms(200)));
+    assert_eq!(place(&engines).decoder, 18, "a healthy one is in time");
+    engines.truncate(14);
+    assert!((4..14).contains(&place(&engines).decoder));
+}
+
+/// The same for long prompts: they wait for healthy engines until they could not start in time on these.
+#[test]
+fn long_prompts_use_failing_engines_at_the_last_moment() {
+    let place = |waited, kind| {
+        let mut engines = engines(14, |order| prefilling(order, ms(300)));
+        engines.extend(suspects(10, kind));
+        let need = PromptRequirements {
+            waited: ms(waited),
+            ..long(300_000)
+        };
+        place_prompt(&model(), &need, &engines, HerdAvoidance::default())
+    };
+    assert_eq!(place(0, SuspectKind::Failing), None);
+    let forecast = place(2_200, SuspectKind::Failing).unwrap();
+    assert!(ms(2_200) + forecast.first_event_forecast <= ms(3_000));
+    assert_eq!(place(2_200, SuspectKind::Unreachable), None);
+}
+
 /// A prompt waits if all slots are taken, or if the engines accept no more requests.
 #[test]
 fn nothing_is_placed_without_room() {
