Let long prompts leave slots for more urgent short ones

Cause: where routes have different ranks, a long prompt of a less urgent rank took engines whose slots short prompts of a more urgent rank needed a moment later. Change: RankDemand counts the gateway's placements of the last second by rank. The share of more urgent short ones, times the placements per second of all gateways (HerdAvoidance::placement_rate, from peers' reports and the gateway's own), is the rate that is expected. leaves_urgent_room holds a long prompt while the other engines have fewer free slots than that rate fills during its prefill. With one rank the share is 0 and nothing changes.

--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -10,10 +10,12 @@
 use futures_lite::future::or;
 use policy::{
     BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind, is_short_prompt, next_check_after,
-    place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
+    RankDemand, RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind, is_short_prompt,
+    leaves_urgent_room, next_check_after, place_prompt, sort_queue, suggest_retry_after,
+    suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -90,6 +92,8 @@
 #[derive(Debug, Default)]
 pub struct PromptQueue {
     waiting: Mutex<Vec<WaitingPrompt>>,
+    /// Latest placements by rank, for each service.
+    rank_demand: Mutex<HashMap<ServiceName, RankDemand>>,
     next_id: AtomicU64,
     wake_signal: Signal,
 }
@@ -216,6 +220,12 @@
         }
     }
 
+    fn lock_rank_demand(&self) -> MutexGuard<'_, HashMap<ServiceName, RankDemand>> {
+        self.rank_demand
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<WaitingPrompt>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -304,8 +314,25 @@
             .fleet
             .herd_avoidance(self.spec, &servers, self.now);
         let placement = place_prompt(self.profile, &requirements, &engines, herd_avoidance)?;
+        let is_short = is_short_prompt(self.profile, &requirements);
+        let mut demand = self.shared.prompt_queue.lock_rank_demand();
+        let demand = demand.entry(self.spec.name.clone()).or_default();
+        let urgent_rate =
+            demand.urgent_share(prompt.rank, self.now) * herd_avoidance.placement_rate;
+        if !is_short
+            && !leaves_urgent_room(
+                self.profile,
+                &requirements,
+                &engines,
+                &placement,
+                urgent_rate,
+            )
+        {
+            return None;
+        }
         let slowdown = engines[placement.decoder].slowdown;
         let assignment = self.assign(&requirements, &placement, &servers, slowdown)?;
+        demand.record(prompt.rank, is_short, self.now);
         Some(Ok(assignment))
     }
 
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -32,7 +32,7 @@
 /// A prefill that will miss its target starts only if its forecast is at most this fraction of the
 /// time until the caller gives up. A longer one is interrupted more often than not, and the time
 /// of its engines is wasted.
-const LATE_START_FRACTION: f64 = 0.4;
+pub(crate) const LATE_START_FRACTION: f64 = 0.4;
 
 /// Fraction of the first event target up to which the forecast of a long prompt counts as on time.
 /// Prefills take up to a twentieth longer than forecast, and a start at the very target ends late.
--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -61,7 +61,12 @@
         if own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt() {
             return self.reported_rate;
         }
-        self.reported_rate.max(own / window * self.peers as f64)
+        self.reported_rate.max(self.own_rate() * self.peers as f64)
+    }
+
+    /// Prompts that this gateway places per second.
+    fn own_rate(&self) -> f64 {
+        self.own as f64 / OWN_PLACEMENT_WINDOW.as_secs_f64()
     }
 
     /// Mean age of the reports: half an interval, and the time that a gateway takes to send them,
@@ -84,6 +89,8 @@
     pub sender_fraction: f64,
     /// Random number for this placement.
     pub random: u64,
+    /// Prompts that all gateways together place per second.
+    pub placement_rate: f64,
 }
 
 impl HerdAvoidance {
@@ -99,6 +106,7 @@
             unseen_placements: known.estimate_unseen(),
             sender_fraction,
             random,
+            placement_rate: known.placement_rate() + known.own_rate(),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -62,6 +62,7 @@
 mod plain_choice;
 pub mod prelude;
 mod queue;
+mod rank_demand;
 mod rates;
 mod request_key;
 mod request_limits;
@@ -145,6 +146,7 @@
 };
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
+pub use rank_demand::{RankDemand, leaves_urgent_room};
 pub use rates::WarmSpeed;
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -341,6 +341,7 @@
             unseen_placements: 25.0,
             sender_fraction: 1.0,
             random: rng.random(),
+            ..HerdAvoidance::default()
         };
         let need = PromptRequirements { waited, ..draft() };
         let engines = with_parts(parts, waited);
@@ -456,6 +457,7 @@
             unseen_placements: (gateways - 1) as f64 / 2.0,
             sender_fraction: 1.0,
             random: xxh3_64(&gateway.to_le_bytes()),
+            ..HerdAvoidance::default()
         };
         let placement = place_prompt(&model(), need, engines, herd_avoidance).unwrap();
         let helpers = placement.helpers.iter().map(|helper| helper.engine);
--- a/crates/trials/src/capacity_placement.rs
+++ b/crates/trials/src/capacity_placement.rs
@@ -36,6 +36,7 @@
                     unseen_placements: 10.0,
                     sender_fraction: 1.0,
                     random: u64::from(call),
+                    ..HerdAvoidance::default()
                 };
                 black_box(place_prompt(
                     &engine_profile(),
