--- /dev/null
+++ b/crates/policy/tests/short_prompt_choice.rs
@@ -0,0 +1,115 @@
+//! Short prompts that wait for an engine. Each test names the load pattern that it covers.
+
+mod engine;
+
+use engine::model;
+use policy::{EngineCandidate, HerdAvoidance, PromptRequirements, place_prompt};
+use proto::ServerUsage;
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use std::time::Duration;
+
+const TARGET: Duration = ms(300);
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn draft(waited: Duration) -> PromptRequirements {
+    PromptRequirements {
+        prompt_tokens: 5_000,
+        expected_output_tokens: 1_600,
+        first_event_target: TARGET,
+        event_gap_target: ms(200),
+        waited,
+        remaining: ms(12_000),
+    }
+}
+
+/// An engine that prefills a part of a long prompt for the given time, if any.
+fn engine(order: usize, part: Option<Duration>) -> EngineCandidate {
+    EngineCandidate {
+        shared_order: order as u64,
+        load: ServerUsage {
+            prefill_remaining: part.unwrap_or_default(),
+            long_prefills: u32::from(part.is_some()),
+            ..ServerUsage::default()
+        },
+        slowdown: 1.0,
+        accepts_requests: true,
+        is_limited: false,
+        suspect: None,
+    }
+}
+
+/// Engines that prefill a part of a long prompt, as they look to a gateway `now`. `parts` has for each the
+/// forecast and the actual time of the part's end.
+fn with_parts(parts: &[(Duration, Duration)], now: Duration) -> Vec<EngineCandidate> {
+    let part = |(order, (forecast, end)): (usize, &(Duration, Duration))| {
+        if *end <= now {
+            engine(order, None)
+        } else {
+            engine(order, Some(forecast.saturating_sub(now).max(ms(10))))
+        }
+    };
+    parts.iter().enumerate().map(part).collect()
+}
+
+/// Time to the first event of a short prompt that is checked every 30 ms, and the time of its placement.
+fn first_event_behind_parts(
+    parts: &[(Duration, Duration)],
+    rng: &mut SmallRng,
+) -> (Duration, Duration) {
+    let mut checks = (0..600).step_by(30).map(ms);
+    let placed = checks.find_map(|waited| {
+        let herd_avoidance = HerdAvoidance {
+            unseen_placements: 25.0,
+            sender_fraction: 1.0,
+            random: rng.random(),
+            ..HerdAvoidance::default()
+        };
+        let need = draft(waited);
+        let engines = with_parts(parts, waited);
+        let placement = place_prompt(&model(), &need, &engines, herd_avoidance)?;
+        Some((placement, waited))
+    });
+    let (placement, waited) = placed.expect("the wait ends");
+    let (_, part_end) = parts[placement.decoder];
+    let own = placement.part_prefill_time + model().decode_iteration_time(1);
+    (part_end.max(waited) + own, waited)
+}
+
+/// A burst of short prompts while all engines prefill parts of long ones, of which a quarter take a second
+/// longer than forecast. A prompt that waits gets the first engine that becomes free.
+#[test]
+fn short_prompts_wait_for_engines_that_are_soon_free() {
+    const PROMPTS: usize = 200;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let is_on_time = |_: &usize| {
+        let part = |_| {
+            let forecast = ms(rng.random_range(20..400));
+            let overrun = if rng.random_bool(0.25) {
+                ms(1_000)
+            } else {
+                ms(0)
+            };
+            (forecast, forecast + overrun)
+        };
+        let parts: Vec<_> = (0..14).map(part).collect();
+        first_event_behind_parts(&parts, &mut rng).0 <= TARGET
+    };
+    let on_time = (0..PROMPTS).filter(is_on_time).count();
+    assert!(on_time >= PROMPTS * 95 / 100, "{on_time} of {PROMPTS}");
+}
+
+/// The same, but the parts go on for long, as on engines that stall. The wait ends in time for the target.
+#[test]
+fn short_prompts_do_not_wait_for_engines_that_stall() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for _ in 0..100 {
+        let part = |_| (ms(rng.random_range(20..400)), ms(9_000));
+        let parts: Vec<_> = (0..14).map(part).collect();
+        let (_, placed_at) = first_event_behind_parts(&parts, &mut rng);
+        assert!(placed_at <= TARGET, "{placed_at:?}");
+    }
+}
