--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -61,7 +61,12 @@
         if own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt() {
             return self.reported_rate;
         }
-        self.reported_rate.max(own / window * self.peers as f64)
+        self.reported_rate.max(self.own_rate() * self.peers as f64)
+    }
+
+    /// Prompts that this gateway places per second.
+    fn own_rate(&self) -> f64 {
+        self.own as f64 / OWN_PLACEMENT_WINDOW.as_secs_f64()
     }
 
     /// Mean age of the reports: half an interval, and the time that a gateway takes to send them,
@@ -84,6 +89,8 @@
     pub sender_fraction: f64,
     /// Random number for this placement.
     pub random: u64,
+    /// Prompts that all gateways together place per second.
+    pub placement_rate: f64,
 }
 
 impl HerdAvoidance {
@@ -99,15 +106,20 @@
             unseen_placements: known.estimate_unseen(),
             sender_fraction,
             random,
+            placement_rate: known.placement_rate() + known.own_rate(),
         }
     }
 
     /// Picks one of several choices, sorted from best to worst, of which only the first ones are
     /// used: as many as have room for several times the unseen placements. `rooms` has for each
     /// choice the number of prompts that it can still take, and a choice is picked the more often
-    /// the more it has.
+    /// the more it has. The last room of a choice is left to the unseen placements if there are any,
+    /// while others have more.
     pub(crate) fn pick(&self, rooms: &[u32]) -> usize {
         let unseen = self.unseen_placements.max(0.0) * self.sender_fraction;
+        let spares_last = unseen >= 1.0 && rooms.iter().any(|room| *room > 1);
+        let spare = |room: &u32| if spares_last && *room == 1 { 0 } else { *room };
+        let rooms: Vec<_> = rooms.iter().map(spare).collect();
         let wanted = 1.0 + ROOM_PER_UNSEEN_PLACEMENT * unseen;
         let mut total = 0_u64;
         let used = rooms.iter().take_while(|room| {
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -317,6 +317,18 @@
     assert_eq!(place(2_200, SuspectKind::Unreachable), None);
 }
 
+/// Bursts at many gateways: the last slot of an engine is left to placements that are not reported yet,
+/// while other engines have more.
+#[test]
+fn last_slots_are_spared_while_other_engines_have_more() {
+    let slots = model().slots;
+    let engines = engines(40, |order| {
+        decoding(order, if order < 20 { slots - 1 } else { 4 }, ms(200))
+    });
+    let prefills = prefills_by_engine(20, &draft(), &engines);
+    assert_eq!(prefills[..20].iter().sum::<u64>(), 0, "{prefills:?}");
+}
+
 /// A prompt waits if all slots are taken, or if the engines accept no more requests.
 #[test]
 fn nothing_is_placed_without_room() {
@@ -373,6 +385,7 @@
             unseen_placements: (gateways - 1) as f64 / 2.0,
             sender_fraction: 1.0,
             random: xxh3_64(&gateway.to_le_bytes()),
+            ..HerdAvoidance::default()
         };
         let placement = place_prompt(&model(), need, engines, herd_avoidance).unwrap();
         let helpers = placement.helpers.iter().map(|helper| helper.engine);
