Crash guard: rows of blocked parts do not hide the guilty one

Gateways that hear of each other by the store only read the rows of sound parts (teams 1 and 73) that another gateway had blocked in a tie. The reader took all its own crashes under these parts for explained, four of its five under the fatal part, and blocked that 0.6 s later than its evidence allowed (4.35 s, not 3.74 s). Eight prompts were sent after the notice, three are allowed.

Change: a block that is known from its row only explains crashes here only where no other part was there clearly more often. Blocks by the own evidence, or by that of peers that are heard, explain all as before.

--- a/crates/policy/src/blocked_suspects.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -1,5 +1,6 @@
 //! Suspects that crash servers and are refused, with their rows in the store.
 
+use crate::crash_evidence::BlockSource;
 use proto::{BlockedSuspect, Suspect};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -80,6 +81,8 @@
 pub(crate) struct NewBlock {
     /// Since when it is blocked, anywhere.
     pub since: Duration,
+    /// From what this gateway knows it.
+    pub source: BlockSource,
     /// Revision of this gateway's news, if it was blocked by the evidence here.
     pub revision: Option<u64>,
     /// Whether other suspects fit the evidence as well.
@@ -91,6 +94,7 @@
 #[derive(Debug)]
 struct Block {
     since: Duration,
+    source: BlockSource,
     is_tied: bool,
     last_seen: Duration,
     trials: u32,
@@ -114,7 +118,10 @@
 impl BlockedSuspects {
     /// Blocks a suspect. Returns whether it was not blocked.
     pub fn block(&mut self, suspect: Suspect, new: NewBlock, now: Duration) -> bool {
-        if self.blocks.contains_key(&suspect) {
+        if let Some(block) = self.blocks.get_mut(&suspect) {
+            if new.source == BlockSource::Evidence {
+                block.source = new.source;
+            }
             return false;
         }
         self.make_room();
@@ -126,6 +133,7 @@
         };
         let block = Block {
             since: new.since,
+            source: new.source,
             is_tied: new.is_tied,
             last_seen: now,
             trials: 0,
@@ -178,6 +186,11 @@
         self.blocks.contains_key(&suspect)
     }
 
+    /// From what a blocked suspect is known.
+    pub fn source(&self, suspect: Suspect) -> Option<BlockSource> {
+        Some(self.blocks.get(&suspect)?.source)
+    }
+
     pub fn counts(&self) -> BlockedCounts {
         let suspects = self.blocks.keys();
         let requests = suspects.filter(|suspect| matches!(suspect, Suspect::Request(_)));
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -36,6 +36,17 @@
     pub(crate) is_tied: bool,
 }
 
+/// From what this gateway knows that a suspect is blocked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BlockSource {
+    /// The evidence of this gateway and of peers that it hears. The suspect explains all crashes under it.
+    Evidence,
+    /// Only the row in the store. The evidence is that of gateways which this one does not hear, and a
+    /// part that shared servers with the guilty one there may be blocked for it. It explains crashes
+    /// here only if no other part was there clearly more often.
+    Row,
+}
+
 /// A crash of a server.
 #[derive(Debug, Clone)]
 pub(crate) struct Crash {
@@ -157,21 +168,31 @@
         self.count(&crashes)
     }
 
-    /// What crashes servers by all that is known, without those that `is_blocked` already and without
+    /// What crashes servers by all that is known, without those that are blocked already and without
     /// the crashes that these explain.
-    pub(crate) fn causes(&self, is_blocked: impl Fn(Suspect) -> bool, now: Duration) -> Vec<Cause> {
+    pub(crate) fn causes(
+        &self,
+        blocked_by: impl Fn(Suspect) -> Option<BlockSource>,
+        now: Duration,
+    ) -> Vec<Cause> {
         let settled = self.crashes.iter();
         let settled = settled.filter(|crash| now >= crash.at + SETTLE_TIME);
         let settled: Vec<_> = settled.collect();
-        let mut causes = self.part_causes(&settled, &is_blocked);
-        let is_known = |suspect| is_blocked(suspect) || is_among(&causes, suspect);
+        let mut causes = self.part_causes(&settled, &blocked_by);
+        let is_known = |suspect| blocked_by(suspect).is_some() || is_among(&causes, suspect);
         let requests = self.request_causes(&settled, is_known);
         causes.extend(requests);
         causes
     }
 
-    fn part_causes(&self, crashes: &[&Crash], is_blocked: impl Fn(Suspect) -> bool) -> Vec<Cause> {
-        let is_explaining = |suspect: &Suspect| is_part(suspect) && is_blocked(*suspect);
+    fn part_causes(
+        &self,
+        crashes: &[&Crash],
+        blocked_by: impl Fn(Suspect) -> Option<BlockSource>,
+    ) -> Vec<Cause> {
+        let is_explaining = |suspect: &Suspect| {
+            is_part(suspect) && blocked_by(*suspect) == Some(BlockSource::Evidence)
+        };
         let mut unexplained = unexplained(crashes, is_explaining);
         let mut parts = Vec::new();
         loop {
@@ -180,6 +201,12 @@
             let most = counts.values().copied().max().unwrap_or(0);
             let leaders = counts.iter().filter(|(_, count)| **count + 1 >= most);
             let leaders: Vec<_> = leaders.map(|(part, _)| *part).collect();
+            let blocked = leaders.iter().copied();
+            let blocked: Vec<_> = blocked.filter(|part| blocked_by(*part).is_some()).collect();
+            if !blocked.is_empty() {
+                unexplained.retain(|crash| !crash.suspects.iter().any(|it| blocked.contains(it)));
+                continue;
+            }
             let is_tied = leaders.len() > 1;
             if most < MIN_PART_CRASHES || is_tied && most < MIN_PART_CRASHES_TIED {
                 break;
@@ -219,9 +246,8 @@
 
     /// Whether one request was there in all `crashes` that a part may have caused.
     fn has_common_request(&self, crashes: &[&Crash], part: Suspect) -> bool {
-        let under_part = crashes.iter().filter(|crash| {
-            crash.suspects.contains(&part) && !self.is_proven_since(part, crash.at)
-        });
+        let under_part = crashes.iter();
+        let under_part = under_part.filter(|crash| self.may_have_caused(part, crash));
         let mut under_part = under_part.peekable();
         let first = under_part.peek().map(|crash| &crash.suspects);
         let mut common: Vec<_> = first.into_iter().flatten().collect();
@@ -232,13 +258,15 @@
         !common.is_empty()
     }
 
+    fn may_have_caused(&self, suspect: Suspect, crash: &Crash) -> bool {
+        crash.suspects.contains(&suspect) && !self.is_proven_since(suspect, crash.at)
+    }
+
     /// The last crash that a suspect may have caused, of those at `since` or later.
     pub(crate) fn last_crash_under(&self, suspect: Suspect, since: Duration) -> Option<&Crash> {
         let crashes = self.crashes.iter().rev();
         let mut crashes = crashes.take_while(|crash| crash.at >= since);
-        crashes.find(|crash| {
-            crash.suspects.contains(&suspect) && !self.is_proven_since(suspect, crash.at)
-        })
+        crashes.find(|crash| self.may_have_caused(suspect, crash))
     }
 
     /// Whether a server has crashed at `since` or later.
--- a/crates/policy/src/crash_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -1,7 +1,7 @@
 //! Decides which requests are refused because they crash servers.
 
 use crate::blocked_suspects::{BlockedCounts, BlockedRow, BlockedSuspects, NewBlock, RowChange};
-use crate::crash_evidence::{Cause, CrashEvidence};
+use crate::crash_evidence::{BlockSource, Cause, CrashEvidence};
 use crate::fleet_load::server_key;
 use crate::guard_verdict::{GuardChange, GuardReason, GuardVerdict, Spread};
 use crate::retry_turn::{RECENT_TIME, RetryTurn};
@@ -219,6 +219,7 @@
         }
         let block = NewBlock {
             since,
+            source: BlockSource::Evidence,
             revision: None,
             is_tied: report.is_tied,
             write_after: write_delay(report.suspect, spread),
@@ -255,6 +256,7 @@
         }
         let block = NewBlock {
             since: now,
+            source: BlockSource::Row,
             revision: None,
             is_tied: row.is_tied,
             write_after: Duration::ZERO,
@@ -319,13 +321,14 @@
     fn review(&mut self, now: Duration, spread: Spread<'_>) -> Vec<GuardChange> {
         let causes = self
             .evidence
-            .causes(|suspect| self.blocked.is_blocked(suspect), now);
+            .causes(|suspect| self.blocked.source(suspect), now);
         self.is_review_due = self.evidence.is_unsettled(now);
         let mut changes = Vec::new();
         for Cause { suspect, is_tied } in causes {
             self.revision += 1;
             let block = NewBlock {
                 since: now,
+                source: BlockSource::Evidence,
                 revision: Some(self.revision),
                 is_tied,
                 write_after: write_delay(suspect, spread),
