Crash guard: a third trial soon for a part that another one explains

Part 6 is blocked in a tie with the fatal part at 1.45 s, by four crashes, in three of which the fatal part was too. An answer that began before the block clears it of all but one of them, but releases nothing, as it began before the block. The engines of both trials (5.5 s and 19.7 s) end by chance after 412 ms and 173 ms of the answers, and the third trial is due ten minutes later.

Change: once a part has had a trial, the crashes for which it is blocked are counted again: without those that another blocked part explains, which has been in two crashes more by now, and without those that answers have cleared it of. If fewer than three are left, the third trial follows the second after 12 to 15 s as well. There are still three trials at most, and a part that does crash servers is not explained by another.

--- a/crates/policy/src/blocked_suspects.rs
+++ b/crates/policy/src/blocked_suspects.rs
@@ -98,7 +98,11 @@
     is_tied: bool,
     last_seen: Duration,
     trials: u32,
+    /// When the last trial was begun.
+    last_trial: Duration,
     next_trial: Duration,
+    /// Whether the crashes under it are explained by another blocked suspect; found out after a trial.
+    is_explained: bool,
     /// Version of its row, and when that changed; `None` until the row is seen.
     row: Option<(u64, Duration)>,
     /// When to write the row unless it is seen before.
@@ -107,6 +111,22 @@
     revision: Option<u64>,
 }
 
+impl Block {
+    fn on_trial(&mut self, suspect: Suspect, trials: u32, now: Duration) {
+        self.trials = trials;
+        self.last_trial = now;
+        self.next_trial = self.trial_after_last(suspect);
+    }
+
+    fn trial_after_last(&self, suspect: Suspect) -> Duration {
+        let delay = match suspect {
+            Suspect::Part(_) if self.trials < 2 || self.is_explained => SECOND_TRIAL_DELAY,
+            _ => LATE_TRIAL_DELAY,
+        };
+        self.last_trial + delay + trial_offset(suspect, self.trials)
+    }
+}
+
 /// The blocked suspects. Times are those of this gateway.
 #[derive(Debug, Default)]
 pub(crate) struct BlockedSuspects {
@@ -137,7 +157,9 @@
             is_tied: new.is_tied,
             last_seen: now,
             trials: 0,
+            last_trial: now,
             next_trial: now + trial_delay + trial_offset(suspect, 0),
+            is_explained: false,
             row: None,
             write_at: Some(now + new.write_after),
             revision: new.revision,
@@ -264,9 +286,29 @@
     /// Records that the row of a trial was written.
     pub fn on_trial_claimed(&mut self, suspect: Suspect, now: Duration) {
         if let Some(block) = self.blocks.get_mut(&suspect) {
-            block.trials += 1;
-            block.next_trial =
-                now + delay_after(suspect, block.trials) + trial_offset(suspect, block.trials);
+            block.on_trial(suspect, block.trials + 1, now);
+        }
+    }
+
+    /// Parts that are blocked by the evidence, had trials, and are not known to be explained by another
+    /// blocked suspect; and since when they are blocked.
+    pub fn unexplained_parts(&self) -> Vec<(Suspect, Duration)> {
+        let blocks = self.blocks.iter();
+        let parts = blocks.filter(|(suspect, block)| {
+            matches!(suspect, Suspect::Part(_))
+                && block.source == BlockSource::Evidence
+                && block.trials > 0
+                && !block.is_explained
+        });
+        parts.map(|(part, block)| (*part, block.since)).collect()
+    }
+
+    /// Records that the crashes under a part are explained by another blocked one. Its later trials then
+    /// follow as soon as the second: engines that ended by chance have spoilt those before.
+    pub fn on_explained(&mut self, part: Suspect) {
+        if let Some(block) = self.blocks.get_mut(&part) {
+            block.is_explained = true;
+            block.next_trial = block.next_trial.min(block.trial_after_last(part));
         }
     }
 
@@ -274,9 +316,7 @@
     pub fn on_row(&mut self, suspect: Suspect, row: BlockedRow, version: u64, now: Duration) {
         if let Some(block) = self.blocks.get_mut(&suspect) {
             if row.trials > block.trials {
-                block.trials = row.trials;
-                block.next_trial =
-                    now + delay_after(suspect, row.trials) + trial_offset(suspect, row.trials);
+                block.on_trial(suspect, row.trials, now);
             }
             block.row = Some((version, now));
             block.write_at = None;
@@ -362,11 +402,3 @@
     let hash = xxh3_64_with_seed(&suspect.key().to_le_bytes(), u64::from(trials));
     MAX_TRIAL_OFFSET.mul_f64((hash % STEPS) as f64 / STEPS as f64)
 }
-
-/// Time from the last of `trials` to the next one.
-fn delay_after(suspect: Suspect, trials: u32) -> Duration {
-    match suspect {
-        Suspect::Part(_) if trials < 2 => SECOND_TRIAL_DELAY,
-        _ => LATE_TRIAL_DELAY,
-    }
-}
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -258,6 +258,36 @@
         !common.is_empty()
     }
 
+    /// Whether the crashes up to `until`, when a part was blocked, would not accuse it by now: apart from
+    /// those that another part explains, which `is_blocked` and was there in clearly more crashes, too few
+    /// are left. `counts` holds the number of crashes under each suspect.
+    pub(crate) fn is_explained(
+        &self,
+        part: Suspect,
+        until: Duration,
+        counts: &HashMap<Suspect, usize>,
+        is_blocked: impl Fn(Suspect) -> bool,
+    ) -> bool {
+        let crashes = self.crashes.iter();
+        let crashes: Vec<_> = crashes.take_while(|crash| crash.at <= until).collect();
+        let count = counts.get(&part).copied().unwrap_or(0);
+        let others = counts
+            .iter()
+            .filter(|(other, _)| is_part(other) && is_blocked(**other));
+        let others = others.filter(|(_, other_count)| **other_count >= count + 2);
+        let mut others = others.map(|(other, _)| *other);
+        others.any(|other| {
+            let (under_other, rest): (Vec<_>, Vec<_>) = crashes
+                .iter()
+                .copied()
+                .partition(|crash| self.may_have_caused(other, crash));
+            let unexplained = rest
+                .iter()
+                .filter(|crash| self.may_have_caused(part, crash));
+            under_other.len() >= MIN_PART_CRASHES && unexplained.count() < MIN_PART_CRASHES
+        })
+    }
+
     fn may_have_caused(&self, suspect: Suspect, crash: &Crash) -> bool {
         crash.suspects.contains(&suspect) && !self.is_proven_since(suspect, crash.at)
     }
--- a/crates/policy/src/crash_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -336,9 +336,25 @@
             self.blocked.block(suspect, block, now);
             changes.push(self.change(suspect, true, GuardReason::Evidence));
         }
+        self.find_explained_parts();
         changes
     }
 
+    /// Finds blocked parts that only shared servers with another blocked part.
+    fn find_explained_parts(&mut self) {
+        let parts = self.blocked.unexplained_parts();
+        if parts.is_empty() {
+            return;
+        }
+        let counts = self.evidence.counts();
+        for (part, since) in parts {
+            let is_blocked = |suspect| self.blocked.is_blocked(suspect);
+            if self.evidence.is_explained(part, since, &counts, is_blocked) {
+                self.blocked.on_explained(part);
+            }
+        }
+    }
+
     fn on_proof(&mut self, proof: &RunProof, now: Duration) -> Vec<GuardChange> {
         let mut changes = Vec::new();
         for suspect in &proof.suspects {
