direct: servers that do not accept the connection use up no try

When the servers of a failure domain end at once, each refuses connections within 2 ms. Each refusal used up one of the five tries of a call, which was then refused as "tried enough" with seconds left. A failed connection now gives its try back; the bound is the time left and the number of servers, as a call never chooses the same server again.

Measured: 60 dead servers and one that runs, one call, answered by the one that runs (crates/trials/tests/direct.rs, servers_that_cannot_be_reached_use_up_no_tries).

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -29,6 +29,10 @@
         NotRun(server: Box<str>, reason: Box<str>) {
             display("{server} has not run it: {reason}")
         }
+        /// The server did not accept the connection. Nothing was sent.
+        NotConnected(server: Box<str>, reason: Box<str>) {
+            display("{server} has not run it: {reason}")
+        }
         /// The server was reached, but the retry budget of the service is exhausted. Nothing was
         /// sent.
         RetryBudgetSpent {
@@ -78,7 +82,9 @@
         Err(AttemptError::NotRun(_, reason)) if &**reason == SERVER_FULL => {
             (AttemptResult::Full, "full")
         }
-        Err(AttemptError::NotRun(..)) => (AttemptResult::Silent, "not run"),
+        Err(AttemptError::NotRun(..) | AttemptError::NotConnected(..)) => {
+            (AttemptResult::Silent, "not run")
+        }
         Err(AttemptError::RetryBudgetSpent | AttemptError::Blocked) => return result,
         Err(err @ (AttemptError::AtLimit(_) | AttemptError::Paused(_))) => {
             let label = match err {
@@ -97,10 +103,14 @@
         .fleet
         .on_result(&server.id, health, call.shared.clock.now());
     call.shared.metrics.attempt(label);
-    if !matches!(result, Err(AttemptError::NotRun(..))) {
+    if !matches!(
+        result,
+        Err(AttemptError::NotRun(..) | AttemptError::NotConnected(..))
+    ) {
         call.record_possible_run();
     }
     match &result {
+        Err(AttemptError::NotConnected(..)) => call.return_try(),
         Err(AttemptError::MayHaveRun(..)) => {
             detect_crashed_server(call, server).await;
         }
@@ -207,7 +217,7 @@
     if shared.fleet.is_paused(&server.id, shared.clock.now()) {
         return Err(AttemptError::Paused(name()));
     }
-    let exchange = exchange.map_err(|err| AttemptError::NotRun(name(), error_text(&err)))?;
+    let exchange = exchange.map_err(|err| AttemptError::NotConnected(name(), error_text(&err)))?;
     if !shared.store_cache.is_usable(&server.id, shared.clock.now()) {
         return Err(AttemptError::NotRun(name(), "it left meanwhile".into()));
     }
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -14,7 +14,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
-/// Limit on the servers tried for one call, including those that are unreachable or refuse it.
+/// Limit on the servers tried for one call, including those that refuse it. Servers that do not accept
+/// the connection do not count: when a failure domain ends, more servers than this fail at once.
 const MAX_TRIES: u32 = 5;
 
 /// Result of matching a request against the declarations.
@@ -62,7 +63,7 @@
 /// Counters of a call, used for its limits and its last log line.
 #[derive(Debug, Default)]
 struct Progress {
-    /// Servers tried, including those that could not be reached.
+    /// Servers tried that accepted the connection, and the one that is tried now.
     tries: AtomicU32,
     /// Times that the request was sent.
     sends: AtomicU32,
@@ -143,6 +144,12 @@
         self.progress.tries.fetch_add(1, Ordering::Relaxed) < MAX_TRIES
     }
 
+    /// Takes back a try that [`Self::claim_try`] counted, of a server that did not accept the
+    /// connection. The caller must not choose this server again for the call.
+    pub fn return_try(&self) {
+        self.progress.tries.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Counts a send to a server that was reached, and returns whether it is allowed. The first
     /// send of a call is free, later ones are taken from the retry budget of the service.
     pub fn claim_send(&self) -> bool {
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -155,6 +155,18 @@
         let name = format!("{}-{}", call.head.id, call.sends());
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
+        if let Err(ReserveError::NotConnected(..)) = &reserved {
+            call.return_try();
+        }
+        if let Err(ReserveError::NotConnected(helper, _) | ReserveError::NoResponse(helper, _)) =
+            &reserved
+        {
+            let now = shared.clock.now();
+            shared.fleet.on_result(helper, AttemptResult::Silent, now);
+            // Nothing was sent to the engine that was to decode, so that it can be chosen again.
+            tried.pop();
+            tried.push(helper.clone());
+        }
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
         let wait = if call.is_last_run() {
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -44,8 +44,12 @@
         Paused(server: Box<str>) {
             display("reserve memory of {server}: it has asked for a pause")
         }
+        /// The engine did not accept the connection, so that it holds no memory.
+        NotConnected(server: BackendId, reason: Box<str>) {
+            display("reserve memory of {server}: {reason}")
+        }
         /// The engine did not respond. It may hold the memory until the reservation expires.
-        NoResponse(server: Box<str>, reason: Box<str>) {
+        NoResponse(server: BackendId, reason: Box<str>) {
             display("reserve memory of {server}: {reason}")
         }
     }
@@ -269,17 +273,26 @@
         lifetime(shared),
     );
     let sent = send_order(shared, reservation, order).await;
-    let server = reservation.address.to_string().into();
     match sent {
         Ok(status) => match reserve_outcome(status) {
             MemoryAnswer::Reserved => Ok(()),
-            answer => Err(ReserveError::Refused(server, answer)),
+            answer => Err(ReserveError::Refused(
+                reservation.address.to_string().into(),
+                answer,
+            )),
         },
+        Err(err @ HttpError::Connect(..)) => Err(ReserveError::NotConnected(
+            reservation.server.clone(),
+            err.to_string().into(),
+        )),
         Err(err) => {
             reservation
                 .may_be_ordered_late
                 .store(true, Ordering::Relaxed);
-            Err(ReserveError::NoResponse(server, err.to_string().into()))
+            Err(ReserveError::NoResponse(
+                reservation.server.clone(),
+                err.to_string().into(),
+            ))
         }
     }
 }
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -388,3 +388,32 @@
         assert_eq!(refused, 0, "{}", rig.gateway.process.log_tail());
     });
 }
+
+/// Guards against refusals with time left after a failure domain has ended: five refused connections,
+/// which take a few milliseconds, once used up all tries of a call.
+#[test]
+fn servers_that_cannot_be_reached_use_up_no_tries() {
+    with_rig(async |rig: &mut DirectRig| {
+        let dead_address = ([127, 0, 0, 1], 1).into();
+        for n in 0..60 {
+            rig.register(&format!("dead-{n}"), "registry", dead_address, "ready");
+        }
+        let _server = rig
+            .add_server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        let log = || rig.gateway.process.log();
+        let are_listed = async || log().matches("row changed").count() == 61;
+        assert!(rig.wait_until(are_listed).await);
+        let response = rig.call("c1", "/once/x", KEY).await;
+        assert_eq!(response.status, StatusCode::OK, "{}", log());
+        let ids = log();
+        let refused = ids
+            .lines()
+            .filter(|line| line.contains("attempt: no answer"));
+        let servers: Vec<_> = refused
+            .filter_map(|line| line.split("dead-").nth(1))
+            .collect();
+        let distinct: BTreeSet<_> = servers.iter().copied().collect();
+        assert_eq!(distinct.len(), servers.len(), "no server is tried twice");
+    });
+}
