direct: a failure is recorded for the server that is named as at fault

The failure is now recorded for the server at fault, which is not chosen again for the call; the one that answered may be. Each such answer uses up a try, so that the answers of a call stay bounded.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -10,12 +10,13 @@
     ForwardOptions, Helper, ResponseHead, forwarded_request, is_leaving, requested_pause,
 };
 use hyper::http::response::Parts;
-use policy::AttemptResult;
+use policy::{AttemptResult, BackendId};
 use proto::{BackendEntry, PartKey};
 use quick_error::quick_error;
 use runtime::{Body, HttpError, SingleExchange, SingleResponse, timeout};
 use slog::info;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Connections are made within one region, where they take a few milliseconds.
@@ -29,6 +30,10 @@
         NotRun(server: Box<str>, reason: Box<str>) {
             display("{server} has not run it: {reason}")
         }
+        /// The server did not run the request because of another one.
+        OtherAtFault(server: Box<str>, other: SocketAddr) {
+            display("{server} has not run it: the server at {other} failed")
+        }
         /// The server did not accept the connection. Nothing was sent.
         NotConnected(server: Box<str>, reason: Box<str>) {
             display("{server} has not run it: {reason}")
@@ -65,7 +70,8 @@
 /// Sends a call to a server and waits for at most `wait` for the response head.
 ///
 /// Uses up `permit`. Records the result in the health of the server, in the metrics and in the
-/// call.
+/// call. Adds the server to those that are not chosen again for the call, or instead of it another
+/// one that it names as the one at fault.
 pub async fn send(
     call: &Call,
     server: &BackendEntry,
@@ -73,17 +79,32 @@
     helpers: &[Helper],
     last_event: Option<u64>,
     wait: Duration,
+    tried: &mut Vec<BackendId>,
 ) -> Result<SingleResponse, AttemptError> {
+    tried.push(server.id.clone());
     let result = exchange(call, server, permit, helpers, last_event, wait).await;
+    let at_fault = match &result {
+        Ok(response) => other_at_fault(server, &ResponseHead::read(&response.head, &call.head.id)),
+        Err(AttemptError::OtherAtFault(_, other)) => Some(*other),
+        Err(_) => None,
+    };
+    if let Some(other) = at_fault {
+        tried.retain(|id| *id != server.id);
+        tried.extend(record_server_at_fault(call, server, other));
+    }
     let (health, label) = match &result {
-        Ok(response) if asks_for_pause(&response.head) => (AttemptResult::Full, "full"),
-        Ok(response) if response.head.status.is_server_error() => (AttemptResult::Failed, "error"),
-        Ok(_) => (AttemptResult::Answered, "answer"),
+        Ok(_) if at_fault.is_some() => (None, "other at fault"),
+        Err(AttemptError::OtherAtFault(..)) => (None, "other at fault"),
+        Ok(response) if asks_for_pause(&response.head) => (Some(AttemptResult::Full), "full"),
+        Ok(response) if response.head.status.is_server_error() => {
+            (Some(AttemptResult::Failed), "error")
+        }
+        Ok(_) => (Some(AttemptResult::Answered), "answer"),
         Err(AttemptError::NotRun(_, reason)) if &**reason == SERVER_FULL => {
-            (AttemptResult::Full, "full")
+            (Some(AttemptResult::Full), "full")
         }
         Err(AttemptError::NotRun(..) | AttemptError::NotConnected(..)) => {
-            (AttemptResult::Silent, "not run")
+            (Some(AttemptResult::Silent), "not run")
         }
         Err(AttemptError::RetryBudgetSpent | AttemptError::Blocked) => return result,
         Err(err @ (AttemptError::AtLimit(_) | AttemptError::Paused(_))) => {
@@ -96,16 +117,19 @@
                 "server" => &*server.id, "err" => %err);
             return result;
         }
-        Err(AttemptError::MayHaveRun(..)) => (AttemptResult::Failed, "failed"),
-        Err(AttemptError::TimedOut(_)) => (AttemptResult::Silent, "silent"),
+        Err(AttemptError::MayHaveRun(..)) => (Some(AttemptResult::Failed), "failed"),
+        Err(AttemptError::TimedOut(_)) => (Some(AttemptResult::Silent), "silent"),
     };
-    call.shared
-        .fleet
-        .on_result(&server.id, health, call.shared.clock.now());
+    if let Some(health) = health {
+        let now = call.shared.clock.now();
+        call.shared.fleet.on_result(&server.id, health, now);
+    }
     call.shared.metrics.attempt(label);
     if !matches!(
         result,
-        Err(AttemptError::NotRun(..) | AttemptError::NotConnected(..))
+        Err(AttemptError::NotRun(..)
+            | AttemptError::OtherAtFault(..)
+            | AttemptError::NotConnected(..))
     ) {
         call.record_possible_run();
     }
@@ -267,7 +291,7 @@
             shared.store_cache.on_leaving(&server.id, now);
         }
     }
-    check_head(call, server, &head)?;
+    check_head(server, &head)?;
     Ok(response)
 }
 
@@ -286,8 +310,13 @@
     }
 }
 
-fn check_head(call: &Call, server: &BackendEntry, head: &ResponseHead) -> Result<(), AttemptError> {
+fn check_head(server: &BackendEntry, head: &ResponseHead) -> Result<(), AttemptError> {
     let name = || server.id.clone();
+    if let Some(other) = other_at_fault(server, head)
+        && head.not_run
+    {
+        return Err(AttemptError::OtherAtFault(name(), other));
+    }
     if head.misdirected {
         return Err(AttemptError::NotRun(
             name(),
@@ -295,9 +324,6 @@
         ));
     }
     if head.not_run {
-        if let Some(blamed) = head.blamed_engine {
-            mark_blamed_engine(call, &server.service, blamed);
-        }
         return Err(AttemptError::NotRun(name(), SERVER_FULL.into()));
     }
     if !head.is_genuine {
@@ -309,16 +335,30 @@
     Ok(())
 }
 
-/// Marks an engine as suspect after another one reported that it could not serve the request
-/// because of it.
-fn mark_blamed_engine(call: &Call, service: &str, blamed: std::net::SocketAddr) {
-    let now = call.shared.clock.now();
-    let servers = call.shared.store_cache.usable_servers(service, now);
-    for server in servers.iter().filter(|server| server.address == blamed) {
-        call.shared
-            .fleet
-            .on_result(&server.id, AttemptResult::Silent, now);
+/// Address of another server that a response names as the one at fault.
+fn other_at_fault(server: &BackendEntry, head: &ResponseHead) -> Option<SocketAddr> {
+    let other = head.server_at_fault;
+    other.filter(|other| *other != server.address)
+}
+
+/// Records the failure of the servers at an address that `answered` has named as at fault, and returns
+/// their ids.
+fn record_server_at_fault(
+    call: &Call,
+    answered: &BackendEntry,
+    address: SocketAddr,
+) -> Vec<BackendId> {
+    let shared = &call.shared;
+    let now = shared.clock.now();
+    let mut servers = shared.store_cache.usable_servers(&answered.service, now);
+    servers.retain(|server| server.address == address);
+    for server in &servers {
+        info!(shared.log, "attempt: another server is at fault"; "req" => &*call.head.id,
+            "server" => &*answered.id, "at_fault" => &*server.id);
+        let health = AttemptResult::Silent;
+        shared.fleet.on_result(&server.id, health, now);
     }
+    servers.into_iter().map(|server| server.id).collect()
 }
 
 /// Ids of parts of prompts, for logs.
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -151,7 +151,6 @@
             .await;
         let mut assignment = assignment.map_err(OpenError::NoEngines)?;
         log_assignment(call, &assignment);
-        tried.push(assignment.server.id.clone());
         let name = format!("{}-{}", call.head.id, call.sends());
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
@@ -164,8 +163,9 @@
             let now = shared.clock.now();
             shared.fleet.on_result(helper, AttemptResult::Silent, now);
             // Nothing was sent to the engine that was to decode, so that it can be chosen again.
-            tried.pop();
             tried.push(helper.clone());
+        } else if reserved.is_err() {
+            tried.push(assignment.server.id.clone());
         }
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
@@ -176,7 +176,7 @@
         };
         let Assignment { server, permit, .. } = &mut assignment;
         let run = GuardedRun::start(call, server);
-        let answered = send(call, server, permit, &helpers, last_event, wait);
+        let answered = send(call, server, permit, &helpers, last_event, wait, tried);
         let lost = async {
             reservations.engine_lost().await;
             Err(give_up_lost_engine(call, server))
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -51,8 +51,7 @@
             break ("tried enough", REFUSAL_RETRY_AFTER);
         }
         let _job = Job::start_plain(&call.shared, &server);
-        tried.push(server.id.clone());
-        match attempt(call, &server, &mut permit).await {
+        match attempt(call, &server, &mut permit, &mut tried).await {
             Ok((head, body)) if head.status.is_server_error() && call.may_run_again() => {
                 error_response = Some(ErrorResponse { server, head, body });
             }
@@ -144,12 +143,13 @@
     call: &Call,
     server: &BackendEntry,
     permit: &mut SendPermit,
+    tried: &mut Vec<BackendId>,
 ) -> Result<(Parts, Bytes), AttemptError> {
     let wait = attempt_timeout(call);
     let started = call.shared.clock.now();
     let run = GuardedRun::start(call, server);
     let SingleResponse { head, body, .. } =
-        &mut send(call, server, permit, &[], None, wait).await?;
+        &mut send(call, server, permit, &[], None, wait, tried).await?;
     let left = (started + wait).saturating_sub(call.shared.clock.now());
     let body = read_body(&call.shared, body);
     let failed = |reason: Box<str>| {
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -40,6 +40,9 @@
     Normal,
     /// It responds that it is full, and does not run them.
     Full,
+    /// It names the server at this address as at fault for one request, which it does not run, and
+    /// then is normal.
+    NameAtFault(SocketAddr),
     /// It runs them, and aborts the connection before the response.
     Cut,
     /// It aborts a stream in the middle of the event after the one with this id.
@@ -210,10 +213,13 @@
         };
         let mut state = self.lock();
         state.arrivals.push(Instant::now());
-        if state.behaviour != ServerBehaviour::Full {
+        let behaviour = state.behaviour;
+        if let ServerBehaviour::NameAtFault(_) = behaviour {
+            state.behaviour = ServerBehaviour::Normal;
+        } else if behaviour != ServerBehaviour::Full {
             state.executed_requests.push(request.clone());
         }
-        (request, state.behaviour)
+        (request, behaviour)
     }
 
     fn stream(&self, request: &ExecutedRequest, behaviour: ServerBehaviour) -> Body {
@@ -383,6 +389,12 @@
                 headers.extend(pause.map(|seconds| ("retry-after", seconds.into_string())));
                 Body::empty()
             }
+            ServerBehaviour::NameAtFault(address) => {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                headers.push(("x-not-executed", "1".into()));
+                headers.push(("at-server", address.to_string()));
+                Body::empty()
+            }
             ServerBehaviour::Cut => self.cut_body(&mut headers).await,
             _ if self.kind == ServerKind::Plain && self.has_crashed() => {
                 self.cut_body(&mut headers).await
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -417,3 +417,24 @@
         assert_eq!(distinct.len(), servers.len(), "no server is tried twice");
     });
 }
+
+/// Guards against giving up the server that answers, in place of the one that it names as at fault.
+#[test]
+fn a_server_that_names_another_as_at_fault_is_asked_again() {
+    with_rig(async |rig: &mut DirectRig| {
+        let server = rig
+            .add_server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        wait_until_served(rig, "/lookup/x").await;
+        let lost = ([127, 0, 0, 1], 1).into();
+        rig.register("registry-2", "registry", lost, "ready");
+        let log = || rig.gateway.process.log();
+        assert!(rig.wait_until(async || log().contains("registry-2")).await);
+        server
+            .standin()
+            .set_behaviour(ServerBehaviour::NameAtFault(lost));
+        let response = rig.call("f1", "/once/x", KEY).await;
+        assert_eq!(response.status, StatusCode::OK, "{}", log());
+        assert!(log().contains("attempt: another server is at fault"));
+    });
+}
