--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -151,10 +151,22 @@
             .await;
         let mut assignment = assignment.map_err(OpenError::NoEngines)?;
         log_assignment(call, &assignment);
-        tried.push(assignment.server.id.clone());
         let name = format!("{}-{}", call.head.id, call.sends());
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
+        if let Err(ReserveError::NotConnected(..)) = &reserved {
+            call.return_try();
+        }
+        if let Err(ReserveError::NotConnected(helper, _) | ReserveError::NoResponse(helper, _)) =
+            &reserved
+        {
+            let now = shared.clock.now();
+            shared.fleet.on_result(helper, AttemptResult::Silent, now);
+            // Nothing was sent to the engine that was to decode, so that it can be chosen again.
+            tried.push(helper.clone());
+        } else if reserved.is_err() {
+            tried.push(assignment.server.id.clone());
+        }
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
         let wait = if call.is_last_run() {
@@ -164,7 +176,7 @@
         };
         let Assignment { server, permit, .. } = &mut assignment;
         let run = GuardedRun::start(call, server);
-        let answered = send(call, server, permit, &helpers, last_event, wait);
+        let answered = send(call, server, permit, &helpers, last_event, wait, tried);
         let lost = async {
             reservations.engine_lost().await;
             Err(give_up_lost_engine(call, server))
