Store content from peers: own failure domain first, differences only

Cause: a gateway that does not watch the store fetched its content from whichever peer reported newer versions first, mostly from another failure domain, and got the rows of all servers, and the declarations whenever any operator row had changed.

Change: SnapshotSource (policy) asks a peer of the own failure domain at once. The domain of a gateway is in its row (`domain`); rows without it are read as before, and such gateways are asked after those of the own domain. A gateway that has fetched content reports it to its peers at once.

All rows are sent to a requester at version 0, and where the sender may not know all removals since the requester's version: before its last listing, or before rows of removed servers that it has dropped. A difference ignores rows that are not newer than what is known. Declarations are sent only if their own row is newer.

--- a/crates/direct/src/gateway_rows.rs
+++ b/crates/direct/src/gateway_rows.rs
@@ -28,6 +28,9 @@
     /// Number of times that the row was renewed as a sign of life.
     #[serde(default)]
     pub renewals: u64,
+    /// Failure domain of its host; `None` in rows of gateways that do not state it.
+    #[serde(default)]
+    pub domain: Option<Box<str>>,
 }
 
 impl GatewayRow {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -15,7 +15,9 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::{GatewayRoster, PeerGateway, should_watch_store};
+use policy::{
+    ContentReport, GatewayRoster, PeerGateway, SnapshotSource, SnapshotStep, should_watch_store,
+};
 use proto::{LoadFrame, StoreSnapshot, StoreVersions, StreamOpening};
 use rand::random;
 use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role, timeout};
@@ -34,11 +36,6 @@
 const MAX_FRAMES_PER_SECOND: u32 = 250;
 /// Longest interval between load frames, so that peers can tell a lost gateway from an idle one.
 const MAX_FRAME_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for a peer to send its snapshot of the store.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Shortest interval between fetches from peers. It leaves time for the response to the last fetch
-/// to arrive.
-const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(40);
 
 #[derive(Debug)]
 struct PeerState {
@@ -70,7 +67,7 @@
     roster: Mutex<GatewayRoster>,
     store: Store,
     own_row: Mutex<OwnRow>,
-    last_fetch: Mutex<Duration>,
+    snapshot_source: Mutex<SnapshotSource>,
     /// Changes of request limits up to this one were passed to the tasks that send them.
     announced_limits: AtomicU64,
     /// The same for crashes of engines.
@@ -98,6 +95,7 @@
             address: listen,
             start: random(),
             renewals: 0,
+            domain: Some(shared.settings.domain.clone()),
         };
         let peers = Arc::new(Self {
             link: Arc::new(link),
@@ -108,7 +106,7 @@
                 row: row.clone(),
                 version: None,
             }),
-            last_fetch: Mutex::default(),
+            snapshot_source: Mutex::new(SnapshotSource::new(&name, &shared.settings.domain)),
             announced_limits: AtomicU64::new(0),
             announced_crashes: AtomicU64::new(0),
             listed: AtomicBool::new(false),
@@ -256,6 +254,7 @@
         let Some(found) = value.and_then(|value| serde_json::from_slice(value).ok()) else {
             info!(self.shared.log, "peers: gateway gone"; "peer" => name);
             peers.remove(name);
+            self.lock_snapshot_source().on_gone(name);
             return;
         };
         let found: GatewayRow = found;
@@ -303,41 +302,51 @@
         let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
         self.lock_roster().on_heard(peer, now);
-        let address = {
+        let domain = {
             let mut peers = self.lock();
             let known = peers.get_mut(peer);
             known.map(|known| {
                 known.last_heard = now;
                 known.reaches_store = reaches_store;
-                known.row.address
+                known.row.domain.clone()
             })
         };
-        if let Some(address) = address.filter(|_| self.should_fetch_snapshot(&frame.versions, now))
-        {
-            let peers = self.clone();
-            let name: Box<str> = peer.into();
-            self.shared
-                .executor
-                .detach(async move { peers.fetch_snapshot(&name, address).await });
+        if let Some(domain) = domain {
+            let report = ContentReport {
+                domain: domain.as_deref(),
+                versions: frame.versions,
+                reaches_store,
+            };
+            self.lock_snapshot_source().on_report(peer, report, now);
+            self.update_snapshot();
         }
     }
 
-    /// Whether to fetch a snapshot of the store from a peer: the peer has newer versions, this
-    /// gateway does not watch the store itself, and the last fetch is not too recent.
-    fn should_fetch_snapshot(&self, peer_versions: &StoreVersions, now: Duration) -> bool {
-        let watches = self.shared.watches_store() && self.shared.reaches_store();
-        if watches || !peer_versions.is_ahead_of(&self.shared.store_cache.versions()) {
-            return false;
+    /// Fetches newer content of the store from a peer, if this gateway does not watch the store itself and
+    /// a fetch is due.
+    fn update_snapshot(self: &Arc<Self>) {
+        if self.shared.watches_store() && self.shared.reaches_store() {
+            return;
         }
-        let mut last_fetch = self
-            .last_fetch
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let due = now >= *last_fetch + MIN_FETCH_INTERVAL;
-        if due {
-            *last_fetch = now;
+        let now = self.shared.clock.now();
+        let versions = self.shared.store_cache.versions();
+        let step = self.lock_snapshot_source().next_step(&versions, now);
+        let peers = self.clone();
+        match step {
+            SnapshotStep::Wait => {}
+            SnapshotStep::CheckAt(at) => self.shared.executor.detach(async move {
+                Timer::after(at.saturating_sub(now)).await;
+                peers.update_snapshot();
+            }),
+            SnapshotStep::Fetch { peer, timeout } => self.shared.executor.detach(async move {
+                let is_answered = peers.fetch_snapshot(&peer, versions, timeout).await;
+                let now = peers.shared.clock.now();
+                let mut source = peers.lock_snapshot_source();
+                source.on_fetch_done(&peer, is_answered, now);
+                drop(source);
+                peers.update_snapshot();
+            }),
         }
-        due
     }
 
     /// Decides from the reports of peers whether this gateway watches the store itself.
@@ -356,25 +365,25 @@
         }
     }
 
-    async fn fetch_snapshot(&self, peer: &str, address: SocketAddr) {
-        let versions = self.shared.store_cache.versions();
+    /// Fetches what a peer knows beyond `versions` and applies it. Returns whether the peer answered.
+    async fn fetch_snapshot(&self, peer: &str, versions: StoreVersions, limit: Duration) -> bool {
+        let Some(address) = self.lock().get(peer).map(|known| known.row.address) else {
+            return false;
+        };
+        let opening = StreamOpening::StoreSnapshot(versions);
         let fetch = async {
-            let opened = self
-                .link
-                .open(
-                    address,
-                    Role::Gateway,
-                    &StreamOpening::StoreSnapshot(versions),
-                )
-                .await;
+            let opened = self.link.open(address, Role::Gateway, &opening).await;
             let (_tx, mut rx) = opened?;
             rx.receive::<StoreSnapshot>().await
         };
-        match timeout(FETCH_TIMEOUT, fetch).await {
+        match timeout(limit, fetch).await {
             Ok(Ok(Some(snapshot))) => {
                 let now = self.shared.clock.now();
                 self.shared.store_cache.merge_from_peer(peer, snapshot, now);
                 self.shared.update_declarations_metric();
+                // Peers of the same failure domain wait for the content.
+                self.shared.fleet.urgent().notify();
+                return true;
             }
             Ok(Ok(None)) => {
                 warn!(self.shared.log, "peers: stream ended before the store snapshot arrived";
@@ -386,9 +395,10 @@
             }
             Err(_) => {
                 warn!(self.shared.log, "peers: fetching the store snapshot timed out";
-                    "peer" => peer);
+                    "peer" => peer, "after_ms" => limit.as_millis() as u64);
             }
         }
+        false
     }
 
     /// State shared by the tasks of the process.
@@ -396,6 +406,11 @@
         &self.shared
     }
 
+    fn lock_snapshot_source(&self) -> MutexGuard<'_, SnapshotSource> {
+        let source = self.snapshot_source.lock();
+        source.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_roster(&self) -> MutexGuard<'_, GatewayRoster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -2,7 +2,7 @@
 
 use adapter::{Listing, StoreRow, decode_backend_row, decode_declarations, evacuated_domain, keys};
 use policy::{BackendId, DomainName, RouteTable, ServerSet, server_key};
-use proto::{BackendEntry, ServerKey, StoreSnapshot, StoreVersions};
+use proto::{BackendEntry, BackendRow, ServerKey, StoreSnapshot, StoreVersions};
 use slog::{Logger, info, warn};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -21,6 +21,8 @@
 struct State {
     route_table: Option<Arc<RouteTable>>,
     declarations: Option<Vec<u8>>,
+    /// Version of the operators' table at which they were written, or a later one.
+    declarations_version: u64,
     evacuations: HashMap<DomainName, Evacuation>,
     servers: ServerSet,
     versions: StoreVersions,
@@ -129,21 +131,25 @@
             "version" => listing.version);
     }
 
-    /// Exports the content for a peer that knows the tables up to the versions `peer`. A table that
-    /// is not newer than that is left out.
+    /// Exports the content for a peer that knows the tables up to the versions `peer`: the rows that are
+    /// newer than that.
     pub fn export(&self, peer: &StoreVersions) -> StoreSnapshot {
         let state = self.lock();
-        let operators_newer = state.versions.operators > peer.operators;
-        let declarations = state.declarations.clone().filter(|_| operators_newer);
+        let declarations_newer = state.declarations_version > peer.operators;
+        let declarations = state.declarations.clone().filter(|_| declarations_newer);
         let evacuated = state.evacuated().into_iter().collect();
-        let servers = state.servers.rows();
-        let servers = servers.filter(|_| state.versions.servers > peer.servers);
-        let servers = servers.map(|(id, row, version)| (id.clone(), row.clone(), version));
+        let owned =
+            |(id, row, version): (&BackendId, &BackendRow, u64)| (id.clone(), row.clone(), version);
+        let changed = state.servers.changed_since(peer.servers);
+        let changed = changed.map(|rows| rows.map(owned).collect());
+        let is_difference = changed.is_some();
+        let all = || state.servers.rows().map(owned).collect();
         StoreSnapshot {
             versions: state.versions,
             declarations,
             evacuated,
-            servers: servers.collect(),
+            servers: changed.unwrap_or_else(all),
+            is_difference,
         }
     }
 
@@ -153,10 +159,11 @@
         let versions = snapshot.versions;
         info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
             "operators" => versions.operators, "own_operators" => state.versions.operators,
-            "servers" => versions.servers, "own_servers" => state.versions.servers);
+            "servers" => versions.servers, "own_servers" => state.versions.servers,
+            "rows" => snapshot.servers.len(), "is_difference" => snapshot.is_difference);
         if versions.operators > state.versions.operators {
             if let Some(body) = snapshot.declarations {
-                self.on_declarations(&mut state, body);
+                self.on_declarations(&mut state, body, versions.operators);
             }
             let listed: HashSet<DomainName> = snapshot.evacuated.into_iter().collect();
             state.end_evacuations_except(&listed, versions.operators);
@@ -165,10 +172,14 @@
             }
             state.advance_operators(versions.operators);
         }
-        if versions.servers > state.versions.servers {
-            state
-                .servers
-                .on_listing(snapshot.servers, versions.servers, now);
+        let known = state.versions.servers;
+        if versions.servers > known {
+            let rows = snapshot.servers;
+            if snapshot.is_difference {
+                state.servers.on_difference(rows, known, now);
+            } else {
+                state.servers.on_listing(rows, versions.servers, now);
+            }
             state.versions.servers = versions.servers;
         }
     }
@@ -176,7 +187,7 @@
     fn on_operator_row(&self, state: &mut State, row: &StoreRow) {
         if &*row.key == keys::DECLARATIONS {
             match &row.value {
-                Some(body) => self.on_declarations(state, body.clone()),
+                Some(body) => self.on_declarations(state, body.clone(), row.version),
                 None => warn!(self.log, "declarations: the row has no content, the last ones stay";
                     "version" => row.version),
             }
@@ -187,7 +198,7 @@
         }
     }
 
-    fn on_declarations(&self, state: &mut State, body: Vec<u8>) {
+    fn on_declarations(&self, state: &mut State, body: Vec<u8>, version: u64) {
         let (table, skipped) = match decode_declarations(&body) {
             Ok(decoded) => decoded,
             Err(err) => {
@@ -205,6 +216,7 @@
         info!(self.log, "declarations: in force"; "version" => table.version, "before" => current);
         state.route_table = Some(Arc::new(table));
         state.declarations = Some(body);
+        state.declarations_version = version;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -34,6 +34,8 @@
 pub struct ServerSet {
     known: HashMap<BackendId, KnownServer>,
     evacuated: HashSet<DomainName>,
+    /// Version since which all changes of rows are known, also those of servers that came and went.
+    history_start: u64,
     store_returned_at: Option<Duration>,
 }
 
@@ -87,7 +89,23 @@
         for id in missing.collect::<Vec<BackendId>>() {
             self.on_row(&id, BackendRow::Absent, version, now);
         }
-        for (id, row, version) in rows {
+        for (id, row, row_version) in rows {
+            self.on_row(&id, row, row_version, now);
+        }
+        // Servers that came and went since the last known version are in no listing.
+        self.history_start = self.history_start.max(version);
+        self.remove_tombstones();
+    }
+
+    /// Records the rows that have changed since a version up to which all is known, `known`. A row that is
+    /// not newer than that is ignored, as the row of its removal may have been dropped.
+    pub fn on_difference(
+        &mut self,
+        rows: Vec<(BackendId, BackendRow, u64)>,
+        known: u64,
+        now: Duration,
+    ) {
+        for (id, row, version) in rows.into_iter().filter(|(.., version)| *version > known) {
             self.on_row(&id, row, version, now);
         }
         self.remove_tombstones();
@@ -133,6 +151,16 @@
             .map(|(id, known)| (id, &known.row, known.version))
     }
 
+    /// Latest rows that are newer than `version`, with those of removed servers; `None` if not all removed
+    /// servers since then are known.
+    pub fn changed_since(
+        &self,
+        version: u64,
+    ) -> Option<impl Iterator<Item = (&BackendId, &BackendRow, u64)>> {
+        let is_known = version > 0 && version >= self.history_start;
+        is_known.then(|| self.rows().filter(move |(.., row)| *row > version))
+    }
+
     fn expiry_grace_end(&self, now: Duration) -> Option<Duration> {
         let returned = self.store_returned_at?;
         let until = returned + EXPIRED_ROW_GRACE;
@@ -140,10 +168,15 @@
     }
 
     fn remove_tombstones(&mut self) {
-        if self.known.len() > MAX_TOMBSTONES {
-            self.known
-                .retain(|_, known| known.row != BackendRow::Absent);
+        if self.known.len() <= MAX_TOMBSTONES {
+            return;
         }
+        let removed = self.known.values();
+        let removed = removed.filter(|known| known.row == BackendRow::Absent);
+        let last = removed.map(|known| known.version).max();
+        self.history_start = self.history_start.max(last.unwrap_or(0));
+        self.known
+            .retain(|_, known| known.row != BackendRow::Absent);
     }
 }
 
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -97,3 +97,63 @@
     set.on_row("x", entry("x", false), 15, at(60_000));
     assert!(set.is_usable("x", at(60_000)), "it has started anew");
 }
+
+type Rows = Vec<(Box<str>, BackendRow, u64)>;
+
+/// What `set` sends to a gateway that knows all up to `version`; `None` if it has to send all rows.
+fn changed_since(set: &ServerSet, version: u64) -> Option<Rows> {
+    let rows = set.changed_since(version)?;
+    let rows = rows.map(|(id, row, version)| (id.clone(), row.clone(), version));
+    let mut rows: Rows = rows.collect();
+    rows.sort_by_key(|(.., version)| *version);
+    Some(rows)
+}
+
+/// A gateway that missed the removal of a server in a difference sent requests to it for ever.
+#[test]
+fn a_difference_holds_newer_and_removed_rows() {
+    let mut sender = set();
+    sender.on_row("y", entry("y", false), 6, at(0));
+    sender.on_row("x", BackendRow::Absent, 7, at(0));
+    let rows = changed_since(&sender, 5).unwrap();
+    let versions: Vec<_> = rows
+        .iter()
+        .map(|(id, _, version)| (&**id, *version))
+        .collect();
+    assert_eq!(versions, [("y", 6), ("x", 7)]);
+    let mut receiver = set();
+    receiver.on_difference(rows, 5, at(10));
+    assert!(receiver.is_usable("y", at(10)) && !receiver.is_usable("x", at(10)));
+    assert_eq!(changed_since(&sender, 7), Some(Vec::new()));
+}
+
+/// A gateway that has listed the table does not know which servers came and went before.
+#[test]
+fn a_difference_is_refused_where_removals_may_be_unknown() {
+    let mut sender = ServerSet::default();
+    sender.on_listing(vec![("y".into(), entry("y", false), 6)], 8, at(0));
+    assert_eq!(changed_since(&sender, 5), None);
+    assert_eq!(changed_since(&sender, 8), Some(Vec::new()));
+    assert_eq!(
+        changed_since(&set(), 0),
+        None,
+        "a new gateway gets all rows"
+    );
+}
+
+/// Rows of removed servers are dropped when there are many; a late difference that holds an older row
+/// brought such a server back.
+#[test]
+fn a_difference_brings_no_older_row_back() {
+    let mut set = set();
+    set.on_row("x", BackendRow::Absent, 9, at(10));
+    let rows = (0..5_000).map(|n| (format!("z-{n}").into(), BackendRow::Absent, 10 + n));
+    set.on_difference(rows.collect(), 9, at(20));
+    assert_eq!(
+        changed_since(&set, 9),
+        None,
+        "removals after 9 were dropped"
+    );
+    set.on_difference(vec![("x".into(), entry("x", false), 5)], 5_009, at(30));
+    assert!(!set.is_usable("x", at(30)));
+}
--- a/crates/proto/src/load.rs
+++ b/crates/proto/src/load.rs
@@ -131,10 +131,13 @@
     /// Versions of the tables in this copy.
     #[serde(rename = "known")]
     pub versions: StoreVersions,
-    /// Declarations in their stored form; `None` if the peer has the latest or there are none.
+    /// Declarations in their stored form; `None` if the requester has the latest or there are none.
     pub declarations: Option<Vec<u8>>,
     /// Failure domains that operators have ordered to be evacuated.
     pub evacuated: Vec<Box<str>>,
     /// Rows of backend servers: id, content and version of each.
     pub servers: Vec<(Box<str>, BackendRow, u64)>,
+    /// Whether `servers` holds only the rows, also of removed servers, that are newer than what the
+    /// requester has. Otherwise servers without a row in it are removed.
+    pub is_difference: bool,
 }
--- /dev/null
+++ b/crates/proto/tests/gateway_frames.rs
@@ -0,0 +1,74 @@
+//! Sizes of the frames that gateways exchange all the time.
+
+use proto::{
+    BackendEntry, BackendRow, LoadFrame, ServerUsage, StoreSnapshot, StoreVersions, encode,
+};
+use std::time::Duration;
+
+const SERVERS: usize = 60;
+
+fn versions() -> StoreVersions {
+    StoreVersions {
+        operators: 1_200,
+        servers: 5_400,
+    }
+}
+
+/// Load on 60 engines, all of it with the sizes of a busy fleet.
+fn load() -> LoadFrame {
+    let usage = |index: usize| ServerUsage {
+        jobs: 3,
+        prefill_remaining: Duration::from_micros(1_234_567),
+        tokens: 96_000,
+        min_event_gap_target: match index % 2 {
+            0 => Duration::MAX,
+            _ => Duration::from_millis(60),
+        },
+        long_prefills: 1,
+    };
+    let key = |index: usize| u64::MAX / SERVERS as u64 * (index as u64 + 1);
+    LoadFrame {
+        servers: (0..SERVERS)
+            .map(|index| (key(index), usage(index)))
+            .collect(),
+        versions: versions(),
+        reaches_store: true,
+    }
+}
+
+fn snapshot(rows: usize) -> StoreSnapshot {
+    let row = |index: usize| {
+        let id: Box<str> = format!("engine-{index}-4f2a").into();
+        let entry = BackendEntry {
+            id: id.clone(),
+            service: "label-draft".into(),
+            address: ([10, 0, 3, index as u8], 8_080).into(),
+            domain: "zone-a".into(),
+            slots: 12,
+            draining: false,
+        };
+        (id, BackendRow::Present(entry), 5_000 + index as u64)
+    };
+    StoreSnapshot {
+        versions: versions(),
+        declarations: None,
+        evacuated: Vec::new(),
+        servers: (0..rows).map(row).collect(),
+        is_difference: rows < SERVERS,
+    }
+}
+
+fn size<T: serde::Serialize>(message: &T) -> usize {
+    encode(message).unwrap().len()
+}
+
+/// Gateways send a load frame to each peer several times a second, and a snapshot for each change of a
+/// server's row: a field that is costly to encode is paid between failure domains.
+#[test]
+fn frames_stay_small() {
+    assert!(size(&load()) <= 1_800, "load frame: {}", size(&load()));
+    let all = size(&snapshot(SERVERS));
+    assert!(all <= 3_700, "snapshot of all servers: {all}");
+    let difference = size(&snapshot(1));
+    assert!(difference <= 80, "difference of one row: {difference}");
+}
--- a/crates/trials/tests/direct_peers.rs
+++ b/crates/trials/tests/direct_peers.rs
@@ -99,5 +99,29 @@
                 gateway.process.log_tail()
             );
         }
+        // Nobody listens there; only its row is of interest.
+        rig.register(
+            "registry-2",
+            "registry",
+            ([127, 0, 0, 1], 1).into(),
+            "ready",
+        );
+        let took_difference = |gateway: &DirectGateway| {
+            let log = gateway.process.log();
+            let mut taken = log
+                .lines()
+                .filter(|line| line.contains("taken from a peer"));
+            taken.any(|line| line.contains("\"rows\":1,") && line.contains("is_difference\":true"))
+        };
+        let two_took_differences = async || {
+            let all = gateways.iter().chain([&rig.gateway]);
+            let two = all.filter(|gateway| leaves_store_to_peers(gateway));
+            two.filter(|gateway| took_difference(gateway)).count() == 2
+        };
+        assert!(
+            rig.wait_until(two_took_differences).await,
+            "two gateways fetch the one row that is new: {}",
+            gateways[0].process.log_tail()
+        );
     });
 }
