policy: shared detection of servers that refuse connections

When the servers of a failure domain end at once, each gateway found each of them by a caller's request. ServerFailures keeps which servers refuse connections, from this gateway and its peers, for at most 4,096 servers and 10 s after the last refusal. A server that has refused is avoided for at most 2 s. When three servers of a domain refuse within a second and none of it has accepted a connection since, the others are presumed gone, unless all domains would be. One trial at a time; gateways take turns, so that one of them tries a server. Connections without a reply count at this gateway only, as the fault may be its own.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -76,6 +76,7 @@
 mod scheduler_types;
 mod send_limiter;
 mod send_shares;
+mod server_failures;
 mod server_health;
 mod server_lease;
 mod server_load;
@@ -164,6 +165,7 @@
 };
 pub use send_limiter::{SendLimiter, SendTimes};
 pub use send_shares::{SendShares, cold_send_bound};
+pub use server_failures::ServerFailures;
 pub use server_health::{AttemptResult, ServerHealth};
 pub use server_lease::{
     LeaseAction, LeaseCommitResult, LeaseEvent, LeaseRow, ServerLease, ServerLeaseConfig,
--- /dev/null
+++ b/crates/policy/src/server_failures.rs
@@ -0,0 +1,369 @@
+//! Tracks which backend servers refuse connections, from what this gateway and its peers have seen.
+
+use crate::fleet_load::server_key;
+use crate::send_shares::SendShares;
+use proto::{BackendEntry, DomainKey, ServerKey, ServerReport};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+/// Time for which a server that has refused a connection is avoided.
+const AVOID_TIME: Duration = Duration::from_secs(2);
+/// Time after which such a server is tried again. The rest of `AVOID_TIME` is for gateways that try
+/// later than the first.
+const TRIAL_DELAY: Duration = Duration::from_millis(1_500);
+/// Time from the last refusal in a failure domain until a server that is presumed gone is tried. A
+/// domain that is presumed gone by mistake is noticed after this.
+const PRESUMED_TRIAL_DELAY: Duration = Duration::from_millis(200);
+/// Gateways that may try a server: how many, in an order that differs for each server, and after
+/// which further time. One gateway tries unless it is lost or cut off.
+const TRIAL_GATEWAYS: [(usize, Duration); 3] = [
+    (1, Duration::ZERO),
+    (4, Duration::from_millis(150)),
+    (usize::MAX, Duration::from_millis(300)),
+];
+/// A trial without a result has ended after this.
+const MAX_TRIAL_TIME: Duration = Duration::from_millis(500);
+/// Servers of a failure domain that must refuse connections within `DOMAIN_WINDOW` for the others to
+/// be presumed gone. Two may end by chance, or by the same request.
+const MIN_DOMAIN_REFUSALS: usize = 3;
+const DOMAIN_WINDOW: Duration = Duration::from_secs(1);
+/// Peers hear again of a server that still refuses connections after this time.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// A refusal that was not seen again for this time is forgotten; the row of its server is gone by then.
+const FORGET_TIME: Duration = Duration::from_secs(10);
+/// Bound of the servers that are tracked, and of the reports in one frame that are applied.
+const MAX_TRACKED_SERVERS: usize = 4_096;
+const MAX_FRAME_REPORTS: usize = 1_024;
+
+/// A server that has refused connections and has not accepted one since.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    first_at: Duration,
+    last_at: Duration,
+    /// Whether this gateway has seen it and reports it to peers.
+    is_reported: bool,
+}
+
+#[derive(Debug)]
+struct TrackedServer {
+    domain: DomainKey,
+    refusal: Option<Refusal>,
+    /// When it last accepted a connection of any gateway.
+    accepted_at: Option<Duration>,
+    /// Whether this gateway has seen that.
+    is_own_acceptance: bool,
+    /// Revision and time of the last change that peers have to hear of.
+    reported: Option<(u64, Duration)>,
+}
+
+/// Servers that refuse connections.
+///
+/// Load pattern: all servers of a failure domain end at once under load. Each gateway would find them
+/// one by one, with a refused connection, or a wait, of a caller's request for each.
+///
+/// A report is a hint that a server is to be chosen after all others. It never says that a request has
+/// not run.
+#[derive(Debug, Default)]
+pub struct ServerFailures {
+    servers: HashMap<ServerKey, TrackedServer>,
+    trial: Option<(ServerKey, Duration)>,
+    revision: u64,
+}
+
+impl ServerFailures {
+    /// Records that a server refused a connection of this gateway. Peers hear of it.
+    pub fn on_refused(&mut self, server: &BackendEntry, now: Duration) {
+        self.on_own_failure(server, now, true);
+    }
+
+    /// Records that a connection of this gateway to a server got no reply. Peers do not hear of it, as
+    /// the fault may be this gateway's.
+    pub fn on_no_reply(&mut self, server: &BackendEntry, now: Duration) {
+        self.on_own_failure(server, now, false);
+    }
+
+    /// Records that a server accepted a connection of this gateway, or has sent data, at `at`.
+    pub fn on_accepted(&mut self, server: &BackendEntry, at: Duration, now: Duration) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        self.end_trial(key);
+        let was_out = self.is_domain_out(domain);
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        let was_refusing = tracked.refusal.is_some();
+        tracked.accept(at, true);
+        let is_news = was_refusing && tracked.refusal.is_none() || was_out;
+        if is_news && tracked.is_report_due(now) || was_refusing && tracked.refusal.is_none() {
+            self.report(key, now);
+        }
+    }
+
+    /// Applies a frame of a peer; returns the servers that were not known to refuse connections.
+    pub fn on_peer_reports(&mut self, reports: &[ServerReport], now: Duration) -> Vec<ServerKey> {
+        let mut refusing = Vec::new();
+        for report in reports.iter().take(MAX_FRAME_REPORTS) {
+            let at = now.saturating_sub(report.age);
+            let Some(tracked) = self.track(report.server, report.domain, now) else {
+                continue;
+            };
+            if report.accepts {
+                tracked.accept(at, false);
+            } else if tracked.accepted_at.is_some_and(|accepted| accepted >= at) {
+                // The server has accepted a connection since, or the peer is cut off from it.
+                if tracked.is_own_acceptance && tracked.is_report_due(now) {
+                    self.report(report.server, now);
+                }
+            } else {
+                if tracked.refusal.is_none() {
+                    refusing.push(report.server);
+                }
+                tracked.refuse(at, false);
+                self.contradict(report.domain, at, now);
+            }
+        }
+        refusing
+    }
+
+    /// What peers have to hear of that have heard of `revision`, or of nothing yet, and the present
+    /// revision.
+    pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> (Vec<ServerReport>, u64) {
+        let reports = self.servers.iter().filter_map(|(server, tracked)| {
+            let (reported, _) = tracked.reported?;
+            let refusal = tracked.refusal.filter(|refusal| refusal.is_reported);
+            let is_due = match revision {
+                Some(revision) => reported > revision,
+                None => refusal.is_some(),
+            };
+            let seen_at = match (refusal, tracked.refusal) {
+                (Some(refusal), _) => refusal.last_at,
+                (None, None) => tracked.accepted_at.filter(|_| tracked.is_own_acceptance)?,
+                (None, Some(_)) => return None,
+            };
+            is_due.then_some(ServerReport {
+                server: *server,
+                domain: tracked.domain,
+                accepts: refusal.is_none(),
+                age: now.saturating_sub(seen_at),
+            })
+        });
+        (reports.collect(), self.revision)
+    }
+
+    /// Number of the last change that peers have to hear of.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// For each of the servers among which one is chosen, whether it is gone as far as is known: it has
+    /// refused a connection a moment ago, or its failure domain is presumed gone. No domain is presumed
+    /// gone if all of them would be.
+    pub fn gone(&self, servers: &[BackendEntry], now: Duration) -> Vec<bool> {
+        let out = self.domains_out(servers);
+        let is_gone = |server: &BackendEntry| {
+            let tracked = self.servers.get(&server_key(&server.id));
+            let is_avoided = tracked.is_some_and(|tracked| tracked.is_avoided(now));
+            is_avoided || out.contains(&server_key(&server.domain))
+        };
+        servers.iter().map(is_gone).collect()
+    }
+
+    /// Number of servers that refuse connections.
+    pub fn refusing_servers(&self) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|tracked| tracked.refusal.is_some()).count()
+    }
+
+    /// Failure domains of these servers that are presumed gone.
+    pub fn domains_out(&self, servers: &[BackendEntry]) -> HashSet<DomainKey> {
+        if self
+            .servers
+            .values()
+            .all(|tracked| tracked.refusal.is_none())
+        {
+            return HashSet::new();
+        }
+        let domains: HashSet<_> = servers
+            .iter()
+            .map(|server| server_key(&server.domain))
+            .collect();
+        let out = domains.iter().copied();
+        let out: HashSet<_> = out.filter(|domain| self.is_domain_out(*domain)).collect();
+        if out.len() == domains.len() {
+            return HashSet::new();
+        }
+        out
+    }
+
+    /// Index of the server to which this gateway makes a connection now, to see whether it accepts
+    /// connections again; the result has to be recorded. One trial at a time.
+    pub fn next_trial(
+        &mut self,
+        servers: &[BackendEntry],
+        shares: &SendShares,
+        now: Duration,
+    ) -> Option<usize> {
+        self.servers.retain(|_, tracked| !tracked.is_forgotten(now));
+        if self.refusing_servers() == 0 || self.trial.is_some_and(|(_, end)| now < end) {
+            return None;
+        }
+        let out = self.domains_out(servers);
+        let index = servers.iter().position(|server| {
+            let due = self.trial_due(server, &out);
+            due.is_some_and(|(key, due)| may_try(shares, key, due, now))
+        })?;
+        self.trial = Some((server_key(&servers[index].id), now + MAX_TRIAL_TIME));
+        Some(index)
+    }
+
+    /// When the next trial of a server is due, and the key by which gateways take turns.
+    fn trial_due(
+        &self,
+        server: &BackendEntry,
+        out: &HashSet<DomainKey>,
+    ) -> Option<(u64, Duration)> {
+        let key = server_key(&server.id);
+        let domain = server_key(&server.domain);
+        let refusal = self.servers.get(&key).and_then(|tracked| tracked.refusal);
+        if let Some(refusal) = refusal {
+            return Some((key, refusal.last_at + TRIAL_DELAY));
+        }
+        let last = self.refusals(domain).map(|refusal| refusal.last_at).max()?;
+        out.contains(&domain)
+            .then_some((domain, last + PRESUMED_TRIAL_DELAY))
+    }
+
+    /// Whether several servers of a domain began to refuse connections within `DOMAIN_WINDOW`, and none
+    /// of the domain has accepted one since.
+    fn is_domain_out(&self, domain: DomainKey) -> bool {
+        let of_domain = || {
+            let servers = self.servers.values();
+            servers.filter(move |tracked| tracked.domain == domain)
+        };
+        let accepted_at = of_domain().filter_map(|tracked| tracked.accepted_at).max();
+        let mut starts: Vec<_> = self
+            .refusals(domain)
+            .map(|refusal| refusal.first_at)
+            .collect();
+        starts.retain(|start| accepted_at.is_none_or(|accepted| accepted < *start));
+        starts.sort_unstable();
+        starts
+            .windows(MIN_DOMAIN_REFUSALS)
+            .any(|window| window[MIN_DOMAIN_REFUSALS - 1] - window[0] <= DOMAIN_WINDOW)
+    }
+
+    fn refusals(&self, domain: DomainKey) -> impl Iterator<Item = Refusal> {
+        let servers = self.servers.values();
+        let of_domain = servers.filter(move |tracked| tracked.domain == domain);
+        of_domain.filter_map(|tracked| tracked.refusal)
+    }
+
+    fn on_own_failure(&mut self, server: &BackendEntry, now: Duration, is_reported: bool) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        self.end_trial(key);
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        // Peers that have just seen the same need not hear of it.
+        let is_news = tracked
+            .refusal
+            .is_none_or(|refusal| now >= refusal.last_at + REPORT_INTERVAL);
+        tracked.refuse(now, is_reported);
+        if is_reported && is_news {
+            self.report(key, now);
+        }
+    }
+
+    /// Tells peers of a server of this domain that has accepted a connection of this gateway after one
+    /// refused a peer's at `refused_at`, so that the domain is not presumed gone.
+    fn contradict(&mut self, domain: DomainKey, refused_at: Duration, now: Duration) {
+        let own = self.servers.iter().filter(|(_, tracked)| {
+            tracked.domain == domain && tracked.is_own_acceptance && tracked.refusal.is_none()
+        });
+        let latest = own.max_by_key(|(_, tracked)| tracked.accepted_at);
+        let Some((key, tracked)) = latest else {
+            return;
+        };
+        let is_later = tracked.accepted_at.is_some_and(|at| at > refused_at);
+        if is_later && tracked.is_report_due(now) {
+            self.report(*key, now);
+        }
+    }
+
+    fn report(&mut self, server: ServerKey, now: Duration) {
+        if let Some(tracked) = self.servers.get_mut(&server) {
+            self.revision += 1;
+            tracked.reported = Some((self.revision, now));
+        }
+    }
+
+    fn end_trial(&mut self, server: ServerKey) {
+        self.trial = self.trial.filter(|(tried, _)| *tried != server);
+    }
+
+    /// The record of a server, which is made if there is room.
+    fn track(
+        &mut self,
+        server: ServerKey,
+        domain: DomainKey,
+        now: Duration,
+    ) -> Option<&mut TrackedServer> {
+        if !self.servers.contains_key(&server) && self.servers.len() >= MAX_TRACKED_SERVERS {
+            self.servers.retain(|_, tracked| tracked.is_avoided(now));
+            if self.servers.len() >= MAX_TRACKED_SERVERS {
+                return None;
+            }
+        }
+        let tracked = self.servers.entry(server).or_insert(TrackedServer {
+            domain,
+            refusal: None,
+            accepted_at: None,
+            is_own_acceptance: false,
+            reported: None,
+        });
+        Some(tracked)
+    }
+}
+
+impl TrackedServer {
+    fn refuse(&mut self, at: Duration, is_reported: bool) {
+        let known = self.refusal.unwrap_or(Refusal {
+            first_at: at,
+            last_at: at,
+            is_reported,
+        });
+        self.refusal = Some(Refusal {
+            first_at: known.first_at.min(at),
+            last_at: known.last_at.max(at),
+            is_reported: known.is_reported || is_reported,
+        });
+    }
+
+    fn accept(&mut self, at: Duration, is_own: bool) {
+        if self.accepted_at.is_none_or(|known| known <= at) {
+            self.accepted_at = Some(at);
+            self.is_own_acceptance = is_own;
+        }
+        self.refusal = self.refusal.filter(|refusal| refusal.last_at > at);
+    }
+
+    fn is_avoided(&self, now: Duration) -> bool {
+        let refusal = self.refusal;
+        refusal.is_some_and(|refusal| now < refusal.last_at + AVOID_TIME)
+    }
+
+    fn is_forgotten(&self, now: Duration) -> bool {
+        let refusal = self.refusal;
+        refusal.is_some_and(|refusal| now >= refusal.last_at + FORGET_TIME)
+    }
+
+    fn is_report_due(&self, now: Duration) -> bool {
+        self.reported
+            .is_none_or(|(_, at)| now >= at + REPORT_INTERVAL)
+    }
+}
+
+/// Whether it is this gateway's turn to try a server.
+fn may_try(shares: &SendShares, key: u64, due: Duration, now: Duration) -> bool {
+    let mut turns = TRIAL_GATEWAYS.iter();
+    turns.any(|(count, delay)| now >= due + *delay && shares.is_among_first(key, *count))
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -22,6 +22,7 @@
 mod opening;
 pub mod prelude;
 mod request;
+mod server_failure;
 mod span;
 mod timeline;
 
@@ -46,5 +47,6 @@
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
+pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport};
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
