direct: gateways tell each other of servers that refuse connections

Each gateway found the servers of a lost failure domain one by one. Results of connections, also those made to see whether a server runs, now go to ServerFailures, whose servers engine_candidates and plain_candidates show as suspect. Peers hear of refusals and of their end at once on a stream of their own (ServerFailures, the last variant of StreamOpening). A background task makes the trial connections that are due, logs failure domains that are presumed gone, and sets bergamothold_direct_refusing_servers. No caller's request is used as a trial.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,6 +4,7 @@
 use crate::crash_guard::{BLOCKED_REASON, is_blocked, record_crash};
 use crate::request_limit;
 use crate::send_permit::SendPermit;
+use crate::server_failure;
 use crate::server_pause;
 use crate::shared::Shared;
 use adapter::{
@@ -15,7 +16,6 @@
 use quick_error::quick_error;
 use runtime::{Body, HttpError, SingleExchange, SingleResponse, timeout};
 use slog::info;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -202,15 +202,16 @@
 pub async fn probe_server(shared: &Shared, server: &BackendEntry) -> ProbeResult {
     let probe = SingleExchange::connect(&shared.executor, server.address, PROBE_TIMEOUT);
     let Err(err) = probe.await else {
+        server_failure::record_accepted(shared, server);
         return ProbeResult::Accepted;
     };
     info!(shared.log, "attempt: server does not accept connections";
         "server" => &*server.id, "err" => %err);
-    match err {
-        HttpError::Connect(_, err) if err.kind() == ErrorKind::ConnectionRefused => {
-            ProbeResult::Refused
-        }
-        _ => ProbeResult::Unreachable,
+    server_failure::record_failure(shared, server, &err);
+    if server_failure::is_refusal(&err) {
+        ProbeResult::Refused
+    } else {
+        ProbeResult::Unreachable
     }
 }
 
@@ -238,6 +239,10 @@
     } else {
         SingleExchange::connect(executor, server.address, connect).await
     };
+    match &exchange {
+        Ok(_) => server_failure::record_accepted(shared, server),
+        Err(err) => server_failure::record_failure(shared, server, err),
+    }
     if shared.fleet.is_paused(&server.id, shared.clock.now()) {
         return Err(AttemptError::Paused(name()));
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -5,10 +5,10 @@
 use policy::{
     AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
     LimitRevision, PLACEMENT_WINDOW, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
-    SendLimiter, SendShares, SendTimes, ServerHealth, ServerPauses, ServiceName, ServiceSpec,
-    cold_send_bound, server_key,
+    SendLimiter, SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses, ServiceName,
+    ServiceSpec, cold_send_bound, server_key,
 };
-use proto::{BackendEntry, RequestLimit, ServerKey, ServerUsage};
+use proto::{BackendEntry, RequestLimit, ServerKey, ServerReport, ServerUsage};
 use rand::Rng as _;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -39,6 +39,7 @@
     load: FleetLoad,
     sends: SendLimiter,
     health: HashMap<BackendId, ServerHealth>,
+    failures: ServerFailures,
     pauses: ServerPauses,
     retry_budgets: HashMap<ServiceName, RepeatBudget>,
 }
@@ -54,6 +55,7 @@
                 load: FleetLoad::default(),
                 sends: SendLimiter::of_starting(&settings.name),
                 health: HashMap::new(),
+                failures: ServerFailures::default(),
                 pauses: ServerPauses::default(),
                 retry_budgets: HashMap::new(),
             }),
@@ -130,7 +132,8 @@
     ) -> Vec<EngineCandidate> {
         let bound = self.send_bound(service);
         let mut state = self.lock();
-        let candidates = servers.iter().map(|server| {
+        let gone = state.failures.gone(servers, now);
+        let candidates = servers.iter().zip(gone).map(|(server, is_gone)| {
             let key = server_key(&server.id);
             let below_limit = state.sends.has_room(&server.id, bound, now);
             let health = state.health.get(&server.id).cloned().unwrap_or_default();
@@ -142,7 +145,7 @@
                     && !health.is_full(now)
                     && state.pauses.has_room(&server.id, now),
                 is_limited: state.sends.limits().rate(key).is_some(),
-                suspect: health.is_suspect(now),
+                suspect: is_gone || health.is_suspect(now),
             }
         });
         candidates.collect()
@@ -151,12 +154,13 @@
     /// Describes servers of a plain service as candidates for a request, in the order of `servers`.
     pub fn plain_candidates(&self, servers: &[BackendEntry], now: Duration) -> Vec<PlainCandidate> {
         let state = self.lock();
-        let candidates = servers.iter().map(|server| {
+        let gone = state.failures.gone(servers, now);
+        let candidates = servers.iter().zip(gone).map(|(server, is_gone)| {
             let health = state.health.get(&server.id);
             PlainCandidate {
                 jobs: state.load.total(server_key(&server.id), now).jobs,
                 slots: server.slots,
-                suspect: health.is_some_and(|health| health.is_suspect(now)),
+                suspect: is_gone || health.is_some_and(|health| health.is_suspect(now)),
                 recently_full: health.is_some_and(|health| health.is_full(now)),
                 same_domain: server.domain == self.domain,
                 tie_break: rand::rng().random(),
@@ -222,6 +226,27 @@
             .on_result(result, now);
     }
 
+    /// Updates the servers that refuse connections; peers are told at once of what they have to hear.
+    pub fn with_failures<T>(&self, f: impl FnOnce(&mut ServerFailures) -> T) -> T {
+        let mut state = self.lock();
+        let revision = state.failures.revision();
+        let result = f(&mut state.failures);
+        if state.failures.revision() != revision {
+            self.urgent.notify();
+        }
+        result
+    }
+
+    /// Reports on servers that a peer has to hear of which has heard of `revision`, or of nothing yet,
+    /// and the present revision.
+    pub fn server_reports_since(
+        &self,
+        revision: Option<u64>,
+        now: Duration,
+    ) -> (Vec<ServerReport>, u64) {
+        self.lock().failures.changed_since(revision, now)
+    }
+
     /// Records that a server asks this gateway for a pause; returns how long it is kept.
     pub fn on_pause(&self, server: &str, pause: Duration, now: Duration) -> Duration {
         let mut state = self.lock();
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,6 +35,7 @@
 mod request_limit;
 mod reservation;
 mod send_permit;
+mod server_failure;
 mod server_pause;
 mod shared;
 mod signal;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -31,6 +31,7 @@
     blocked_requests: IntGauge,
     pauses: IntCounter,
     paused_servers: IntGauge,
+    refusing_servers: IntGauge,
     invalid_answers: IntCounterVec,
 }
 
@@ -139,6 +140,10 @@
                 "bergamothold_direct_paused_servers",
                 "Backend servers in a pause for which they have asked",
             )?,
+            refusing_servers: gauge(
+                "bergamothold_direct_refusing_servers",
+                "Backend servers that refuse connections, of this gateway or of peers",
+            )?,
             registry,
         })
     }
@@ -210,6 +215,11 @@
         self.paused_servers.set(servers as i64);
     }
 
+    /// Sets the number of servers that refuse connections.
+    pub fn set_refusing_servers(&self, servers: usize) {
+        self.refusing_servers.set(servers as i64);
+    }
+
     /// Counts a response that was cut because its head, its body or an event is not valid.
     pub fn invalid_answer(&self, reason: &str) {
         self.invalid_answers.with_label_values(&[reason]).inc();
--- a/crates/direct/src/peer_streams.rs
+++ b/crates/direct/src/peer_streams.rs
@@ -4,6 +4,7 @@
 use crate::news_stream::receive_news;
 use crate::peers::Peers;
 use crate::request_limit::LimitNews;
+use crate::server_failure::FailureNews;
 use crate::shared::Shared;
 use async_channel::Receiver;
 use async_io::Timer;
@@ -42,6 +43,9 @@
             StreamOpening::Crashes => {
                 receive_news::<CrashNews>(self.0.shared(), &peer.node, &mut rx).await;
             }
+            StreamOpening::ServerFailures => {
+                receive_news::<FailureNews>(self.0.shared(), &peer.node, &mut rx).await;
+            }
             StreamOpening::StoreSnapshot(peer_versions) => {
                 let shared = self.0.shared();
                 let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,6 +9,7 @@
 use crate::news_stream::{PeerNews, send_news};
 use crate::peer_streams::{PeerStreamHandler, send_load};
 use crate::request_limit::LimitNews;
+use crate::server_failure::FailureNews;
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
@@ -51,6 +52,8 @@
     limits_tx: Sender<()>,
     /// Wakes the task that sends crashes of engines.
     crashes_tx: Sender<()>,
+    /// Wakes the task that sends server failures.
+    failures_tx: Sender<()>,
 }
 
 /// This gateway's row in the store.
@@ -75,6 +78,8 @@
     announced_limits: AtomicU64,
     /// The same for crashes of engines.
     announced_crashes: AtomicU64,
+    /// The same for server failures.
+    announced_failures: AtomicU64,
     /// Whether the gateways' table was read; until then the number of gateways is not known.
     listed: AtomicBool,
 }
@@ -111,6 +116,7 @@
             last_fetch: Mutex::default(),
             announced_limits: AtomicU64::new(0),
             announced_crashes: AtomicU64::new(0),
+            announced_failures: AtomicU64::new(0),
             listed: AtomicBool::new(false),
             shared: shared.clone(),
         });
@@ -180,6 +186,7 @@
     fn wake_news_streams(&self) {
         self.wake::<LimitNews>(&self.announced_limits, |peer| &peer.limits_tx);
         self.wake::<CrashNews>(&self.announced_crashes, |peer| &peer.crashes_tx);
+        self.wake::<FailureNews>(&self.announced_failures, |peer| &peer.failures_tx);
     }
 
     fn wake<N: PeerNews>(&self, announced: &AtomicU64, tx: impl Fn(&PeerState) -> &Sender<()>) {
@@ -274,6 +281,7 @@
         let (tx, rx) = async_channel::bounded(1);
         let (limits_tx, limits_rx) = async_channel::bounded(1);
         let (crashes_tx, crashes_rx) = async_channel::bounded(1);
+        let (failures_tx, failures_rx) = async_channel::bounded(1);
         let peer = PeerState {
             last_heard: self.shared.clock.now(),
             reaches_store: false,
@@ -281,6 +289,7 @@
             frame_tx: Some(tx),
             limits_tx,
             crashes_tx,
+            failures_tx,
             row: found.clone(),
         };
         peers.insert(name.into(), peer);
@@ -289,6 +298,7 @@
         self.shared.executor.detach(load_stream);
         self.send_news::<LimitNews>(found.address, limits_rx);
         self.send_news::<CrashNews>(found.address, crashes_rx);
+        self.send_news::<FailureNews>(found.address, failures_rx);
     }
 
     fn send_news<N: PeerNews>(&self, peer: SocketAddr, wake: Receiver<()>) {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -5,6 +5,7 @@
 use crate::gateway_rows::unregister;
 use crate::peers::{GatewayTableHandler, Peers};
 use crate::prompt_queue::PromptQueue;
+use crate::server_failure;
 use crate::shared::Shared;
 use crate::store_watch::{OperatorTableHandler, ServerTableHandler, watch};
 use adapter::{HostSettings, Store};
@@ -105,6 +106,7 @@
     executor.detach(watch(shared.clone(), store.clone(), ServerTableHandler));
     executor.detach(PromptQueue::run(shared.clone()));
     executor.detach(blocked_rows::maintain(shared.clone()));
+    executor.detach(server_failure::maintain(shared.clone()));
     let peers: Arc<Mutex<Option<Arc<Peers>>>> = Arc::default();
     executor.detach(join_peers(shared.clone(), store.clone(), peers.clone()));
     let frontend = Arc::new(Frontend {
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -56,6 +56,11 @@
         self.lock().servers.usable(service, now).cloned().collect()
     }
 
+    /// Servers of all services to which new requests may be sent.
+    pub fn all_usable_servers(&self, now: Duration) -> Vec<BackendEntry> {
+        self.lock().servers.all_usable(now).cloned().collect()
+    }
+
     /// Whether new requests may be sent to a server.
     pub fn is_usable(&self, server: &str, now: Duration) -> bool {
         self.lock().servers.is_usable(server, now)
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -120,6 +120,14 @@
         })
     }
 
+    /// Servers of all services that may get new requests.
+    pub fn all_usable(&self, now: Duration) -> impl Iterator<Item = &BackendEntry> {
+        self.known.values().filter_map(move |known| {
+            let entry = known.usable(now)?;
+            (!self.evacuated.contains(&entry.domain)).then_some(entry)
+        })
+    }
+
     /// Whether a server may get new requests.
     pub fn is_usable(&self, id: &str, now: Duration) -> bool {
         let known = self.known.get(id).and_then(|known| known.usable(now));
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -59,4 +59,7 @@
     /// Crashes of servers under the sender's requests, and what crashes servers.
     /// [`crate::CrashFrame`]s follow, nothing comes back.
     Crashes,
+    /// Backend servers that refuse the sender's connections. [`crate::ServerFailureFrame`]s follow,
+    /// nothing comes back.
+    ServerFailures,
 }
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -81,8 +81,20 @@
 
     /// Writes the store's row of a backend server.
     pub fn register(&self, name: &str, service: &str, address: SocketAddr, state: &str) {
+        self.register_in("a", name, service, address, state);
+    }
+
+    /// As [`Self::register`], for a server in the failure domain `domain`.
+    pub fn register_in(
+        &self,
+        domain: &str,
+        name: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
+    ) {
         let row = json!({
-            "Service": service, "Address": address, "Zone": "a", "Version": "v1", "Slots": 4,
+            "Service": service, "Address": address, "Zone": domain, "Version": "v1", "Slots": 4,
             "State": state, "ColdRemainingMs": 0, "Sequence": 1
         });
         self.store.standin().put("servers", name, &row);
--- a/crates/trials/tests/direct_peers.rs
+++ b/crates/trials/tests/direct_peers.rs
@@ -101,3 +101,58 @@
         }
     });
 }
+
+/// Guards against each gateway finding the servers of a lost failure domain by itself, and against
+/// refusals while it does.
+#[test]
+fn a_lost_domain_is_found_by_one_gateway_for_all() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let second = rig
+            .add_gateway("gateway-2", rig.store.local_addr())
+            .unwrap();
+        let server = rig
+            .add_server("registry-1", "registry", ServerKind::Plain)
+            .unwrap();
+        // Gateways prefer servers of their own domain, which is the one that is lost.
+        rig.register_in("b", "registry-1", "registry", server.local_addr(), "ready");
+        assert!(wait_until_served(&rig, &rig.gateway, "key-1").await);
+        assert!(wait_until_served(&rig, &second, "key-1").await);
+        let gateways = [&rig.gateway, &second];
+        for gateway in gateways {
+            let linked = async || gateway.process.log().contains("peers: link open");
+            assert!(rig.wait_until(linked).await);
+        }
+        let lost = ([127, 0, 0, 1], 1).into();
+        for n in 10..30 {
+            rig.register_in("a", &format!("lost-{n}"), "registry", lost, "ready");
+        }
+        for gateway in gateways {
+            let log = || gateway.process.log();
+            let listed = async || (10..30).all(|n| log().contains(&format!("lost-{n}")));
+            assert!(rig.wait_until(listed).await, "{}", log());
+        }
+        let is_noticed = |gateway: &DirectGateway| {
+            let log = gateway.process.log();
+            log.contains("failure domain presumed gone")
+        };
+        let mut calls = 0;
+        let noticed = async || {
+            calls += 1;
+            let id = format!("call-{calls}");
+            assert_eq!(status(&rig.gateway, &id, "key-1").await, StatusCode::OK);
+            is_noticed(&rig.gateway)
+        };
+        assert!(rig.wait_until(noticed).await);
+        let heard = async || is_noticed(&second);
+        assert!(rig.wait_until(heard).await, "{}", second.process.log_tail());
+        for n in 0..20 {
+            let id = format!("second-{n}");
+            assert_eq!(status(&second, &id, "key-1").await, StatusCode::OK);
+        }
+        let log = second.process.log();
+        assert!(log.contains("refuses connections of a peer"));
+        assert!(!log.contains("attempt: no answer"), "{log}");
+    });
+}
