--- a/crates/policy/tests/server_failures.rs
+++ b/crates/policy/tests/server_failures.rs
@@ -84,7 +84,7 @@
                 if self.rng.random_bool(REQUEST_RATE * STEP.as_secs_f64()) {
                     self.send_request(index, &is_gone);
                 }
-                if self.now.as_millis() % 40 == 0 {
+                if self.now.as_millis().is_multiple_of(40) {
                     self.try_server(index, &is_gone);
                 }
                 self.send_reports(index);
