Start long prompts in one order over all gateways

Cause: each gateway orders only its own queue. A prompt that waits at one gateway stays behind less urgent ones that other gateways start on the engines that become free.

Change: `FleetQueue` keeps what peers report of their first waiting prompts (four for each of eight services, 1,024 peers, 500 ms). Before a long prompt starts, the engines that more urgent prompts at peers need are left to them: it starts if enough engines are free for all, else on the remaining ones if it is on time there, else it waits. Engines stay idle for a peer's prompt for at most 200 ms. The order of the queue is a type of its own, `QueueOrder`. The messages are types only; they are not sent yet.

The fake has no delay in the reports of load.

--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -126,7 +126,8 @@
     profile.prefill_time(request.prompt_tokens) / parts as u32 + profile.decode_iteration_time(0)
 }
 
-fn usable_tokens(profile: &EngineProfile) -> u64 {
+/// Tokens of an engine's memory that are allocated.
+pub(crate) fn usable_tokens(profile: &EngineProfile) -> u64 {
     (profile.kv_capacity_tokens as f64 * MEMORY_FRACTION) as u64
 }
 
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -41,6 +41,29 @@
     ) -> bool {
         now + min_first_event_time(profile, &self.request, engines) > self.deadline
     }
+
+    /// Place of the prompt in the order of the queue.
+    pub fn order(&self, profile: &EngineProfile, engines: usize, now: Duration) -> QueueOrder {
+        let min_time = min_first_event_time(profile, &self.request, engines);
+        let latest_start =
+            (self.queued_at + self.request.first_event_target).saturating_sub(min_time);
+        QueueOrder {
+            is_late: latest_start < now,
+            rank: self.rank,
+            latest_start,
+        }
+    }
+}
+
+/// Sort key of a waiting prompt; the lowest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueOrder {
+    /// Whether it can no longer meet its target.
+    pub is_late: bool,
+    /// Priority.
+    pub rank: u8,
+    /// Latest start with which it meets its target.
+    pub latest_start: Duration,
 }
 
 /// Sorts queued prompts: those that can still meet their target first, then by rank, then by the
@@ -54,12 +77,7 @@
     engines: usize,
     now: Duration,
 ) {
-    prompts.sort_by_key(|prompt| {
-        let min_time = min_first_event_time(profile, &prompt.request, engines);
-        let latest_start =
-            (prompt.queued_at + prompt.request.first_event_target).saturating_sub(min_time);
-        (latest_start < now, prompt.rank, latest_start, prompt.id)
-    });
+    prompts.sort_by_key(|prompt| (prompt.order(profile, engines, now), prompt.id));
 }
 
 /// Pause until the prompts that wait at one of `gateways` gateways are checked again. `target` is the
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod estimate;
 mod fairness;
 mod fleet_load;
+mod fleet_queue;
 mod gateway_roster;
 mod gossip_event;
 mod guard_verdict;
@@ -119,11 +120,15 @@
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{
-    QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
+    QueueOrder, QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
     suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
+pub use fleet_queue::{
+    FleetPlacement, FleetQueue, LocalPrompt, MAX_REPORTED_PROMPTS, MAX_REPORTED_SERVICES,
+    engines_needed, service_key,
+};
 pub use gateway_roster::{GatewayName, GatewayRoster};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
 pub use guard_verdict::{GuardChange, GuardReason, GuardVerdict, Spread};
--- /dev/null
+++ b/crates/policy/tests/fleet_queue.rs
@@ -0,0 +1,165 @@
+//! Long prompts that wait at several gateways for the same engines, in virtual time: they start in
+//! the order of their ranks, whatever gateway they are at.
+
+mod engine;
+mod queueing;
+
+use policy::{
+    EngineCandidate, FleetPlacement, FleetQueue, HerdAvoidance, LocalPrompt, MAX_REPORTED_PROMPTS,
+    MAX_REPORTED_SERVICES, PromptRequirements, QueueOrder, engines_needed, place_prompt,
+    service_key,
+};
+use proto::{ReportedPrompt, ServerUsage, ServiceQueue, WaitingFrame};
+use queueing::{Load, World, ms};
+use std::time::Duration;
+
+/// Guards against a prompt that waits at one gateway while others start less urgent ones.
+#[test]
+fn urgent_prompts_are_on_time_at_each_gateway() {
+    for seed in 1..=5 {
+        let mut world = World::new(11, 12, seed);
+        world.run(ms(30_000), &Load::OfThreeRanks);
+        let on_time = world.on_time(|prompt| prompt.rank == 0);
+        println!("seed {seed}: {}", world.summary());
+        assert!(on_time >= 0.95, "seed {seed}: {on_time}");
+    }
+}
+
+/// Guards against engines that stay idle for the prompts of a gateway that is gone.
+#[test]
+fn urgent_prompts_are_on_time_though_a_peer_falls_silent() {
+    for seed in 1..=5 {
+        let mut world = World::new(11, 12, seed);
+        world.run(ms(15_000), &Load::OfThreeRanks);
+        world.silence(3);
+        world.run(ms(15_000), &Load::OfThreeRanks);
+        let on_time = world.on_time(|prompt| prompt.rank == 0 && prompt.gateway != 3);
+        println!("seed {seed}: {}", world.summary());
+        assert!(on_time >= 0.95, "seed {seed}: {on_time}");
+    }
+}
+
+fn requirements(waited: Duration) -> PromptRequirements {
+    PromptRequirements {
+        prompt_tokens: 200_000,
+        expected_output_tokens: 800,
+        first_event_target: ms(3_000),
+        event_gap_target: ms(800),
+        waited,
+        remaining: ms(12_000),
+    }
+}
+
+fn idle_engines(count: u64) -> Vec<EngineCandidate> {
+    let engine = |shared_order| EngineCandidate {
+        shared_order,
+        load: ServerUsage::default(),
+        slowdown: 1.0,
+        accepts_requests: true,
+        is_limited: false,
+        suspect: false,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn frame(service: &str, prompts: impl Iterator<Item = (u64, u8)>) -> WaitingFrame {
+    let prompts = prompts.map(|(id, engines)| ReportedPrompt {
+        id,
+        rank: 0,
+        latest_start_in: Some(ms(900)),
+        engines,
+        team: 0,
+    });
+    WaitingFrame {
+        services: vec![ServiceQueue {
+            service: service_key(service),
+            prompts: prompts.collect(),
+        }],
+        started: Vec::new(),
+    }
+}
+
+/// Places a prompt of rank 1 on some of `engines` idle engines; returns how many it gets.
+fn started_on(queue: &mut FleetQueue, engines: u64, now: Duration) -> Option<usize> {
+    let requirements = requirements(ms(0));
+    let prompt = LocalPrompt {
+        service: service_key("s"),
+        order: QueueOrder {
+            is_late: false,
+            rank: 1,
+            latest_start: now,
+        },
+        requirements: &requirements,
+    };
+    let model = engine::model();
+    let place = |engines: &[EngineCandidate]| {
+        place_prompt(&model, &requirements, engines, HerdAvoidance::default())
+    };
+    match queue.place(&prompt, &idle_engines(engines), place, now) {
+        FleetPlacement::Start(placement) => Some(1 + placement.helpers.len()),
+        _ => None,
+    }
+}
+
+/// A hold ends after 200 ms, though the peer goes on to report the prompt, and is not begun again.
+#[test]
+fn engines_are_left_to_a_peer_for_a_limited_time() {
+    let mut queue = FleetQueue::default();
+    for at in (0..1_000).step_by(50) {
+        queue.on_peer_frame("p", &frame("s", [(7, 2)].into_iter()), ms(at));
+        assert_eq!(
+            started_on(&mut queue, 2, ms(at)).is_some(),
+            at >= 200,
+            "{at}"
+        );
+    }
+}
+
+/// A prompt takes fewer engines than it could, and all of them while they are enough for both.
+#[test]
+fn a_prompt_starts_on_the_engines_that_peers_do_not_need() {
+    let mut queue = FleetQueue::default();
+    assert_eq!(started_on(&mut queue, 4, ms(0)), Some(3));
+    queue.on_peer_frame("p", &frame("s", [(7, 2)].into_iter()), ms(0));
+    assert_eq!(started_on(&mut queue, 5, ms(0)), Some(3));
+    assert_eq!(started_on(&mut queue, 4, ms(0)), Some(2));
+    assert_eq!(started_on(&mut queue, 2, ms(0)), None);
+}
+
+/// Reports that are old, of other services or withdrawn hold nothing.
+#[test]
+fn only_current_reports_of_the_service_count() {
+    let mut queue = FleetQueue::default();
+    queue.on_peer_frame("p", &frame("other", [(7, 2)].into_iter()), ms(0));
+    assert!(started_on(&mut queue, 2, ms(0)).is_some());
+    queue.on_peer_frame("p", &frame("s", [(8, 2)].into_iter()), ms(0));
+    assert!(started_on(&mut queue, 2, ms(501)).is_some());
+    queue.on_peer_frame("p", &frame("s", [(9, 2)].into_iter()), ms(510));
+    assert!(started_on(&mut queue, 2, ms(510)).is_none());
+    queue.on_peer_frame("p", &WaitingFrame::default(), ms(520));
+    assert!(started_on(&mut queue, 2, ms(520)).is_some());
+}
+
+/// Guards against state that grows with what peers send.
+#[test]
+fn state_is_bounded_before_340_gateways_and_beyond() {
+    let mut queue = FleetQueue::default();
+    let large = frame("s", (0..1_000).map(|id| (id, 1)));
+    let large = WaitingFrame {
+        services: vec![large.services[0].clone(); 100],
+        ..large
+    };
+    let of_each = MAX_REPORTED_PROMPTS * MAX_REPORTED_SERVICES;
+    (0..339).for_each(|peer| queue.on_peer_frame(&peer.to_string(), &large, ms(peer)));
+    assert_eq!(queue.len(), 339 * of_each);
+    (0..5_000).for_each(|peer| queue.on_peer_frame(&peer.to_string(), &large, ms(400)));
+    assert_eq!(queue.len(), 1_024 * of_each);
+    queue.on_peer_frame("new", &frame("s", [(7, 2)].into_iter()), ms(901));
+    assert_eq!(queue.len(), 1);
+}
+
+#[test]
+fn a_prompt_is_reported_with_the_engines_that_it_needs() {
+    let needed = |waited| engines_needed(&engine::model(), &requirements(ms(waited)));
+    assert_eq!((needed(0), needed(1_500), needed(2_900)), (2, 3, 17));
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -24,6 +24,7 @@
 mod request;
 mod span;
 mod timeline;
+mod waiting;
 
 pub use codec::{CodecError, FrameReader, MAX_FRAME_BYTES, PROTOCOL_VERSION, encode};
 pub use control::{
@@ -48,3 +49,4 @@
 };
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
+pub use waiting::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, TeamPrefill, WaitingFrame};
