Put teams behind others of their rank once they have got their share

Cause: waiting prompts start in the order of their latest starts, so that a team gets engines in proportion to what it sends.

Change: `TeamShares` adds up the prefill time started for each team within 5 s, at this gateway and at peers, and compares it with an equal share of the teams that have started or wait. `QueueOrder` has the shares of a team that is over 1.25 of one, between rank and latest start; 0 for the others. The number counts, not only whether a team is over: in front of few engines, one prompt is more than a share, and most teams are over it. State: 1,024 own starts, 16 teams of each of 1,024 peers. `sort_queue` and `QueuedPrompt` have the teams; the caller in `direct` passes no shares yet, and the test of the order in direct_decisions is changed to the new arguments only.

--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
-use policy::{AttemptResult, BackendId, PromptRequirements, RetryTurn};
+use policy::{AttemptResult, BackendId, PromptRequirements, RetryTurn, team_key};
 use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
@@ -345,6 +345,7 @@
         service: call.admitted.service.clone(),
         requirements: prompt_requirements(call),
         rank: call.rank(),
+        team: team_key(call.admitted.team.as_ref().map(|team| &*team.name)),
         since,
         deadline: call
             .deadline
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -9,10 +9,10 @@
 use async_io::Timer;
 use policy::{
     BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RetryTurn, SendTimes, ServiceName, ServiceSpec, is_short_prompt, next_check_after,
-    place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
+    RetryTurn, SendTimes, ServiceName, ServiceSpec, TeamsOverShare, is_short_prompt,
+    next_check_after, place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
 };
-use proto::{BackendEntry, Suspect};
+use proto::{BackendEntry, Suspect, TeamKey};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -35,6 +35,8 @@
     pub requirements: PromptRequirements,
     /// Priority rank; 0 is served first.
     pub rank: u8,
+    /// Team of the caller.
+    pub team: TeamKey,
     /// Time from which the wait is counted: the arrival of the request, or the start of a retry.
     pub since: Duration,
     /// Time at which the caller gives up.
@@ -105,6 +107,7 @@
         let queued = QueuedPrompt {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             rank: request.rank,
+            team: request.team,
             request: request.requirements.clone(),
             queued_at: request.since,
             deadline: request.deadline,
@@ -179,7 +182,8 @@
             return;
         };
         let servers = shared.store_cache.usable_servers(service, now);
-        sort_queue(&mut queued, profile, servers.len(), now);
+        let over_share = TeamsOverShare::default();
+        sort_queue(&mut queued, profile, servers.len(), &over_share, now);
         let last_deadline = queued.iter().map(|prompt| prompt.deadline).max();
         let end = last_deadline.unwrap_or(now) + MAX_RETRY_AFTER;
         let send_times = shared.fleet.send_times(&spec, &servers, now, end);
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -2,6 +2,8 @@
 
 use crate::engine_choice::{PromptRequirements, min_first_event_time};
 use crate::engine_profile::EngineProfile;
+use crate::team_shares::TeamsOverShare;
+use proto::TeamKey;
 use std::time::Duration;
 
 /// Identifies a queued prompt within a gateway; a later prompt has a higher number.
@@ -14,6 +16,8 @@
     pub id: QueuedPromptId,
     /// Priority; 0 goes first.
     pub rank: u8,
+    /// Team of its caller.
+    pub team: TeamKey,
     /// What the prompt needs, as of its arrival.
     pub request: PromptRequirements,
     /// When it entered the queue.
@@ -43,13 +47,20 @@
     }
 
     /// Place of the prompt in the order of the queue.
-    pub fn order(&self, profile: &EngineProfile, engines: usize, now: Duration) -> QueueOrder {
+    pub fn order(
+        &self,
+        profile: &EngineProfile,
+        engines: usize,
+        over_share: &TeamsOverShare,
+        now: Duration,
+    ) -> QueueOrder {
         let min_time = min_first_event_time(profile, &self.request, engines);
         let latest_start =
             (self.queued_at + self.request.first_event_target).saturating_sub(min_time);
         QueueOrder {
             is_late: latest_start < now,
             rank: self.rank,
+            shares_over: over_share.shares(self.team),
             latest_start,
         }
     }
@@ -62,12 +73,15 @@
     pub is_late: bool,
     /// Priority.
     pub rank: u8,
+    /// Shares that its team has got, if it is over its share.
+    pub shares_over: u8,
     /// Latest start with which it meets its target.
     pub latest_start: Duration,
 }
 
-/// Sorts queued prompts: those that can still meet their target first, then by rank, then by the
-/// latest time at which they can start and still meet it.
+/// Sorts queued prompts: those that can still meet their target first, then by rank, then those of
+/// teams that have got no more than their share, then by the latest time at which they can start and
+/// still meet it.
 ///
 /// Load pattern: a burst of more long prompts than the engines can prefill in time. In order of
 /// arrival each of them would be late; in this order some are on time.
@@ -75,9 +89,10 @@
     prompts: &mut [QueuedPrompt],
     profile: &EngineProfile,
     engines: usize,
+    over_share: &TeamsOverShare,
     now: Duration,
 ) {
-    prompts.sort_by_key(|prompt| (prompt.order(profile, engines, now), prompt.id));
+    prompts.sort_by_key(|prompt| (prompt.order(profile, engines, over_share, now), prompt.id));
 }
 
 /// Pause until the prompts that wait at one of `gateways` gateways are checked again. `target` is the
--- a/crates/policy/src/fleet_queue.rs
+++ b/crates/policy/src/fleet_queue.rs
@@ -5,7 +5,8 @@
 };
 use crate::engine_profile::EngineProfile;
 use crate::engine_queue::QueueOrder;
-use proto::{ReportedPrompt, ServiceKey, ServiceQueue, WaitingFrame};
+use crate::team_shares::TeamsOverShare;
+use proto::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, WaitingFrame};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -76,11 +77,12 @@
 
 impl PeerPrompt {
     /// Place of the prompt in the order of the queue; `None` if it cannot be on time.
-    fn order(&self, now: Duration) -> Option<QueueOrder> {
+    fn order(&self, over_share: &TeamsOverShare, now: Duration) -> Option<QueueOrder> {
         let latest_start = self.latest_start.filter(|latest| *latest >= now)?;
         Some(QueueOrder {
             is_late: false,
             rank: self.reported.rank,
+            shares_over: over_share.shares(self.reported.team),
             latest_start,
         })
     }
@@ -145,6 +147,14 @@
         self.peers.values().any(|report| report.is_current(now))
     }
 
+    /// Teams of the prompts that wait at peers.
+    pub fn waiting_teams(&self, now: Duration) -> impl Iterator<Item = TeamKey> {
+        let reports = self.peers.values();
+        let current = reports.filter(move |report| report.is_current(now));
+        let prompts = current.flat_map(|report| &report.prompts);
+        prompts.map(|prompt| prompt.reported.team)
+    }
+
     /// Number of prompts that are kept.
     pub fn len(&self) -> usize {
         self.peers.values().map(|report| report.prompts.len()).sum()
@@ -162,6 +172,7 @@
         &mut self,
         prompt: &LocalPrompt<'_>,
         engines: &[EngineCandidate],
+        over_share: &TeamsOverShare,
         place: impl Fn(&[EngineCandidate]) -> Option<EnginePlacement>,
         now: Duration,
     ) -> FleetPlacement {
@@ -172,7 +183,7 @@
         let Some(preferred) = place(engines) else {
             return FleetPlacement::NoEngines;
         };
-        let mut urgent = self.more_urgent(prompt, now);
+        let mut urgent = self.more_urgent(prompt, over_share, now);
         urgent.sort_by_key(|(_, order, _)| *order);
         let needed = urgent
             .iter()
@@ -217,6 +228,7 @@
     fn more_urgent(
         &mut self,
         prompt: &LocalPrompt<'_>,
+        over_share: &TeamsOverShare,
         now: Duration,
     ) -> Vec<(&str, QueueOrder, &mut PeerPrompt)> {
         let current = self.peers.iter_mut();
@@ -226,7 +238,7 @@
             prompts.map(move |peer_prompt| (&**peer, peer_prompt))
         });
         let urgent = prompts.filter_map(|(peer, peer_prompt)| {
-            let order = peer_prompt.order(now)?;
+            let order = peer_prompt.order(over_share, now)?;
             let is_counted = peer_prompt.service == prompt.service
                 && !peer_prompt.is_hold_over(now)
                 && order < prompt.order;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -89,6 +89,7 @@
 mod span_plan;
 mod span_types;
 mod store_watchers;
+mod team_shares;
 mod trace;
 
 pub use active_config::ActiveConfig;
@@ -186,6 +187,7 @@
 };
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, should_watch_store};
+pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
     TraceHead, TraceLine, TraceOutcome, TraceRequest, TraceServer,
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -7,7 +7,7 @@
 use policy::{
     AttemptResult, CallerIdentity, CallerLimits, FleetLoad, HerdAvoidance, JobLoad, PlainCandidate,
     PromptRequirements, QueuedPrompt, Route, RouteKind, RouteTable, ServerHealth, TeamEntry,
-    choose_plain_server, next_check_after, sort_queue, suggest_retry_after,
+    TeamsOverShare, choose_plain_server, next_check_after, sort_queue, suggest_retry_after,
 };
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
@@ -97,6 +97,7 @@
     QueuedPrompt {
         id,
         rank: 1,
+        team: 0,
         request: need,
         queued_at: since,
         deadline: since + ms(12_000),
@@ -112,7 +113,8 @@
         queued_prompt(2, 200_000, ms(4_000)),
         queued_prompt(3, 300_000, ms(4_000)),
     ];
-    sort_queue(&mut prompts, &model(), 14, ms(4_500));
+    let over_share = TeamsOverShare::default();
+    sort_queue(&mut prompts, &model(), 14, &over_share, ms(4_500));
     assert_eq!(prompts.map(|prompt| prompt.id), [3, 2, 1]);
 }
 
--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -6,10 +6,10 @@
 
 use policy::{
     EngineCandidate, FleetPlacement, FleetQueue, HerdAvoidance, LocalPrompt, MAX_REPORTED_PROMPTS,
-    MAX_REPORTED_SERVICES, PromptRequirements, QueueOrder, engines_needed, place_prompt,
-    service_key,
+    MAX_REPORTED_SERVICES, MAX_REPORTED_TEAMS, PromptRequirements, QueueOrder, QueuedPrompt,
+    TeamShares, TeamsOverShare, engines_needed, place_prompt, service_key, sort_queue,
 };
-use proto::{ReportedPrompt, ServerUsage, ServiceQueue, WaitingFrame};
+use proto::{ReportedPrompt, ServerUsage, ServiceQueue, TeamPrefill, WaitingFrame};
 use queueing::{Load, World, ms};
 use std::time::Duration;
 
@@ -87,6 +87,7 @@
         order: QueueOrder {
             is_late: false,
             rank: 1,
+            shares_over: 0,
             latest_start: now,
         },
         requirements: &requirements,
@@ -95,7 +96,13 @@
     let place = |engines: &[EngineCandidate]| {
         place_prompt(&model, &requirements, engines, HerdAvoidance::default())
     };
-    match queue.place(&prompt, &idle_engines(engines), place, now) {
+    match queue.place(
+        &prompt,
+        &idle_engines(engines),
+        &TeamsOverShare::default(),
+        place,
+        now,
+    ) {
         FleetPlacement::Start(placement) => Some(1 + placement.helpers.len()),
         _ => None,
     }
@@ -163,3 +170,83 @@
     let needed = |waited| engines_needed(&engine::model(), &requirements(ms(waited)));
     assert_eq!((needed(0), needed(1_500), needed(2_900)), (2, 3, 17));
 }
+
+/// Guards against a team that takes the engines in proportion to what it sends.
+#[test]
+fn a_team_that_sends_ten_times_as_many_gets_no_more_than_twice_a_share() {
+    for seed in 1..=2 {
+        let mut world = World::new(11, 54, seed);
+        world.run(ms(12_000), &Load::WithLargeTeam);
+        let shares = world.shares();
+        println!("seed {seed}: {shares:.2?}, {}", world.summary());
+        assert!(shares[0] <= 2.0, "seed {seed}: {shares:?}");
+        let least = shares.iter().copied().fold(f64::MAX, f64::min);
+        assert!(least >= 0.25, "seed {seed}: {shares:?}");
+    }
+}
+
+/// Guards against shares that depend on the reports of a gateway that is gone.
+#[test]
+fn shares_hold_though_a_peer_falls_silent() {
+    for seed in 1..=2 {
+        let mut world = World::new(11, 54, seed);
+        world.run(ms(6_000), &Load::WithLargeTeam);
+        world.silence(3);
+        world.run(ms(6_000), &Load::WithLargeTeam);
+        let shares = world.shares();
+        println!("seed {seed}: {shares:.2?}");
+        assert!(shares[0] <= 2.0, "seed {seed}: {shares:?}");
+    }
+}
+
+/// A team over its share goes behind the others of its rank, not behind those of other ranks, and no
+/// longer once its starts are some seconds old.
+#[test]
+fn a_team_over_its_share_goes_behind_others_of_its_rank() {
+    let prompt = |id, rank, team, queued_at| QueuedPrompt {
+        id,
+        rank,
+        team,
+        request: requirements(ms(0)),
+        queued_at,
+        deadline: queued_at + ms(12_000),
+    };
+    let mut shares = TeamShares::default();
+    shares.record_start(1, ms(4_000), ms(0));
+    shares.record_start(2, ms(1_000), ms(0));
+    let mut order = |at| {
+        let mut prompts = [
+            prompt(10, 1, 1, at),
+            prompt(11, 1, 2, at + ms(5)),
+            prompt(12, 2, 3, at),
+        ];
+        let over_share = shares.over_share([1, 2, 3], at);
+        sort_queue(&mut prompts, &engine::model(), 14, over_share, at);
+        prompts.map(|prompt| prompt.id)
+    };
+    assert_eq!(order(ms(100)), [11, 10, 12]);
+    assert_eq!(order(ms(5_000)), [10, 11, 12]);
+}
+
+/// Guards against figures that grow with teams, starts and gateways.
+#[test]
+fn figures_of_teams_are_bounded_before_340_gateways_and_beyond() {
+    let mut shares = TeamShares::default();
+    (0..5_000).for_each(|team| shares.record_start(team, ms(team), ms(10)));
+    assert_eq!(shares.len(), 1_024);
+    assert_eq!(shares.report(ms(20)).len(), MAX_REPORTED_TEAMS);
+    let started = (0..1_000).map(|team| TeamPrefill {
+        team,
+        prefill_time: Duration::MAX,
+    });
+    let large = WaitingFrame {
+        started: started.collect(),
+        ..WaitingFrame::default()
+    };
+    (0..339).for_each(|peer| shares.on_peer_frame(&peer.to_string(), &large, ms(20)));
+    assert_eq!(shares.len(), 1_024 + 339 * MAX_REPORTED_TEAMS);
+    (0..5_000).for_each(|peer| shares.on_peer_frame(&peer.to_string(), &large, ms(20)));
+    assert_eq!(shares.len(), 1_024 + 1_024 * MAX_REPORTED_TEAMS);
+    assert_eq!(shares.over_share([1], ms(30)).shares(2_000), 0);
+    assert_eq!((shares.report(ms(5_020)).len(), shares.len()), (0, 0));
+}
--- a/crates/policy/tests/queueing/mod.rs
+++ b/crates/policy/tests/queueing/mod.rs
@@ -3,8 +3,8 @@
 use crate::engine::model;
 use policy::{
     EngineCandidate, FleetPlacement, FleetQueue, HerdAvoidance, LocalPrompt, MAX_REPORTED_PROMPTS,
-    PromptRequirements, QueuedPrompt, engines_needed, next_check_after, place_prompt, service_key,
-    sort_queue,
+    PromptRequirements, QueuedPrompt, TeamShares, TeamsOverShare, engines_needed, next_check_after,
+    place_prompt, service_key, sort_queue,
 };
 use proto::{ReportedPrompt, ServerUsage, ServiceQueue, WaitingFrame};
 use rand::rngs::SmallRng;
@@ -19,12 +19,15 @@
 /// Time that frames take to a peer.
 const FRAME_DELAY: Duration = ms(10);
 const FRAME_INTERVAL: Duration = ms(50);
+const TEAMS: u64 = 24;
 
 /// What arrives.
 #[derive(Debug)]
 pub enum Load {
     /// Twice what the engines can prefill, of three ranks.
     OfThreeRanks,
+    /// The same of one rank and 24 teams, of which the first sends ten times as many as each other.
+    WithLargeTeam,
 }
 
 /// A prompt that has started or was given up.
@@ -33,12 +36,17 @@
     pub rank: u8,
     pub gateway: usize,
     pub on_time: bool,
+    pub team: u64,
+    /// Prefill time that was started over all engines while another team's prompt waited that could
+    /// still be on time; zero otherwise.
+    pub started: Duration,
 }
 
 #[derive(Debug, Default)]
 struct Gateway {
     queue: Vec<QueuedPrompt>,
     fleet_queue: FleetQueue,
+    shares: TeamShares,
     next_check: Duration,
     next_frame: Duration,
     is_silent: bool,
@@ -52,6 +60,8 @@
     gateways: Vec<Gateway>,
     frames: Vec<(Duration, usize, WaitingFrame)>,
     ended: Vec<Ended>,
+    /// Number, team and time up to which it can be on time of each prompt that waits.
+    waiting: Vec<(u64, u64, Duration)>,
     arrived: u64,
 }
 
@@ -64,6 +74,7 @@
             gateways: (0..gateways).map(|_| Gateway::default()).collect(),
             frames: Vec::new(),
             ended: Vec::new(),
+            waiting: Vec::new(),
             arrived: 0,
         }
     }
@@ -101,6 +112,8 @@
                 rank: prompt.rank,
                 gateway,
                 on_time: false,
+                team: prompt.team,
+                started: Duration::ZERO,
             })
         });
         let ended = self.ended.iter().copied().chain(late);
@@ -109,6 +122,16 @@
         on_time as f64 / ended.len().max(1) as f64
     }
 
+    /// Prefill time started for each team while others wait, as a multiple of an equal share.
+    pub fn shares(&self) -> Vec<f64> {
+        let mut started = vec![0.0; TEAMS as usize];
+        for ended in &self.ended {
+            started[ended.team as usize] += ended.started.as_secs_f64();
+        }
+        let equal = started.iter().sum::<f64>() / TEAMS as f64;
+        started.iter().map(|started| started / equal).collect()
+    }
+
     pub fn summary(&self) -> String {
         let ranks = [0, 1, 2].map(|rank| self.on_time(|ended| ended.rank == rank));
         format!("{} ended, on time by rank {ranks:.2?}", self.ended.len())
@@ -122,6 +145,7 @@
                 (1, 200_000, ms(3_000), 4.0),
                 (2, 400_000, ms(8_000), 1.1),
             ],
+            Load::WithLargeTeam => [(0, 200_000, ms(4_000), 13.5); 3],
         };
         for (rank, tokens, target, rate) in kinds {
             if !self.rng.random_bool(rate * STEP.as_secs_f64()) {
@@ -132,6 +156,10 @@
                 continue;
             }
             self.arrived += 1;
+            let team = match load {
+                Load::OfThreeRanks => 0,
+                Load::WithLargeTeam => self.rng.random_range(0..TEAMS + 9).saturating_sub(9),
+            };
             let request = PromptRequirements {
                 prompt_tokens: tokens,
                 expected_output_tokens: 800,
@@ -140,9 +168,12 @@
                 waited: Duration::ZERO,
                 remaining: target * 4,
             };
+            let latest = self.now + target - ms(500);
+            self.waiting.push((self.arrived, team, latest));
             self.gateways[gateway].queue.push(QueuedPrompt {
                 id: self.arrived,
                 rank,
+                team,
                 request,
                 queued_at: self.now,
                 deadline: self.now + target * 4,
@@ -159,37 +190,39 @@
                 if index != from {
                     let peer = from.to_string();
                     gateway.fleet_queue.on_peer_frame(&peer, &frame, now);
+                    gateway.shares.on_peer_frame(&peer, &frame, now);
                 }
             }
         }
     }
 
     fn check(&mut self, index: usize) {
-        let engines = self.candidates();
-        let random = self.rng.random();
-        let now = self.now;
-        let gateways = self.gateways.len();
-        let gateway = &mut self.gateways[index];
-        if now < gateway.next_check {
+        let (now, gateways) = (self.now, self.gateways.len());
+        if now < self.gateways[index].next_check {
             return;
         }
+        let (random, engines) = (self.rng.random(), self.busy_until.len());
+        let gateway = &mut self.gateways[index];
         let targets = gateway.queue.iter();
         let target = targets.map(|prompt| prompt.request.first_event_target);
         let target = target.min().unwrap_or(ms(1_000));
         gateway.next_check = now + next_check_after(gateways, target, random);
-        sort_queue(&mut gateway.queue, &model(), engines.len(), now);
+        let own = gateway.queue.iter().map(|prompt| prompt.team);
+        let waiting = own.chain(gateway.fleet_queue.waiting_teams(now));
+        let over_share = gateway.shares.over_share(waiting, now).clone();
+        sort_queue(&mut gateway.queue, &model(), engines, &over_share, now);
         for prompt in std::mem::take(&mut gateway.queue) {
-            self.try_start(index, prompt);
+            self.try_start(index, prompt, &over_share);
         }
     }
 
-    fn try_start(&mut self, index: usize, prompt: QueuedPrompt) {
+    fn try_start(&mut self, index: usize, prompt: QueuedPrompt, over_share: &TeamsOverShare) {
         let now = self.now;
         let engines = self.candidates();
         let requirements = prompt.request_at(now);
         let local = LocalPrompt {
             service: service_key("s"),
-            order: prompt.order(&model(), engines.len(), now),
+            order: prompt.order(&model(), engines.len(), over_share, now),
             requirements: &requirements,
         };
         let herd_avoidance = HerdAvoidance {
@@ -200,9 +233,18 @@
             place_prompt(&model(), &requirements, engines, herd_avoidance)
         };
         let gateway = &mut self.gateways[index];
-        let placed = gateway.fleet_queue.place(&local, &engines, place, now);
+        let placed = gateway
+            .fleet_queue
+            .place(&local, &engines, over_share, place, now);
+        let others_wait = self
+            .waiting
+            .iter()
+            .any(|(_, team, latest)| *team != prompt.team && now <= *latest);
+        let mut started = Duration::ZERO;
         let on_time = match placed {
             FleetPlacement::Start(placement) => {
+                started = placement.part_prefill_time * (1 + placement.helpers.len() as u32);
+                gateway.shares.record_start(prompt.team, started, now);
                 let helpers = placement.helpers.iter().map(|helper| helper.engine);
                 for engine in helpers.chain([placement.decoder]) {
                     self.busy_until[engine] = now + placement.part_prefill_time;
@@ -213,17 +255,21 @@
             _ if now < prompt.deadline => return gateway.queue.push(prompt),
             _ => false,
         };
+        self.waiting.retain(|(id, ..)| *id != prompt.id);
         self.ended.push(Ended {
             rank: prompt.rank,
             gateway: index,
             on_time,
+            team: prompt.team,
+            started: if others_wait { started } else { Duration::ZERO },
         });
     }
 
     fn send_frame(&mut self, index: usize) {
         let (now, engines) = (self.now, self.busy_until.len());
         let gateway = &mut self.gateways[index];
-        if now < gateway.next_frame || gateway.is_silent || gateway.queue.is_empty() {
+        let has_waiting = !gateway.queue.is_empty() || gateway.fleet_queue.has_waiting(now);
+        if now < gateway.next_frame || gateway.is_silent || !has_waiting {
             return;
         }
         gateway.next_frame = now + FRAME_INTERVAL;
@@ -232,18 +278,18 @@
             id: prompt.id,
             rank: prompt.rank,
             latest_start_in: prompt
-                .order(&model(), engines, now)
+                .order(&model(), engines, &TeamsOverShare::default(), now)
                 .latest_start
                 .checked_sub(now),
             engines: engines_needed(&model(), &prompt.request_at(now)) as u8,
-            team: 0,
+            team: prompt.team,
         });
         let frame = WaitingFrame {
             services: vec![ServiceQueue {
                 service: service_key("s"),
                 prompts: prompts.collect(),
             }],
-            started: Vec::new(),
+            started: gateway.shares.report(now),
         };
         self.frames.push((now + FRAME_DELAY, index, frame));
     }
