Tell peers which prompts wait

Cause: gateways cannot order prompts over all queues while they do not know what waits at others.

Change: a stream `Waiting` (last variant of `StreamOpening`) by the trait `PeerNews`. A frame has the first four waiting prompts of up to eight services with the time left to their latest start, as gateways have no common clock, and the 16 teams with the most prefill time. Teams and services are hashes. `WaitingFrames` decides when: at once when a first prompt changes, else each 200 ms, at most 20 in a second and 1,000 in a second over all peers (an interval of 339 ms with 340 gateways, at most 400 ms, as reports count for 500 ms). One frame tells that the queue is empty; then none is sent, but for the teams' figures while prompts wait at a peer. A task of its own wakes the streams, so that load frames are not sent more often. The prompt queue does not report yet, so nothing is sent.

A queue whose first prompt changes every 5 ms sends 20 frames in a second before 10 peers and 3 before 339.

--- a/crates/direct/src/peer_streams.rs
+++ b/crates/direct/src/peer_streams.rs
@@ -5,6 +5,7 @@
 use crate::peers::Peers;
 use crate::request_limit::LimitNews;
 use crate::shared::Shared;
+use crate::waiting_news::WaitingNews;
 use async_channel::Receiver;
 use async_io::Timer;
 use proto::{LoadFrame, StreamOpening};
@@ -42,6 +43,9 @@
             StreamOpening::Crashes => {
                 receive_news::<CrashNews>(self.0.shared(), &peer.node, &mut rx).await;
             }
+            StreamOpening::Waiting => {
+                receive_news::<WaitingNews>(self.0.shared(), &peer.node, &mut rx).await;
+            }
             StreamOpening::StoreSnapshot(peer_versions) => {
                 let shared = self.0.shared();
                 let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::request_limit::LimitNews;
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
+use crate::waiting_news::WaitingNews;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -51,6 +52,8 @@
     limits_tx: Sender<()>,
     /// Wakes the task that sends crashes of engines.
     crashes_tx: Sender<()>,
+    /// Wakes the task that sends which prompts wait.
+    waiting_tx: Sender<()>,
 }
 
 /// This gateway's row in the store.
@@ -156,6 +159,14 @@
         }
     }
 
+    /// Wakes the tasks that send which prompts wait.
+    pub fn wake_waiting_streams(&self) {
+        for peer in self.lock().values() {
+            // A full channel already holds a message.
+            let _ = peer.waiting_tx.try_send(());
+        }
+    }
+
     /// Closes all links.
     pub async fn close(&self) {
         self.link.close().await;
@@ -274,6 +285,7 @@
         let (tx, rx) = async_channel::bounded(1);
         let (limits_tx, limits_rx) = async_channel::bounded(1);
         let (crashes_tx, crashes_rx) = async_channel::bounded(1);
+        let (waiting_tx, waiting_rx) = async_channel::bounded(1);
         let peer = PeerState {
             last_heard: self.shared.clock.now(),
             reaches_store: false,
@@ -281,6 +293,7 @@
             frame_tx: Some(tx),
             limits_tx,
             crashes_tx,
+            waiting_tx,
             row: found.clone(),
         };
         peers.insert(name.into(), peer);
@@ -289,6 +302,7 @@
         self.shared.executor.detach(load_stream);
         self.send_news::<LimitNews>(found.address, limits_rx);
         self.send_news::<CrashNews>(found.address, crashes_rx);
+        self.send_news::<WaitingNews>(found.address, waiting_rx);
     }
 
     fn send_news<N: PeerNews>(&self, peer: SocketAddr, wake: Receiver<()>) {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -7,6 +7,7 @@
 use crate::prompt_queue::PromptQueue;
 use crate::shared::Shared;
 use crate::store_watch::{OperatorTableHandler, ServerTableHandler, watch};
+use crate::waiting_news::broadcast_waiting;
 use adapter::{HostSettings, Store};
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -150,6 +151,7 @@
     };
     *joined.lock().unwrap_or_else(PoisonError::into_inner) = Some(peers.clone());
     shared.executor.detach(peers.clone().broadcast_load());
+    shared.executor.detach(broadcast_waiting(peers.clone()));
     watch(shared, store, GatewayTableHandler(peers)).await;
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::metrics::Metrics;
 use crate::prompt_queue::PromptQueue;
 use crate::store_cache::StoreCache;
+use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store};
 use runtime::{ByteBudget, Clock, Executor, HttpClient, ShutdownSignal};
 use slog::Logger;
@@ -37,6 +38,8 @@
     pub fleet: Fleet,
     /// Queue of prompts that wait for engines.
     pub prompt_queue: PromptQueue,
+    /// Prompts that wait here and at peers.
+    pub waiting: SharedWaiting,
     /// Prompts at engines, and those that crash them.
     pub crash_guard: SharedCrashGuard,
     /// Started when the process begins to drain.
@@ -68,6 +71,7 @@
             store_cache: StoreCache::new(log.clone()),
             fleet: Fleet::new(&settings),
             prompt_queue: PromptQueue::default(),
+            waiting: SharedWaiting::default(),
             crash_guard: SharedCrashGuard::default(),
             draining: ShutdownSignal::default(),
             store_contact_ms: AtomicU64::new(0),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -91,6 +91,7 @@
 mod store_watchers;
 mod team_shares;
 mod trace;
+mod waiting_frames;
 
 pub use active_config::ActiveConfig;
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
@@ -192,3 +193,4 @@
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
     TraceHead, TraceLine, TraceOutcome, TraceRequest, TraceServer,
 };
+pub use waiting_frames::WaitingFrames;
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -59,4 +59,6 @@
     /// Crashes of servers under the sender's requests, and what crashes servers.
     /// [`crate::CrashFrame`]s follow, nothing comes back.
     Crashes,
+    /// Prompts that wait for engines at the sender. [`crate::WaitingFrame`]s follow, nothing comes back.
+    Waiting,
 }
