Hold long prompts back for more urgent ones at peers

Cause: the prompt queue assigned engines to its own prompts only, without regard to what waits at peers.

Change: the queue places long prompts by `FleetQueue`, sorts by the teams' shares, reports its first waiting prompts after each assignment and records what it starts for which team. Short prompts are placed as before. A prompt that waits because of this is counted once for each reason (`bergamothold_direct_held_prompts_total`) and logged with `req`: `queue: prompt held back for a peer`, `queue: prompt goes behind others of its rank`. A gateway without peers sends no frames.

--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -342,6 +342,7 @@
     // A retry starts to wait now: the caller of a resumed stream already has part of the response.
     let since = if is_retry { now } else { call.arrived };
     PlacementRequest {
+        req: call.head.id.clone(),
         service: call.admitted.service.clone(),
         requirements: prompt_requirements(call),
         rank: call.rank(),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -17,6 +17,7 @@
     registry: Registry,
     requests: IntCounterVec,
     refusals: IntCounterVec,
+    held_prompts: IntCounterVec,
     attempts: IntCounterVec,
     first_byte: HistogramVec,
     waiting: IntGauge,
@@ -58,6 +59,11 @@
             "Requests that were refused, by reason",
             &["reason"],
         )?;
+        let held_prompts = counter_vec(
+            "bergamothold_direct_held_prompts_total",
+            "Prompts that were held back for peers, or put behind others by the share of their team",
+            &["reason"],
+        )?;
         let attempts = counter_vec(
             "bergamothold_direct_attempts_total",
             "Attempts at backend servers, by result",
@@ -100,6 +106,7 @@
         Ok(Self {
             requests,
             refusals,
+            held_prompts,
             attempts,
             first_byte,
             waiting: gauge(
@@ -153,6 +160,11 @@
         self.refusals.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a prompt that was held back, by the reason.
+    pub fn held_prompt(&self, reason: &str) {
+        self.held_prompts.with_label_values(&[reason]).inc();
+    }
+
     /// Counts an attempt at a backend server, by its result.
     pub fn attempt(&self, result: &str) {
         self.attempts.with_label_values(&[result]).inc();
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -5,12 +5,14 @@
 use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
+use crate::waiting_news::{HoldNotices, place_in_fleet_order};
 use async_channel::Sender;
 use async_io::Timer;
 use policy::{
-    BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RetryTurn, SendTimes, ServiceName, ServiceSpec, TeamsOverShare, is_short_prompt,
-    next_check_after, place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
+    BackendId, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt, PromptRequirements,
+    QueuedPrompt, RetryTurn, SendTimes, ServiceName, ServiceSpec, TeamsOverShare, is_short_prompt,
+    next_check_after, place_prompt, service_key, sort_queue, suggest_retry_after,
+    suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect, TeamKey};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,6 +31,8 @@
 /// Request for engines for one prompt.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
+    /// Id of the request, for logs.
+    pub req: Box<str>,
     /// Service whose engines may serve the prompt.
     pub service: Arc<ServiceSpec>,
     /// Size and latency targets of the prompt.
@@ -84,6 +88,7 @@
 struct WaitingPrompt {
     queued: QueuedPrompt,
     request: PlacementRequest,
+    notices: HoldNotices,
     tx: Sender<Result<Assignment, NoEngines>>,
 }
 
@@ -113,6 +118,7 @@
             deadline: request.deadline,
         };
         self.lock().push(WaitingPrompt {
+            notices: HoldNotices::new(request.req.clone()),
             queued,
             request,
             tx,
@@ -155,6 +161,9 @@
         for service in waiting_services(&waiting) {
             self.assign_service(shared, &service, &mut waiting);
         }
+        let services = waiting_services(&waiting);
+        let services: Vec<_> = services.iter().map(|name| service_key(name)).collect();
+        shared.waiting.on_assigned(&services);
         shared.metrics.set_waiting_prompts(waiting.len());
     }
 
@@ -182,7 +191,8 @@
             return;
         };
         let servers = shared.store_cache.usable_servers(service, now);
-        let over_share = TeamsOverShare::default();
+        let teams = queued.iter().map(|prompt| prompt.team);
+        let over_share = shared.waiting.teams_over_share(teams, now);
         sort_queue(&mut queued, profile, servers.len(), &over_share, now);
         let last_deadline = queued.iter().map(|prompt| prompt.deadline).max();
         let end = last_deadline.unwrap_or(now) + MAX_RETRY_AFTER;
@@ -193,9 +203,11 @@
             profile,
             servers: &servers,
             send_times,
+            over_share,
             now,
         };
         let mut ahead = 0;
+        let mut left = Vec::new();
         for prompt in queued {
             let Some(index) = waiting
                 .iter()
@@ -203,8 +215,11 @@
             else {
                 continue;
             };
-            let Some(result) = pass.decide(&prompt, &waiting[index].request, ahead) else {
+            let Some(result) = pass.decide(&prompt, &waiting[index], ahead) else {
                 ahead += 1;
+                let shares = pass.over_share.shares(prompt.team);
+                waiting[index].notices.on_over_share(shared, shares);
+                left.push(prompt);
                 continue;
             };
             let waiting = waiting.swap_remove(index);
@@ -212,6 +227,8 @@
             // The caller may have left. The assignment is then dropped, which ends its job.
             let _ = waiting.tx.try_send(result);
         }
+        let frames = &mut shared.waiting.lock().frames;
+        frames.set_waiting(service_key(service), &left, profile, servers.len(), now);
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<WaitingPrompt>> {
@@ -244,6 +261,8 @@
     servers: &'a [BackendEntry],
     /// When this gateway may send requests to the servers; `None` unless all state request limits.
     send_times: Option<SendTimes>,
+    /// Teams that go behind others of their rank.
+    over_share: TeamsOverShare,
     now: Duration,
 }
 
@@ -253,9 +272,10 @@
     fn decide(
         &self,
         prompt: &QueuedPrompt,
-        request: &PlacementRequest,
+        waiting: &WaitingPrompt,
         ahead: usize,
     ) -> Option<Result<Assignment, NoEngines>> {
+        let request = &waiting.request;
         if !request.is_trial && is_blocked(self.shared, &request.suspects) {
             return Some(Err(NoEngines {
                 reason: BLOCKED_REASON,
@@ -301,9 +321,27 @@
             .shared
             .fleet
             .herd_avoidance(self.spec, &servers, self.now);
-        let placement = place_prompt(self.profile, &requirements, &engines, herd_avoidance)?;
+        let place = |engines: &[EngineCandidate]| {
+            place_prompt(self.profile, &requirements, engines, herd_avoidance)
+        };
+        let placement = if is_short_prompt(self.profile, &requirements) {
+            place(&engines)?
+        } else {
+            let local = LocalPrompt {
+                service: service_key(&self.spec.name),
+                order: prompt.order(self.profile, self.servers.len(), &self.over_share, self.now),
+                requirements: &requirements,
+            };
+            let notices = &waiting.notices;
+            let over_share = &self.over_share;
+            place_in_fleet_order(self.shared, notices, &local, &engines, over_share, place)?
+        };
         let slowdown = engines[placement.decoder].slowdown;
         let assignment = self.assign(&requirements, &placement, &servers, slowdown)?;
+        let engines = 1 + placement.helpers.len() as u32;
+        let prefill_time = placement.part_prefill_time * engines;
+        let waiting = &self.shared.waiting;
+        waiting.on_start(prompt.team, prefill_time, self.now);
         Some(Ok(assignment))
     }
 
--- a/crates/direct/src/waiting_news.rs
+++ b/crates/direct/src/waiting_news.rs
@@ -6,8 +6,13 @@
 use crate::signal::Signal;
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::{FleetQueue, TeamShares, WaitingFrames};
-use proto::{StreamOpening, WaitingFrame};
+use policy::{
+    EngineCandidate, EnginePlacement, FleetPlacement, FleetQueue, LocalPrompt, TeamShares,
+    TeamsOverShare, WaitingFrames,
+};
+use proto::{ServiceKey, StreamOpening, TeamKey, WaitingFrame};
+use slog::info;
+use std::cell::Cell;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -43,6 +48,107 @@
     pub(crate) fn lock(&self) -> MutexGuard<'_, WaitingState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Teams over their share, where `own` are those with prompts that wait here.
+    pub fn teams_over_share(
+        &self,
+        own: impl Iterator<Item = TeamKey>,
+        now: Duration,
+    ) -> TeamsOverShare {
+        let mut state = self.lock();
+        let WaitingState {
+            fleet_queue,
+            shares,
+            ..
+        } = &mut *state;
+        let waiting = own.chain(fleet_queue.waiting_teams(now));
+        shares.over_share(waiting, now).clone()
+    }
+
+    /// Records that prompts wait only for these services, after an assignment of engines.
+    pub fn on_assigned(&self, services: &[ServiceKey]) {
+        let mut state = self.lock();
+        state.frames.retain_services(services);
+        if state.frames.has_changed() {
+            self.changed.notify();
+        }
+    }
+
+    /// Records that a prompt starts that takes `prefill_time` on all its engines together.
+    pub fn on_start(&self, team: TeamKey, prefill_time: Duration, now: Duration) {
+        let mut state = self.lock();
+        state.shares.record_start(team, prefill_time, now);
+        if state.fleet_queue.has_waiting(now) {
+            self.changed.notify();
+        }
+    }
+}
+
+/// A waiting prompt, for log lines and metrics. Each reason for which it waits is told once.
+#[derive(Debug)]
+pub struct HoldNotices {
+    req: Box<str>,
+    is_held: Cell<bool>,
+    is_over_share: Cell<bool>,
+}
+
+impl HoldNotices {
+    /// Notices about the prompt of the request with id `req`.
+    pub fn new(req: Box<str>) -> Self {
+        Self {
+            req,
+            is_held: Cell::default(),
+            is_over_share: Cell::default(),
+        }
+    }
+
+    /// Tells that the prompt waits while its team is over its share.
+    pub fn on_over_share(&self, shared: &Shared, shares: u8) {
+        if shares == 0 || self.is_over_share.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("team share");
+        info!(shared.log, "queue: prompt goes behind others of its rank"; "req" => &*self.req,
+            "reason" => "its team has got more than its share", "shares" => shares);
+    }
+
+    fn on_held(&self, shared: &Shared, peer: &str, rank: u8, engines: usize) {
+        if self.is_held.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("peers");
+        info!(shared.log, "queue: prompt held back for a peer"; "req" => &*self.req,
+            "reason" => "more urgent prompts wait at peers", "peer" => peer, "peer_rank" => rank,
+            "engines" => engines);
+    }
+}
+
+/// Places a long prompt, unless its engines are left to more urgent prompts at peers.
+pub fn place_in_fleet_order(
+    shared: &Shared,
+    notices: &HoldNotices,
+    prompt: &LocalPrompt<'_>,
+    engines: &[EngineCandidate],
+    over_share: &TeamsOverShare,
+    place: impl Fn(&[EngineCandidate]) -> Option<EnginePlacement>,
+) -> Option<EnginePlacement> {
+    let now = shared.clock.now();
+    let placed = {
+        let queue = &mut shared.waiting.lock().fleet_queue;
+        queue.place(prompt, engines, over_share, place, now)
+    };
+    match placed {
+        FleetPlacement::Start(placement) => Some(placement),
+        FleetPlacement::NoEngines => None,
+        FleetPlacement::Held {
+            peer,
+            rank,
+            engines,
+        } => {
+            notices.on_held(shared, &peer, rank, engines);
+            None
+        }
+    }
 }
 
 /// Tells all peers which prompts wait here, whenever a frame is due, until the process ends.
--- a/crates/policy/src/waiting_frames.rs
+++ b/crates/policy/src/waiting_frames.rs
@@ -67,6 +67,9 @@
     /// When the next frame goes to `peers` peers; `None` while there is nothing to tell.
     /// `has_starts` says that prompts wait at peers and have to be compared with what was started here.
     pub fn next_at(&self, peers: usize, has_starts: bool, now: Duration) -> Option<Duration> {
+        if peers == 0 {
+            return None;
+        }
         let paced = Duration::from_secs(1) * peers as u32 / MAX_FRAMES_PER_SECOND;
         let interval = paced.clamp(MIN_FRAME_INTERVAL, MAX_FRAME_INTERVAL);
         let after = |interval| self.last_at.map_or(now, |last| last + interval);
