--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
-use policy::{AttemptResult, BackendId, PromptRequirements, RetryTurn};
+use policy::{AttemptResult, BackendId, PromptRequirements, RetryTurn, team_key};
 use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
@@ -354,9 +354,11 @@
     // A retry starts to wait now: the caller of a resumed stream already has part of the response.
     let since = if is_retry { now } else { call.arrived };
     PlacementRequest {
+        req: call.head.id.clone(),
         service: call.admitted.service.clone(),
         requirements: prompt_requirements(call),
         rank: call.rank(),
+        team: team_key(call.admitted.team.as_ref().map(|team| &*team.name)),
         since,
         deadline: call
             .deadline
--- a/crates/direct/src/peer_streams.rs
+++ b/crates/direct/src/peer_streams.rs
@@ -6,6 +6,7 @@
 use crate::request_limit::LimitNews;
 use crate::server_failure::FailureNews;
 use crate::shared::Shared;
+use crate::waiting_news::WaitingNews;
 use async_channel::Receiver;
 use async_io::Timer;
 use proto::{LoadFrame, StreamOpening};
@@ -46,6 +47,9 @@
             StreamOpening::ServerFailures => {
                 receive_news::<FailureNews>(self.0.shared(), &peer.node, &mut rx).await;
             }
+            StreamOpening::Waiting => {
+                receive_news::<WaitingNews>(self.0.shared(), &peer.node, &mut rx).await;
+            }
             StreamOpening::StoreSnapshot(peer_versions) => {
                 let shared = self.0.shared();
                 let sent = tx.send(&shared.store_cache.export(&peer_versions)).await;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -12,6 +12,7 @@
 use crate::server_failure::FailureNews;
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
+use crate::waiting_news::WaitingNews;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -51,6 +52,8 @@
     crashes_tx: Sender<()>,
     /// Wakes the task that sends server failures.
     failures_tx: Sender<()>,
+    /// Wakes the task that sends which prompts wait.
+    waiting_tx: Sender<()>,
 }
 
 /// This gateway's row in the store.
@@ -160,6 +163,14 @@
         }
     }
 
+    /// Wakes the tasks that send which prompts wait.
+    pub fn wake_waiting_streams(&self) {
+        for peer in self.lock().values() {
+            // A full channel already holds a message.
+            let _ = peer.waiting_tx.try_send(());
+        }
+    }
+
     /// Closes all links.
     pub async fn close(&self) {
         self.link.close().await;
@@ -281,6 +292,7 @@
         let (limits_tx, limits_rx) = async_channel::bounded(1);
         let (crashes_tx, crashes_rx) = async_channel::bounded(1);
         let (failures_tx, failures_rx) = async_channel::bounded(1);
+        let (waiting_tx, waiting_rx) = async_channel::bounded(1);
         let peer = PeerState {
             last_heard: self.shared.clock.now(),
             reaches_store: false,
@@ -289,6 +301,7 @@
             limits_tx,
             crashes_tx,
             failures_tx,
+            waiting_tx,
             row: found.clone(),
         };
         peers.insert(name.into(), peer);
@@ -298,6 +311,7 @@
         self.send_news::<LimitNews>(found.address, limits_rx);
         self.send_news::<CrashNews>(found.address, crashes_rx);
         self.send_news::<FailureNews>(found.address, failures_rx);
+        self.send_news::<WaitingNews>(found.address, waiting_rx);
     }
 
     fn send_news<N: PeerNews>(&self, peer: SocketAddr, wake: Receiver<()>) {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -8,6 +8,7 @@
 use crate::server_failure;
 use crate::shared::Shared;
 use crate::store_watch::{OperatorTableHandler, ServerTableHandler, watch};
+use crate::waiting_news::broadcast_waiting;
 use adapter::{HostSettings, Store};
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -152,6 +153,7 @@
     };
     *joined.lock().unwrap_or_else(PoisonError::into_inner) = Some(peers.clone());
     shared.executor.detach(peers.clone().broadcast_load());
+    shared.executor.detach(broadcast_waiting(peers.clone()));
     watch(shared, store, GatewayTableHandler(peers)).await;
 }
 
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -5,16 +5,17 @@
 use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
+use crate::waiting_news::{HoldNotices, place_in_fleet_order};
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::or;
 use policy::{
-    BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RankDemand, RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind, is_short_prompt,
-    leaves_urgent_room, next_check_after, place_prompt, sort_queue, suggest_retry_after,
-    suggest_retry_after_limit,
+    BackendId, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt, PromptRequirements,
+    QueuedPrompt, RankDemand, RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind,
+    TeamsOverShare, is_short_prompt, leaves_urgent_room, next_check_after, place_prompt,
+    service_key, sort_queue, suggest_retry_after, suggest_retry_after_limit,
 };
-use proto::{BackendEntry, Suspect};
+use proto::{BackendEntry, Suspect, TeamKey};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,12 +33,16 @@
 /// Request for engines for one prompt.
 #[derive(Debug, Clone)]
 pub struct PlacementRequest {
+    /// Id of the request, for logs.
+    pub req: Box<str>,
     /// Service whose engines may serve the prompt.
     pub service: Arc<ServiceSpec>,
     /// Size and latency targets of the prompt.
     pub requirements: PromptRequirements,
     /// Priority rank; 0 is served first.
     pub rank: u8,
+    /// Team of the caller.
+    pub team: TeamKey,
     /// Time from which the wait is counted: the arrival of the request, or the start of a retry.
     pub since: Duration,
     /// Time at which the caller gives up.
@@ -85,6 +90,7 @@
 struct WaitingPrompt {
     queued: QueuedPrompt,
     request: PlacementRequest,
+    notices: HoldNotices,
     tx: Sender<Result<Assignment, NoEngines>>,
 }
 
@@ -110,11 +116,13 @@
         let queued = QueuedPrompt {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             rank: request.rank,
+            team: request.team,
             request: request.requirements.clone(),
             queued_at: request.since,
             deadline: request.deadline,
         };
         self.lock().push(WaitingPrompt {
+            notices: HoldNotices::new(request.req.clone()),
             queued,
             request,
             tx,
@@ -162,6 +170,9 @@
         for service in waiting_services(&waiting) {
             self.assign_service(shared, &service, &mut waiting);
         }
+        let services = waiting_services(&waiting);
+        let services: Vec<_> = services.iter().map(|name| service_key(name)).collect();
+        shared.waiting.on_assigned(&services);
         shared.metrics.set_waiting_prompts(waiting.len());
     }
 
@@ -189,7 +200,9 @@
             return;
         };
         let servers = shared.store_cache.usable_servers(service, now);
-        sort_queue(&mut queued, profile, servers.len(), now);
+        let teams = queued.iter().map(|prompt| prompt.team);
+        let over_share = shared.waiting.teams_over_share(teams, now);
+        sort_queue(&mut queued, profile, servers.len(), &over_share, now);
         let last_deadline = queued.iter().map(|prompt| prompt.deadline).max();
         let end = last_deadline.unwrap_or(now) + MAX_RETRY_AFTER;
         let send_times = shared.fleet.send_times(&spec, &servers, now, end);
@@ -199,9 +212,11 @@
             profile,
             servers: &servers,
             send_times,
+            over_share,
             now,
         };
         let mut ahead = 0;
+        let mut left = Vec::new();
         for prompt in queued {
             let Some(index) = waiting
                 .iter()
@@ -209,8 +224,11 @@
             else {
                 continue;
             };
-            let Some(result) = pass.decide(&prompt, &waiting[index].request, ahead) else {
+            let Some(result) = pass.decide(&prompt, &waiting[index], ahead) else {
                 ahead += 1;
+                let shares = pass.over_share.shares(prompt.team);
+                waiting[index].notices.on_over_share(shared, shares);
+                left.push(prompt);
                 continue;
             };
             let waiting = waiting.swap_remove(index);
@@ -218,6 +236,8 @@
             // The caller may have left. The assignment is then dropped, which ends its job.
             let _ = waiting.tx.try_send(result);
         }
+        let frames = &mut shared.waiting.lock().frames;
+        frames.set_waiting(service_key(service), &left, profile, servers.len(), now);
     }
 
     fn lock_rank_demand(&self) -> MutexGuard<'_, HashMap<ServiceName, RankDemand>> {
@@ -256,6 +276,8 @@
     servers: &'a [BackendEntry],
     /// When this gateway may send requests to the servers; `None` unless all state request limits.
     send_times: Option<SendTimes>,
+    /// Teams that go behind others of their rank.
+    over_share: TeamsOverShare,
     now: Duration,
 }
 
@@ -265,9 +287,10 @@
     fn decide(
         &self,
         prompt: &QueuedPrompt,
-        request: &PlacementRequest,
+        waiting: &WaitingPrompt,
         ahead: usize,
     ) -> Option<Result<Assignment, NoEngines>> {
+        let request = &waiting.request;
         if !request.is_trial && is_blocked(self.shared, &request.suspects) {
             return Some(Err(NoEngines {
                 reason: BLOCKED_REASON,
@@ -313,8 +336,22 @@
             .shared
             .fleet
             .herd_avoidance(self.spec, &servers, self.now);
-        let placement = place_prompt(self.profile, &requirements, &engines, herd_avoidance)?;
+        let place = |engines: &[EngineCandidate]| {
+            place_prompt(self.profile, &requirements, engines, herd_avoidance)
+        };
         let is_short = is_short_prompt(self.profile, &requirements);
+        let placement = if is_short {
+            place(&engines)?
+        } else {
+            let local = LocalPrompt {
+                service: service_key(&self.spec.name),
+                order: prompt.order(self.profile, self.servers.len(), &self.over_share, self.now),
+                requirements: &requirements,
+            };
+            let notices = &waiting.notices;
+            let over_share = &self.over_share;
+            place_in_fleet_order(self.shared, notices, &local, &engines, over_share, place)?
+        };
         let mut demand = self.shared.prompt_queue.lock_rank_demand();
         let demand = demand.entry(self.spec.name.clone()).or_default();
         let urgent_rate =
@@ -333,6 +370,11 @@
         let slowdown = engines[placement.decoder].slowdown;
         let assignment = self.assign(&requirements, &placement, &servers, slowdown)?;
         demand.record(prompt.rank, is_short, self.now);
+        let engines = 1 + placement.helpers.len() as u32;
+        let prefill_time = placement.part_prefill_time * engines;
+        self.shared
+            .waiting
+            .on_start(prompt.team, prefill_time, self.now);
         Some(Ok(assignment))
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod estimate;
 mod fairness;
 mod fleet_load;
+mod fleet_queue;
 mod gateway_roster;
 mod gossip_event;
 mod guard_verdict;
@@ -92,7 +93,9 @@
 mod span_plan;
 mod span_types;
 mod store_watchers;
+mod team_shares;
 mod trace;
+mod waiting_frames;
 
 pub use active_config::ActiveConfig;
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
@@ -123,11 +126,15 @@
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{
-    QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
+    QueueOrder, QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
     suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
+pub use fleet_queue::{
+    FleetPlacement, FleetQueue, LocalPrompt, MAX_REPORTED_PROMPTS, MAX_REPORTED_SERVICES,
+    engines_needed, service_key,
+};
 pub use gateway_roster::{GatewayName, GatewayRoster};
 pub use gossip_event::{GossipAction, GossipConfig, GossipEvent, RequestSeq};
 pub use guard_verdict::{GuardChange, GuardReason, GuardVerdict, Spread};
@@ -188,7 +195,9 @@
 };
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, should_watch_store};
+pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
     TraceHead, TraceLine, TraceOutcome, TraceRequest, TraceServer,
 };
+pub use waiting_frames::WaitingFrames;
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -25,6 +25,7 @@
 mod server_failure;
 mod span;
 mod timeline;
+mod waiting;
 
 pub use codec::{CodecError, FrameReader, MAX_FRAME_BYTES, PROTOCOL_VERSION, encode};
 pub use control::{
@@ -50,3 +51,4 @@
 pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport};
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
+pub use waiting::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, TeamPrefill, WaitingFrame};
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -62,4 +62,6 @@
     /// Backend servers that refuse the sender's connections. [`crate::ServerFailureFrame`]s follow,
     /// nothing comes back.
     ServerFailures,
+    /// Prompts that wait for engines at the sender. [`crate::WaitingFrame`]s follow, nothing comes back.
+    Waiting,
 }
