Spread the retry times of refused prompts over the capacity that becomes free

Cause: suggest_retry_after gave each refused caller backlog/engines plus a random amount, whatever its rank, so that callers came back together and were refused again.

Change: ReturnSchedule (policy) keeps the work that is expected back in slots of 50 ms. A refused prompt takes the first free part of this gateway's share of the engines after their backlog and the prompts that wait. Less urgent ranks leave the capacity that more urgent ones have asked for lately, up to 0.8 of it. The time is at least 150 ms and at most a third of the caller's time left; if the capacity is free only later, the least used slot of the last half of that time is taken. For 4 s after a start the times are spread at random. `refuse` of the prompt queue uses it; suggest_retry_after is gone. Its test a_crowd_does_not_come_back_as_one moved to the new decision with the same lower bound and number of times; the upper bound is now a third of the time.

--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -8,11 +8,13 @@
 use async_channel::Sender;
 use async_io::Timer;
 use policy::{
-    BackendId, EngineCandidate, EnginePlacement, EngineProfile, PromptRequirements, QueuedPrompt,
-    RetryTurn, SendTimes, ServiceName, ServiceSpec, is_short_prompt, next_check_after,
-    place_prompt, sort_queue, suggest_retry_after, suggest_retry_after_limit,
+    BackendId, CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile,
+    PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
+    ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt, sort_queue,
+    suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -91,6 +93,8 @@
     waiting: Mutex<Vec<WaitingPrompt>>,
     next_id: AtomicU64,
     wake_signal: Signal,
+    /// Retry times given to callers, by service.
+    returns: Mutex<HashMap<ServiceName, ReturnSchedule>>,
 }
 
 impl PromptQueue {
@@ -189,6 +193,7 @@
             profile,
             servers: &servers,
             send_times,
+            waiting_prefill: prefill_time(profile, &queued),
             now,
         };
         let mut ahead = 0;
@@ -225,6 +230,14 @@
     names
 }
 
+/// Time that one engine would take to prefill all of these prompts.
+fn prefill_time(profile: &EngineProfile, prompts: &[QueuedPrompt]) -> Duration {
+    let times = prompts
+        .iter()
+        .map(|prompt| profile.prefill_time(prompt.request.prompt_tokens));
+    times.sum()
+}
+
 /// Whether to count on an engine for the prefill of a waiting prompt: it is not suspect, and no
 /// request that decodes there has a shorter target for the gap between events than the prompt has.
 /// A prefill would delay the events of such a request for too long.
@@ -240,6 +253,8 @@
     servers: &'a [BackendEntry],
     /// When this gateway may send requests to the servers; `None` unless all state request limits.
     send_times: Option<SendTimes>,
+    /// Prefill of the prompts that wait for the service at this gateway.
+    waiting_prefill: Duration,
     now: Duration,
 }
 
@@ -266,7 +281,7 @@
         let pause_end = self.shared.fleet.remove_paused(&mut servers, self.now);
         if servers.is_empty() {
             return match pause_end {
-                None => Some(Err(self.refuse("no server", &[]))),
+                None => Some(Err(self.refuse("no server", prompt, &[]))),
                 Some(end) => self.refuse_until(end),
             };
         }
@@ -286,11 +301,7 @@
             .iter()
             .filter(|engine| can_prefill(engine, &prompt.request));
         if prompt.would_miss_deadline(self.profile, prefill_engines.count(), self.now) {
-            let prefill_backlogs: Vec<_> = engines
-                .iter()
-                .map(|engine| engine.load.prefill_remaining)
-                .collect();
-            return Some(Err(self.refuse("too late to be read", &prefill_backlogs)));
+            return Some(Err(self.refuse("too late to be read", prompt, &engines)));
         }
         let requirements = prompt.request_at(self.now);
         let herd_avoidance = self
@@ -346,12 +357,34 @@
         (wait > MAX_PAUSE_WAIT).then_some(Err(refusal))
     }
 
-    fn refuse(&self, reason: &'static str, prefill_backlogs: &[Duration]) -> NoEngines {
-        let backlog = prefill_backlogs.iter().sum();
-        let retry_after = suggest_retry_after(backlog, prefill_backlogs.len(), rand::random());
+    fn refuse(
+        &self,
+        reason: &'static str,
+        prompt: &QueuedPrompt,
+        engines: &[EngineCandidate],
+    ) -> NoEngines {
+        let prefill_time = self.profile.prefill_time(prompt.request.prompt_tokens);
+        let backlogs = engines.iter().map(|engine| engine.load.prefill_remaining);
+        let forecast = CapacityForecast {
+            backlog: backlogs.sum(),
+            waiting: self.waiting_prefill.saturating_sub(prefill_time),
+            engines: engines.len(),
+            gateways: self.shared.fleet.gateways(),
+        };
+        let refused = RefusedPrompt {
+            rank: prompt.rank,
+            prefill_time,
+            remaining: prompt.deadline.saturating_sub(self.now),
+        };
+        let queue = &self.shared.prompt_queue;
+        let mut returns = queue.returns.lock().unwrap_or_else(PoisonError::into_inner);
+        // Times count from the start of the process.
+        let schedule = returns
+            .entry(self.spec.name.clone())
+            .or_insert_with(|| ReturnSchedule::new(Duration::ZERO));
         NoEngines {
             reason,
-            retry_after,
+            retry_after: schedule.assign(refused, forecast, self.now, rand::random()),
         }
     }
 
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -76,19 +76,6 @@
     MIN_CHECK_INTERVAL + spread.mul_f64((random % STEPS) as f64 / STEPS as f64)
 }
 
-/// Delay after which a refused caller should retry, if the engines together have `backlog` of
-/// prefill to do.
-///
-/// Load pattern: callers that are refused retry. Each is told a time by which the backlog is
-/// prefilled, lengthened at `random` up to twice, so that they do not all return at once.
-pub fn suggest_retry_after(backlog: Duration, engines: usize, random: u64) -> Duration {
-    const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
-    const SPREAD_STEPS: u64 = 64;
-    let backlog_per_engine = backlog / engines.max(1) as u32;
-    let spread = (random % SPREAD_STEPS) as f64 / SPREAD_STEPS as f64;
-    MIN_RETRY_AFTER + backlog_per_engine + (MIN_RETRY_AFTER + backlog_per_engine).mul_f64(spread)
-}
-
 /// Delay after which a caller should retry whose request all servers would take too late, or not at
 /// all, because of the limits that they state. `wait` is the time until this gateway may send one more
 /// request; `None` if other gateways have all shares of the limits.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -68,6 +68,7 @@
 mod reservation_renewal;
 mod retry;
 mod retry_turn;
+mod return_schedule;
 mod route_table;
 mod router;
 mod rules;
@@ -120,8 +121,7 @@
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{
-    QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
-    suggest_retry_after_limit,
+    QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
@@ -154,6 +154,7 @@
     predicted_response_time,
 };
 pub use retry_turn::RetryTurn;
+pub use return_schedule::{CapacityForecast, MIN_RETRY_AFTER, RefusedPrompt, ReturnSchedule};
 pub use route_table::{
     CallerIdentity, CallerLimits, Route, RouteKind, RouteTable, ServiceName, ServiceSpec, TeamEntry,
 };
