Refuse prompts that the engines cannot get to in time when this is known

Cause: a prompt was refused only when it would be too late with all engines idle. Behind a backlog it waited until shortly before its time limit and was then refused with no time left to come back.

--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -10,8 +10,8 @@
 use policy::{
     BackendId, CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile,
     PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
-    ServiceName, ServiceSpec, is_short_prompt, next_check_after, place_prompt, sort_queue,
-    suggest_retry_after_limit,
+    ServiceName, ServiceSpec, cannot_be_served, is_short_prompt, next_check_after, place_prompt,
+    sort_queue, suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect};
 use std::collections::HashMap;
@@ -196,7 +196,7 @@
             waiting_prefill: prefill_time(profile, &queued),
             now,
         };
-        let mut ahead = 0;
+        let mut ahead = Vec::new();
         for prompt in queued {
             let Some(index) = waiting
                 .iter()
@@ -204,12 +204,15 @@
             else {
                 continue;
             };
-            let Some(result) = pass.decide(&prompt, &waiting[index].request, ahead) else {
-                ahead += 1;
+            let Some(result) = pass.decide(&prompt, &waiting[index].request, &ahead) else {
+                ahead.push(profile.prefill_time(prompt.request.prompt_tokens));
                 continue;
             };
             let waiting = waiting.swap_remove(index);
-            ahead += usize::from(result.is_ok());
+            if result.is_ok() {
+                // Its prefill counts in the load of its engines from now on.
+                ahead.push(Duration::ZERO);
+            }
             // The caller may have left. The assignment is then dropped, which ends its job.
             let _ = waiting.tx.try_send(result);
         }
@@ -259,13 +262,13 @@
 }
 
 impl AssignmentPass<'_> {
-    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting. `ahead` is the number
-    /// of prompts that are served before it.
+    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting. `ahead` has the
+    /// prefill times of the prompts that are served before it and wait.
     fn decide(
         &self,
         prompt: &QueuedPrompt,
         request: &PlacementRequest,
-        ahead: usize,
+        ahead: &[Duration],
     ) -> Option<Result<Assignment, NoEngines>> {
         if !request.is_trial && is_blocked(self.shared, &request.suspects) {
             return Some(Err(NoEngines {
@@ -285,7 +288,7 @@
                 Some(end) => self.refuse_until(end),
             };
         }
-        if let Some(refusal) = self.refuse_beyond_limits(prompt, ahead) {
+        if let Some(refusal) = self.refuse_beyond_limits(prompt, ahead.len()) {
             return Some(Err(refusal));
         }
         let mut engines = self
@@ -303,6 +306,9 @@
         if prompt.would_miss_deadline(self.profile, prefill_engines.count(), self.now) {
             return Some(Err(self.refuse("too late to be read", prompt, &engines)));
         }
+        if cannot_be_served(self.profile, prompt, &engines, ahead, self.now) {
+            return Some(Err(self.refuse("engines too far behind", prompt, &engines)));
+        }
         let requirements = prompt.request_at(self.now);
         let herd_avoidance = self
             .shared
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod active_config;
 mod admission;
+mod admission_forecast;
 mod affinity;
 mod baseline;
 mod blocked_suspects;
@@ -93,6 +94,7 @@
 mod trace;
 
 pub use active_config::ActiveConfig;
+pub use admission_forecast::cannot_be_served;
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use claim_event::{
