--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -42,6 +42,7 @@
 mod store_cache;
 mod store_watch;
 mod stream;
+mod stream_buffers;
 mod waiting_news;
 
 pub use command::{NAME, command, run};
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -10,10 +10,11 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use policy::{
-    BackendId, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt, PromptRequirements,
-    QueuedPrompt, RankDemand, RetryTurn, SendTimes, ServiceName, ServiceSpec, SuspectKind,
-    TeamsOverShare, is_short_prompt, leaves_urgent_room, next_check_after, place_prompt,
-    service_key, sort_queue, suggest_retry_after, suggest_retry_after_limit,
+    BackendId, CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt,
+    PromptRequirements, QueuedPrompt, RankDemand, RefusedPrompt, RetryTurn, ReturnSchedule,
+    SendTimes, ServiceName, ServiceSpec, SuspectKind, TeamsOverShare, cannot_be_served,
+    is_short_prompt, leaves_urgent_room, next_check_after, place_prompt, service_key, sort_queue,
+    suggest_retry_after_limit,
 };
 use proto::{BackendEntry, Suspect, TeamKey};
 use std::collections::HashMap;
@@ -102,6 +103,8 @@
     rank_demand: Mutex<HashMap<ServiceName, RankDemand>>,
     next_id: AtomicU64,
     wake_signal: Signal,
+    /// Retry times given to callers, by service.
+    returns: Mutex<HashMap<ServiceName, ReturnSchedule>>,
 }
 
 impl PromptQueue {
@@ -213,9 +216,10 @@
             servers: &servers,
             send_times,
             over_share,
+            waiting_prefill: prefill_time(profile, &queued),
             now,
         };
-        let mut ahead = 0;
+        let mut ahead = Vec::new();
         let mut left = Vec::new();
         for prompt in queued {
             let Some(index) = waiting
@@ -224,15 +228,18 @@
             else {
                 continue;
             };
-            let Some(result) = pass.decide(&prompt, &waiting[index], ahead) else {
-                ahead += 1;
+            let Some(result) = pass.decide(&prompt, &waiting[index], &ahead) else {
+                ahead.push(profile.prefill_time(prompt.request.prompt_tokens));
                 let shares = pass.over_share.shares(prompt.team);
                 waiting[index].notices.on_over_share(shared, shares);
                 left.push(prompt);
                 continue;
             };
             let waiting = waiting.swap_remove(index);
-            ahead += usize::from(result.is_ok());
+            if result.is_ok() {
+                // Its prefill counts in the load of its engines from now on.
+                ahead.push(Duration::ZERO);
+            }
             // The caller may have left. The assignment is then dropped, which ends its job.
             let _ = waiting.tx.try_send(result);
         }
@@ -261,6 +268,14 @@
     names
 }
 
+/// Time that one engine would take to prefill all of these prompts.
+fn prefill_time(profile: &EngineProfile, prompts: &[QueuedPrompt]) -> Duration {
+    let times = prompts
+        .iter()
+        .map(|prompt| profile.prefill_time(prompt.request.prompt_tokens));
+    times.sum()
+}
+
 /// Whether to count on an engine for the prefill of a waiting prompt: it can be reached, and no
 /// request that decodes there has a shorter target for the gap between events than the prompt has.
 /// A prefill would delay the events of such a request for too long.
@@ -278,17 +293,19 @@
     send_times: Option<SendTimes>,
     /// Teams that go behind others of their rank.
     over_share: TeamsOverShare,
+    /// Prefill of the prompts that wait for the service at this gateway.
+    waiting_prefill: Duration,
     now: Duration,
 }
 
 impl AssignmentPass<'_> {
-    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting. `ahead` is the number
-    /// of prompts that are served before it.
+    /// Assigns engines to a prompt or refuses it; `None` where it keeps waiting. `ahead` has the
+    /// prefill times of the prompts that are served before it and wait.
     fn decide(
         &self,
         prompt: &QueuedPrompt,
         waiting: &WaitingPrompt,
-        ahead: usize,
+        ahead: &[Duration],
     ) -> Option<Result<Assignment, NoEngines>> {
         let request = &waiting.request;
         if !request.is_trial && is_blocked(self.shared, &request.suspects) {
@@ -305,11 +322,11 @@
         let pause_end = self.shared.fleet.remove_paused(&mut servers, self.now);
         if servers.is_empty() {
             return match pause_end {
-                None => Some(Err(self.refuse("no server", &[]))),
+                None => Some(Err(self.refuse("no server", prompt, &[]))),
                 Some(end) => self.refuse_until(end),
             };
         }
-        if let Some(refusal) = self.refuse_beyond_limits(prompt, ahead) {
+        if let Some(refusal) = self.refuse_beyond_limits(prompt, ahead.len()) {
             return Some(Err(refusal));
         }
         let mut engines = self
@@ -325,11 +342,10 @@
             .iter()
             .filter(|engine| can_prefill(engine, &prompt.request));
         if prompt.would_miss_deadline(self.profile, prefill_engines.count(), self.now) {
-            let prefill_backlogs: Vec<_> = engines
-                .iter()
-                .map(|engine| engine.load.prefill_remaining)
-                .collect();
-            return Some(Err(self.refuse("too late to be read", &prefill_backlogs)));
+            return Some(Err(self.refuse("too late to be read", prompt, &engines)));
+        }
+        if cannot_be_served(self.profile, prompt, &engines, ahead, self.now) {
+            return Some(Err(self.refuse("engines too far behind", prompt, &engines)));
         }
         let requirements = prompt.request_at(self.now);
         let herd_avoidance = self
@@ -421,12 +437,34 @@
         (wait > MAX_PAUSE_WAIT).then_some(Err(refusal))
     }
 
-    fn refuse(&self, reason: &'static str, prefill_backlogs: &[Duration]) -> NoEngines {
-        let backlog = prefill_backlogs.iter().sum();
-        let retry_after = suggest_retry_after(backlog, prefill_backlogs.len(), rand::random());
+    fn refuse(
+        &self,
+        reason: &'static str,
+        prompt: &QueuedPrompt,
+        engines: &[EngineCandidate],
+    ) -> NoEngines {
+        let prefill_time = self.profile.prefill_time(prompt.request.prompt_tokens);
+        let backlogs = engines.iter().map(|engine| engine.load.prefill_remaining);
+        let forecast = CapacityForecast {
+            backlog: backlogs.sum(),
+            waiting: self.waiting_prefill.saturating_sub(prefill_time),
+            engines: engines.len(),
+            gateways: self.shared.fleet.gateways(),
+        };
+        let refused = RefusedPrompt {
+            rank: prompt.rank,
+            prefill_time,
+            remaining: prompt.deadline.saturating_sub(self.now),
+        };
+        let queue = &self.shared.prompt_queue;
+        let mut returns = queue.returns.lock().unwrap_or_else(PoisonError::into_inner);
+        // Times count from the start of the process.
+        let schedule = returns
+            .entry(self.spec.name.clone())
+            .or_insert_with(|| ReturnSchedule::new(Duration::ZERO));
         NoEngines {
             reason,
-            retry_after,
+            retry_after: schedule.assign(refused, forecast, self.now, rand::random()),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod active_config;
 mod admission;
+mod admission_forecast;
 mod affinity;
 mod baseline;
 mod blocked_suspects;
@@ -70,6 +71,7 @@
 mod reservation_renewal;
 mod retry;
 mod retry_turn;
+mod return_schedule;
 mod route_table;
 mod router;
 mod rules;
@@ -87,6 +89,7 @@
 mod server_set;
 mod short_prompt_choice;
 mod sliding_window;
+mod slow_readers;
 mod snapshot_source;
 mod span_leader;
 mod span_member;
@@ -98,6 +101,7 @@
 mod waiting_frames;
 
 pub use active_config::ActiveConfig;
+pub use admission_forecast::cannot_be_served;
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use claim_event::{
@@ -126,7 +130,7 @@
 pub use engine_memory::max_tokens_per_job;
 pub use engine_profile::EngineProfile;
 pub use engine_queue::{
-    QueueOrder, QueuedPrompt, QueuedPromptId, next_check_after, sort_queue, suggest_retry_after,
+    QueueOrder, QueuedPrompt, QueuedPromptId, next_check_after, sort_queue,
     suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
@@ -165,6 +169,7 @@
     predicted_response_time,
 };
 pub use retry_turn::RetryTurn;
+pub use return_schedule::{CapacityForecast, MIN_RETRY_AFTER, RefusedPrompt, ReturnSchedule};
 pub use route_table::{
     CallerIdentity, CallerLimits, Route, RouteKind, RouteTable, ServiceName, ServiceSpec, TeamEntry,
 };
@@ -185,6 +190,9 @@
 pub use server_runs::{RunId, RunProof, ServerRuns};
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
 pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
+pub use slow_readers::{
+    FREE_HELD_BYTES, MAX_HELD_BYTES, SlowReader, may_hold, needs_shared_memory, reader_to_end,
+};
 pub use snapshot_source::{ContentReport, SnapshotSource, SnapshotStep};
 pub use span_leader::SpanLeader;
 pub use span_member::{
--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -185,6 +185,17 @@
     }
 }
 
+/// The same with so few engines that a team waits for seconds between its starts.
+#[test]
+fn a_team_that_sends_ten_times_as_many_gets_no_more_than_twice_a_share_of_few_engines() {
+    for seed in 1..=5 {
+        let mut world = World::new(11, 12, seed);
+        world.run(ms(30_000), &Load::WithLargeTeam);
+        let shares = world.shares();
+        assert!(shares[0] <= 2.0, "seed {seed}: {shares:?}");
+    }
+}
+
 /// Guards against shares that depend on the reports of a gateway that is gone.
 #[test]
 fn shares_hold_though_a_peer_falls_silent() {
--- a/crates/policy/tests/herd_avoidance.rs
+++ b/crates/policy/tests/herd_avoidance.rs
@@ -219,6 +219,9 @@
     /// The links between the gateways are cut in the middle of the burst.
     prompts_are_spread_while_no_reports_arrive:
         |seed| Burst::run(ms(1_000), ms(1_800), UNSEEN_RATE, seed) => assert_on_time;
+    /// The same at the rate of the other bursts.
+    prompts_of_a_full_burst_are_spread_while_no_reports_arrive:
+        |seed| Burst::run(ms(1_000), ms(1_800), BURST_RATE, seed) => assert_on_time;
     /// A steady load of short prompts leaves most engines to long ones.
     a_steady_load_stays_packed:
         |seed| Burst::run(ms(1_000), END, STEADY_RATE, seed) => |burst| {
