Scale the margin of a start with its forecast

Cause: a start counted as on time up to 95 in 100 of the target. The engines' logs show first events that come late by up to a twentieth of the forecast, not of the target. Change: the forecast times 1.05 has to end by the target.

--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -34,9 +34,9 @@
 /// of its engines is wasted.
 pub(crate) const LATE_START_FRACTION: f64 = 0.4;
 
-/// Fraction of the first event target up to which the forecast of a long prompt counts as on time.
-/// Prefills take up to a twentieth longer than forecast, and a start at the very target ends late.
-pub(crate) const ON_TIME_FRACTION: f64 = 0.95;
+/// Factor on the forecast of a long prompt that has to end by its target. Prefills take up to a twentieth
+/// longer than forecast, and a start that is just in time by the forecast ends late.
+const FORECAST_MARGIN: f64 = 1.05;
 /// Share of the first event target by which a long prompt may use failing engines before its latest
 /// start: a few checks of the queue. Until then healthy engines may become free.
 const FAILING_START_FRACTION: f64 = 0.1;
@@ -184,15 +184,19 @@
     let healthy = fastest_placement(profile, request, engines, herd_avoidance, |engine| {
         engine.is_healthy()
     });
-    let limit = request.first_event_target.mul_f64(ON_TIME_FRACTION);
-    let first_event = |placement: &EnginePlacement| request.waited + placement.first_event_forecast;
+    let limit = request.first_event_target;
+    let first_event = |placement: &EnginePlacement| {
+        request.waited + placement.first_event_forecast.mul_f64(FORECAST_MARGIN)
+    };
     if healthy
         .as_ref()
         .is_some_and(|placement| first_event(placement) <= limit)
     {
         return healthy;
     }
-    let min_time = |engines| request.waited + min_first_event_time(profile, request, engines);
+    let min_time = |engines| {
+        request.waited + min_first_event_time(profile, request, engines).mul_f64(FORECAST_MARGIN)
+    };
     let healthy_engines = engines.iter().filter(|engine| engine.is_healthy()).count();
     if healthy_engines < engines.len() {
         let any = fastest_placement(profile, request, engines, herd_avoidance, |engine| {
--- a/crates/policy/src/short_prompt_choice.rs
+++ b/crates/policy/src/short_prompt_choice.rs
@@ -1,8 +1,8 @@
 //! Chooses the engine that prefills and decodes a short prompt.
 
 use crate::engine_choice::{
-    EngineCandidate, EnginePlacement, GAP_FRACTION, ON_TIME_FRACTION, PromptRequirements,
-    TARGET_FRACTION, iteration_time, usable_tokens,
+    EngineCandidate, EnginePlacement, GAP_FRACTION, PromptRequirements, TARGET_FRACTION,
+    iteration_time, usable_tokens,
 };
 use crate::engine_profile::EngineProfile;
 use crate::herd_avoidance::HerdAvoidance;
@@ -11,6 +11,9 @@
 
 /// Time after which the queue notices at the latest that an engine has become able to meet the targets.
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(40);
+/// Fraction of the first event target by which the first event of a waiting prompt has to be forecast. The
+/// rest allows for the error of the forecast.
+const ON_TIME_FRACTION: f64 = 0.95;
 /// Engines that miss the targets count as equally good if their forecast is at most this many times the
 /// best one. Other gateways choose among the same engines.
 const SIMILAR_FORECAST: f64 = 1.25;
