--- a/crates/policy/src/server_failures.rs
+++ b/crates/policy/src/server_failures.rs
@@ -227,9 +227,11 @@
         if let Some(refusal) = refusal {
             return Some((key, refusal.last_at + TRIAL_DELAY));
         }
+        if !out.contains(&domain) {
+            return None;
+        }
         let last = self.refusals(domain).map(|refusal| refusal.last_at).max()?;
-        out.contains(&domain)
-            .then_some((domain, last + PRESUMED_TRIAL_DELAY))
+        Some((domain, last + PRESUMED_TRIAL_DELAY))
     }
 
     /// Whether several servers of a domain began to refuse connections within `DOMAIN_WINDOW`, and none
