Move the decision on each waiting prompt out of the queue

AssignmentPass, which assigns engines to a prompt, refuses it or lets it wait, is in a file of its own; nothing else has changed.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod answer_body;
+mod assignment_pass;
 mod attempt;
 mod blocked_rows;
 mod call;
