--- a/crates/policy/src/fleet_queue.rs
+++ b/crates/policy/src/fleet_queue.rs
@@ -68,8 +68,8 @@
 struct PeerPrompt {
     service: ServiceKey,
     reported: ReportedPrompt,
-    /// Latest start with which it is on time, by this gateway's clock. It is too late by the time that
-    /// the frame took, so that of two equally urgent prompts both start, and not none.
+    /// Latest start with which it is on time, by this gateway's clock. The travel time of the frame makes
+    /// it too late, so that two gateways with equally urgent prompts never both wait for each other.
     latest_start: Option<Duration>,
     /// Since when engines have been left to it.
     held_since: Option<Duration>,
