--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -34,9 +34,9 @@
 /// of its engines is wasted.
 pub(crate) const LATE_START_FRACTION: f64 = 0.4;
 
-/// Factor on the forecast of a long prompt that has to end by its target. Prefills take up to a twentieth
-/// longer than forecast, and a start that is just in time by the forecast ends late.
-const FORECAST_MARGIN: f64 = 1.05;
+/// Factor on the forecast of a long prompt that has to end by its target. Nine in ten prefills take at most
+/// a fortieth longer than forecast, and a start that is just in time by the forecast ends late.
+const FORECAST_MARGIN: f64 = 1.025;
 /// Share of the first event target by which a long prompt may use failing engines before its latest
 /// start: a few checks of the queue. Until then healthy engines may become free.
 const FAILING_START_FRACTION: f64 = 0.1;
