Send held requests in their turns

Cause: a request whose server has crashed under it is held for 700 ms when it comes again. All held requests were then released at the same moment, the sound ones beside the fatal one, and went to the same server. Under `single-run` routes nothing is repeated, so they met at crash after crash, and the sound one was blocked as well.

Change: a request that was held and is still a suspect takes its turn, as one that is sent again does: all gateways work out the same places, so the suspects of a crash go to different servers.

--- a/crates/direct/src/crash_guard.rs
+++ b/crates/direct/src/crash_guard.rs
@@ -81,24 +81,24 @@
 /// A request is held for at most this fraction of the time that it has.
 const MAX_HOLD_FRACTION: u32 = 3;
 
-/// Delays a call whose server has crashed until its turn to be sent again, which is returned, and a new
-/// call while the same request is a suspect.
+/// Delays a call whose server has crashed, and a new call while the same request is a suspect, until its
+/// turn to be sent, which is returned.
 pub async fn await_turn(call: &Call, tried: &[BackendId]) -> Option<RetryTurn> {
-    if !call.take_crash() {
-        if call.sends() == 0 {
-            hold(call).await;
-        }
-        return None;
-    }
     let shared = &call.shared;
-    let now = shared.clock.now();
-    let wait = shared.crash_guard.lock().retry_wait(call.key, now);
-    Timer::after(wait.min(call.remaining())).await;
-    review(shared);
-    let turn = shared
-        .crash_guard
-        .lock()
-        .retry_turn(call.key, shared.clock.now());
+    let turn = if call.take_crash() {
+        let now = shared.clock.now();
+        let wait = shared.crash_guard.lock().retry_wait(call.key, now);
+        Timer::after(wait.min(call.remaining())).await;
+        review(shared);
+        let guard = shared.crash_guard.lock();
+        guard.retry_turn(call.key, shared.clock.now())
+    } else if call.sends() == 0 {
+        hold(call).await;
+        let guard = shared.crash_guard.lock();
+        guard.turn_after_hold(call.key, shared.clock.now())?
+    } else {
+        return None;
+    };
     let delay = turn.delay(working_servers(call, tried));
     if !delay.is_zero() {
         Timer::after(delay.min(call.remaining())).await;
--- a/crates/policy/src/crash_guard.rs
+++ b/crates/policy/src/crash_guard.rs
@@ -103,6 +103,14 @@
         RetryTurn::of(&self.evidence, Suspect::Request(request), is_blocked, now)
     }
 
+    /// When and where a request is sent that has just come, after [`Self::hold_time`]; `None` unless a
+    /// server crashed under it a moment ago.
+    pub fn turn_after_hold(&self, request: RequestKey, now: Duration) -> Option<RetryTurn> {
+        let is_blocked = |suspect| self.blocked.is_blocked(suspect);
+        let request = Suspect::Request(request);
+        RetryTurn::after_hold(&self.evidence, request, is_blocked, now)
+    }
+
     /// Whether a server has crashed under requests of any gateway a moment ago.
     pub fn has_crashed_lately(&self, server: ServerKey, now: Duration) -> bool {
         let since = now.saturating_sub(RECENT_TIME);
--- a/crates/policy/src/retry_turn.rs
+++ b/crates/policy/src/retry_turn.rs
@@ -68,6 +68,21 @@
         }
     }
 
+    /// Place of a request that has just come and was held; `None` unless it is still a suspect.
+    ///
+    /// Load pattern: the callers of all requests that died with a server send them again, while their
+    /// gateways may not repeat any. Held requests are released at the same moment and would meet at the
+    /// next server again.
+    pub(crate) fn after_hold(
+        evidence: &CrashEvidence,
+        request: Suspect,
+        is_blocked: impl Fn(Suspect) -> bool,
+        now: Duration,
+    ) -> Option<Self> {
+        last_crash(evidence, request, now)?;
+        Some(Self::of(evidence, request, is_blocked, now))
+    }
+
     /// Time until the request is sent, where it may go to this number of servers.
     pub fn delay(self, servers: usize) -> Duration {
         let turn = self.position.checked_div(servers).unwrap_or(0);
--- a/crates/policy/tests/crashes/mod.rs
+++ b/crates/policy/tests/crashes/mod.rs
@@ -168,6 +168,8 @@
     sound: Vec<(u64, bool)>,
     /// Sound requests that were sent and got no answer.
     pub sound_failures: usize,
+    /// Requests that died with a server.
+    pub crashed: Vec<RequestKey>,
     shares: Vec<SendShares>,
 }
 
@@ -202,6 +204,7 @@
             fatal_sends: Vec::new(),
             sound: Vec::new(),
             sound_failures: 0,
+            crashed: Vec::new(),
             shares: shares(gateways),
         };
         let servers = match service {
@@ -420,7 +423,9 @@
             Step::Arrival => {
                 let held = guard.hold_time(request.key, now);
                 if held.is_zero() || self.now >= request.arrived_at + MAX_HOLD_MS {
-                    return self.send(request, None);
+                    let turn = guard.turn_after_hold(request.key, now);
+                    let delay = turn.map(|turn| turn.delay(self.working(&request).len()));
+                    return self.wait(delay.unwrap_or_default(), request, Step::Send(turn));
                 }
                 self.wait(
                     Duration::from_millis(HOLD_INTERVAL_MS).min(held),
@@ -656,6 +661,7 @@
         for run in old.runs {
             let gateway = run.request.gateway;
             self.gateways[gateway].guard.end_run(run.run);
+            self.crashed.push(run.request.key);
             let may_repeat = self.service != Service::PlainUnsafe;
             if !may_repeat || run.request.tried.len() >= MAX_TRIES || self.is_frozen(gateway) {
                 let is_sound = !self.may_be_fatal(&run.request);
--- a/crates/policy/tests/request_crashes.rs
+++ b/crates/policy/tests/request_crashes.rs
@@ -109,6 +109,29 @@
     }
 }
 
+/// Two requests died with a server and may not run again. Their callers sent them again at once, and both
+/// were held, released at the same moment and met at the next server, so that the sound one was blocked.
+#[test]
+fn held_requests_do_not_meet_again() {
+    let Suspect::Request(fatal) = FATAL_REQUEST else {
+        unreachable!();
+    };
+    for (seed, sound) in (0..20).zip([1_000, u64::MAX].into_iter().cycle()) {
+        let service = Service::PlainUnsafe;
+        let mut world = World::before(service, 3, Callers::AllSound, Faults::None, seed);
+        world.start_together(&[fatal, sound]);
+        world.run(100);
+        for gateway in 0..3 {
+            world.receive(gateway, fatal, vec![Suspect::Request(fatal)]);
+            world.receive(gateway, sound, vec![Suspect::Request(sound)]);
+        }
+        world.run(2_000);
+        let crashes = world.crashed.iter().filter(|key| **key == sound);
+        assert_eq!(crashes.count(), 1, "seed {seed}");
+        assert!(world.blocked().iter().all(|it| *it == FATAL_REQUEST));
+    }
+}
+
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
