Trial of pauses: reach both engines by two prompts at once

Cause: the start of these trials sends one prompt after the other until both engines have got one. A gateway alone packs prompts onto the first engine, so the other one was reached only where the starts were quick enough to exceed the bound for cold engines (59 a second). On a busy machine they were not, and four tests failed in the start. With 60 ms between two starts all four fail on code before the overload parts too, so that their placement is not the cause.

Change: two prompts that do not fit into one engine together are sent at the same time. What the tests check is as before.

--- a/crates/trials/tests/server_pauses.rs
+++ b/crates/trials/tests/server_pauses.rs
@@ -33,7 +33,11 @@
     kind: ServerKind::Plain,
 };
 
-/// Starts two servers and waits until requests reach both.
+/// Length of the prompts at the start: the memory of an engine holds one of them and not two.
+const START_PROMPT_TOKENS: u64 = 16_000;
+
+/// Starts two servers and waits until requests reach both. A gateway alone packs prompts onto the first
+/// engine, so two that do not fit there together are sent at the same time.
 async fn start_servers(rig: &DirectRig, case: &Case) -> [StandinServer<PlatformServer>; 2] {
     rig.write_declarations(3, &["key-1"]);
     let servers =
@@ -41,7 +45,10 @@
     let mut sent = 0;
     let reached = rig.wait_until(async || {
         sent += 1;
-        rig.call(&format!("start-{sent}"), case.path, KEY).await;
+        let (caller, first) = (rig.gateway.caller(), format!("start-{sent}"));
+        let call = |id| caller.call(id, case.path, KEY, START_PROMPT_TOKENS);
+        let second = format!("{first}-beside");
+        futures_lite::future::zip(call(&first), call(&second)).await;
         servers
             .iter()
             .all(|server| !server.standin().arrivals().is_empty())
