Move HoldNotices into a module of its own

The notices of prompts that are held back stood in the module that exchanges waiting prompts with peers.

--- /dev/null
+++ b/crates/direct/src/hold_notices.rs
@@ -0,0 +1,45 @@
+//! Log lines and metrics of prompts that are held back.
+
+use crate::shared::Shared;
+use slog::info;
+use std::cell::Cell;
+
+/// A waiting prompt, for log lines and metrics. Each reason for which it waits is told once.
+#[derive(Debug)]
+pub struct HoldNotices {
+    req: Box<str>,
+    is_held: Cell<bool>,
+    is_over_share: Cell<bool>,
+}
+
+impl HoldNotices {
+    /// Notices about the prompt of the request with id `req`.
+    pub fn new(req: Box<str>) -> Self {
+        Self {
+            req,
+            is_held: Cell::default(),
+            is_over_share: Cell::default(),
+        }
+    }
+
+    /// Tells that the prompt waits while its team is over its share.
+    pub fn on_over_share(&self, shared: &Shared, shares: u8) {
+        if shares == 0 || self.is_over_share.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("team share");
+        info!(shared.log, "queue: prompt goes behind others of its rank"; "req" => &*self.req,
+            "reason" => "its team has got more than its share", "shares" => shares);
+    }
+
+    /// Tells that the prompt waits while its engines are left to more urgent prompts at peers.
+    pub fn on_held(&self, shared: &Shared, peer: &str, rank: u8, engines: usize) {
+        if self.is_held.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("peers");
+        info!(shared.log, "queue: prompt held back for a peer"; "req" => &*self.req,
+            "reason" => "more urgent prompts wait at peers", "peer" => peer, "peer_rank" => rank,
+            "engines" => engines);
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod fleet;
 mod front;
 mod gateway_rows;
+mod hold_notices;
 mod job;
 mod local_reply;
 mod metrics;
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -1,11 +1,11 @@
 //! Queue of prompts that wait for engines, and the assignment of engines to them.
 
 use crate::assignment_pass::AssignmentPass;
+use crate::hold_notices::HoldNotices;
 use crate::job::Job;
 use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
-use crate::waiting_news::HoldNotices;
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::or;
--- a/crates/direct/src/waiting_news.rs
+++ b/crates/direct/src/waiting_news.rs
@@ -1,5 +1,6 @@
 //! Exchanges with peers which prompts wait for engines.
 
+use crate::hold_notices::HoldNotices;
 use crate::news_stream::PeerNews;
 use crate::peers::Peers;
 use crate::shared::Shared;
@@ -11,8 +12,6 @@
     TeamsOverShare, WaitingFrames,
 };
 use proto::{ServiceKey, StreamOpening, TeamKey, WaitingFrame};
-use slog::info;
-use std::cell::Cell;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -84,45 +83,6 @@
     }
 }
 
-/// A waiting prompt, for log lines and metrics. Each reason for which it waits is told once.
-#[derive(Debug)]
-pub struct HoldNotices {
-    req: Box<str>,
-    is_held: Cell<bool>,
-    is_over_share: Cell<bool>,
-}
-
-impl HoldNotices {
-    /// Notices about the prompt of the request with id `req`.
-    pub fn new(req: Box<str>) -> Self {
-        Self {
-            req,
-            is_held: Cell::default(),
-            is_over_share: Cell::default(),
-        }
-    }
-
-    /// Tells that the prompt waits while its team is over its share.
-    pub fn on_over_share(&self, shared: &Shared, shares: u8) {
-        if shares == 0 || self.is_over_share.replace(true) {
-            return;
-        }
-        shared.metrics.held_prompt("team share");
-        info!(shared.log, "queue: prompt goes behind others of its rank"; "req" => &*self.req,
-            "reason" => "its team has got more than its share", "shares" => shares);
-    }
-
-    fn on_held(&self, shared: &Shared, peer: &str, rank: u8, engines: usize) {
-        if self.is_held.replace(true) {
-            return;
-        }
-        shared.metrics.held_prompt("peers");
-        info!(shared.log, "queue: prompt held back for a peer"; "req" => &*self.req,
-            "reason" => "more urgent prompts wait at peers", "peer" => peer, "peer_rank" => rank,
-            "engines" => engines);
-    }
-}
-
 /// Places a long prompt, unless its engines are left to more urgent prompts at peers.
 pub fn place_in_fleet_order(
     shared: &Shared,
