Tell that a short prompt waits for a soon able engine

A short prompt that waits for an engine which becomes able to meet its targets could not be told from one that found no room: place_prompt returned None for both. It now returns a WaitReason, with the engine, its backlog, the forecast and the longest wait. The gateway logs these once for each prompt and counts the prompt in held_prompts_total as "engine soon able".

--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -9,7 +9,7 @@
 use policy::{
     CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt,
     PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
-    ServiceSpec, SuspectKind, TeamsOverShare, cannot_be_served, is_short_prompt,
+    ServiceSpec, SuspectKind, TeamsOverShare, WaitReason, cannot_be_served, is_short_prompt,
     leaves_urgent_room, place_prompt, service_key, suggest_retry_after_limit,
 };
 use proto::BackendEntry;
@@ -101,7 +101,15 @@
         };
         let is_short = is_short_prompt(self.profile, &requirements);
         let placement = if is_short {
-            place(&engines)?
+            let placed = place(&engines);
+            if let Err(WaitReason::SoonAble(soon)) = &placed {
+                let server = &servers[soon.engine].id;
+                let waited = requirements.waited;
+                waiting
+                    .notices
+                    .on_soon_able(self.shared, server, soon, waited);
+            }
+            placed.ok()?
         } else {
             let local = LocalPrompt {
                 service: service_key(&self.spec.name),
@@ -110,6 +118,7 @@
             };
             let notices = &waiting.notices;
             let over_share = &self.over_share;
+            let place = |engines: &[EngineCandidate]| place(engines).ok();
             place_in_fleet_order(self.shared, notices, &local, &engines, over_share, place)?
         };
         let mut demand = self.shared.prompt_queue.lock_rank_demand();
--- a/crates/direct/src/hold_notices.rs
+++ b/crates/direct/src/hold_notices.rs
@@ -1,8 +1,10 @@
 //! Log lines and metrics of prompts that are held back.
 
 use crate::shared::Shared;
+use policy::SoonAbleEngine;
 use slog::info;
 use std::cell::Cell;
+use std::time::Duration;
 
 /// A waiting prompt, for log lines and metrics. Each reason for which it waits is told once.
 #[derive(Debug)]
@@ -10,6 +12,7 @@
     req: Box<str>,
     is_held: Cell<bool>,
     is_over_share: Cell<bool>,
+    awaits_engine: Cell<bool>,
 }
 
 impl HoldNotices {
@@ -19,6 +22,7 @@
             req,
             is_held: Cell::default(),
             is_over_share: Cell::default(),
+            awaits_engine: Cell::default(),
         }
     }
 
@@ -42,4 +46,23 @@
             "reason" => "more urgent prompts wait at peers", "peer" => peer, "peer_rank" => rank,
             "engines" => engines);
     }
+    /// Tells that the prompt waits for the engine `server`, which becomes able to meet its targets.
+    pub fn on_soon_able(
+        &self,
+        shared: &Shared,
+        server: &str,
+        soon: &SoonAbleEngine,
+        waited: Duration,
+    ) {
+        if self.awaits_engine.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("engine soon able");
+        info!(shared.log, "queue: prompt waits for an engine"; "req" => &*self.req,
+            "reason" => "an engine becomes able to meet its targets in time", "server" => server,
+            "backlog_ms" => soon.backlog.as_millis() as u64,
+            "forecast_ms" => soon.forecast.as_millis() as u64,
+            "waited_ms" => waited.as_millis() as u64,
+            "max_wait_ms" => soon.max_wait.as_millis() as u64);
+    }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -65,7 +65,7 @@
         )?;
         let held_prompts = counter_vec(
             "bergamothold_direct_held_prompts_total",
-            "Prompts that were held back for peers, or put behind others by the share of their team",
+            "Prompts that were held back or put behind others, by reason",
             &["reason"],
         )?;
         let attempts = counter_vec(
--- a/crates/policy/src/engine_choice.rs
+++ b/crates/policy/src/engine_choice.rs
@@ -9,7 +9,7 @@
 use crate::engine_profile::EngineProfile;
 use crate::herd_avoidance::HerdAvoidance;
 use crate::server_health::SuspectKind;
-use crate::short_prompt_choice::place_short;
+use crate::short_prompt_choice::{SoonAbleEngine, place_short};
 use proto::ServerUsage;
 use std::time::Duration;
 
@@ -110,6 +110,15 @@
     pub reserved_tokens: u64,
 }
 
+/// Why a prompt stays in the queue for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitReason {
+    /// The engines cannot take it now: none has room for it, or a long prompt may get enough of them later.
+    NoEngines,
+    /// It is short, and an engine becomes able to meet its targets in time.
+    SoonAble(SoonAbleEngine),
+}
+
 /// Whether a prompt is short, so that one engine prefills it without stalling the requests that
 /// decode there.
 pub fn is_short_prompt(profile: &EngineProfile, request: &PromptRequirements) -> bool {
@@ -117,18 +126,18 @@
         <= request.event_gap_target.mul_f64(SHORT_PROMPT_GAP_FRACTION)
 }
 
-/// Places a prompt on engines. Returns `None` if it should stay in the queue for now.
+/// Places a prompt on engines, unless it should stay in the queue for now.
 pub fn place_prompt(
     profile: &EngineProfile,
     request: &PromptRequirements,
     engines: &[EngineCandidate],
     herd_avoidance: HerdAvoidance,
-) -> Option<EnginePlacement> {
+) -> Result<EnginePlacement, WaitReason> {
     let fits = request.prompt_tokens + request.expected_output_tokens <= usable_tokens(profile);
     if fits && is_short_prompt(profile, request) {
         place_short(profile, request, engines, herd_avoidance)
     } else {
-        place_long(profile, request, engines, herd_avoidance)
+        place_long(profile, request, engines, herd_avoidance).ok_or(WaitReason::NoEngines)
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -124,7 +124,7 @@
 pub use crash_guard::CrashGuard;
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
 pub use engine_choice::{
-    EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements,
+    EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements, WaitReason,
     is_short_prompt, min_first_event_time, place_prompt,
 };
 pub use engine_memory::max_tokens_per_job;
@@ -189,6 +189,7 @@
 pub use server_pauses::ServerPauses;
 pub use server_runs::{RunId, RunProof, ServerRuns};
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
+pub use short_prompt_choice::SoonAbleEngine;
 pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
 pub use slow_readers::{
     FREE_HELD_BYTES, MAX_HELD_BYTES, SlowReader, may_hold, needs_shared_memory, reader_to_end,
--- a/crates/policy/src/short_prompt_choice.rs
+++ b/crates/policy/src/short_prompt_choice.rs
@@ -2,7 +2,7 @@
 
 use crate::engine_choice::{
     EngineCandidate, EnginePlacement, GAP_FRACTION, PromptRequirements, TARGET_FRACTION,
-    iteration_time, usable_tokens,
+    WaitReason, iteration_time, min_first_event_time, usable_tokens,
 };
 use crate::engine_profile::EngineProfile;
 use crate::herd_avoidance::HerdAvoidance;
@@ -18,14 +18,28 @@
 /// best one. Other gateways choose among the same engines.
 const SIMILAR_FORECAST: f64 = 1.25;
 
-/// Places a short prompt on one engine. Returns `None` if no engine has a slot and memory for it, or if
-/// it should wait for a healthy engine that meets the targets.
+/// An engine for which a short prompt waits, as it becomes able to meet the targets in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SoonAbleEngine {
+    /// Index into the list of candidates.
+    pub engine: usize,
+    /// Prefill that it has to do first, by its published figures.
+    pub backlog: Duration,
+    /// Forecast of the time from now to the first event of the prompt there.
+    pub forecast: Duration,
+    /// Longest time from now for which the prompt waits for such an engine. It is placed at the next check
+    /// of the queue.
+    pub max_wait: Duration,
+}
+
+/// Places a short prompt on one engine, unless no engine has a slot and memory for it, or it should wait
+/// for a healthy engine that meets the targets.
 pub(crate) fn place_short(
     profile: &EngineProfile,
     request: &PromptRequirements,
     engines: &[EngineCandidate],
     herd_avoidance: HerdAvoidance,
-) -> Option<EnginePlacement> {
+) -> Result<EnginePlacement, WaitReason> {
     let prefill = profile.prefill_time(request.prompt_tokens);
     let mut choices: Vec<_> = engines
         .iter()
@@ -34,11 +48,11 @@
         .map(|(index, engine)| (short_prompt_rank(profile, request, engine, prefill), index))
         .collect();
     choices.sort();
-    let (best, _) = choices.first()?;
+    let (best, _) = choices.first().ok_or(WaitReason::NoEngines)?;
     let is_best = !best.is_unreachable && !best.misses_targets && !best.is_failing;
-    let mut reachable = choices.iter().map(|(_, index)| &engines[*index]);
-    if !is_best && reachable.any(|engine| is_soon_able(profile, request, engine, prefill)) {
-        return None;
+    let indices = choices.iter().map(|(_, index)| *index);
+    if !is_best && let Some(engine) = soonest_able(profile, request, engines, indices) {
+        return Err(WaitReason::SoonAble(engine));
     }
     let equals = choices.partition_point(|(rank, _)| rank.is_tied_with(best));
     let rooms: Vec<_> = choices[..equals]
@@ -46,7 +60,7 @@
         .map(|(_, index)| short_prompt_room(profile, request, &engines[*index], prefill))
         .collect();
     let (_, decoder) = choices[herd_avoidance.pick(&rooms)];
-    Some(EnginePlacement {
+    Ok(EnginePlacement {
         decoder,
         helpers: Vec::new(),
         part_prefill_time: prefill,
@@ -54,6 +68,33 @@
     })
 }
 
+/// Of the engines with these indices that are forecast to become able to meet the targets in time for the
+/// prompt, the one that answers it first.
+fn soonest_able(
+    profile: &EngineProfile,
+    request: &PromptRequirements,
+    engines: &[EngineCandidate],
+    indices: impl Iterator<Item = usize>,
+) -> Option<SoonAbleEngine> {
+    let prefill = profile.prefill_time(request.prompt_tokens);
+    let able = indices.filter(|index| is_soon_able(profile, request, &engines[*index], prefill));
+    let forecasts = able.map(|index| (iteration_time(profile, &engines[index], prefill), index));
+    let (forecast, engine) = forecasts.min()?;
+    let min_time = min_first_event_time(profile, request, 1);
+    Some(SoonAbleEngine {
+        engine,
+        backlog: engines[engine].load.prefill_remaining,
+        forecast,
+        max_wait: forecast_limit(request)
+            .saturating_sub(request.waited + min_time + MAX_CHECK_DELAY),
+    })
+}
+
+/// Time from the arrival of a waiting prompt within which its first event has to be forecast.
+fn forecast_limit(request: &PromptRequirements) -> Duration {
+    request.first_event_target.mul_f64(ON_TIME_FRACTION)
+}
+
 /// Whether an engine is forecast to become able to meet the targets in time for the prompt.
 ///
 /// Load pattern: a burst of short prompts follows one of long prompts, so that all engines prefill parts of
@@ -71,11 +112,10 @@
     let is_overdue = engine.load.long_prefills > 0 && backlog.is_zero();
     let iteration = iteration_time(profile, engine, prefill);
     let iteration_then = iteration.saturating_sub(backlog.mul_f64(engine.slowdown));
-    let limit = request.first_event_target.mul_f64(ON_TIME_FRACTION);
     engine.suspect.is_none()
         && !is_overdue
         && iteration_then <= gap_limit(request, engine)
-        && request.waited + iteration + MAX_CHECK_DELAY <= limit
+        && request.waited + iteration + MAX_CHECK_DELAY <= forecast_limit(request)
 }
 
 /// Whether an engine has a slot, and memory for the whole prompt and its answer.
--- a/crates/policy/tests/engine_choice.rs
+++ b/crates/policy/tests/engine_choice.rs
@@ -4,7 +4,8 @@
 
 use engine::model;
 use policy::{
-    EngineCandidate, HerdAvoidance, PromptRequirements, SuspectKind, is_short_prompt, place_prompt,
+    EngineCandidate, HerdAvoidance, PromptRequirements, SuspectKind, WaitReason, is_short_prompt,
+    place_prompt,
 };
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
@@ -130,7 +131,7 @@
     };
     assert_eq!(
         place_prompt(&model(), &need, &engines, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
 }
 
@@ -141,7 +142,7 @@
     let mut engines = engines(7, |order| prefilling(order, ms(400)));
     assert_eq!(
         place_prompt(&model(), &long(210_000), &engines, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
     engines.extend((7..14).map(idle));
     let placement =
@@ -162,9 +163,9 @@
     engines.push(idle(13));
     assert_eq!(
         place_prompt(&model(), &long(230_000), &engines, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
-    assert!(place_prompt(&model(), &late(230_000), &engines, HerdAvoidance::default()).is_some());
+    assert!(place_prompt(&model(), &late(230_000), &engines, HerdAvoidance::default()).is_ok());
 }
 
 /// Retries after an outage leave one engine free. A prefill that would outlast the patience of its
@@ -175,7 +176,7 @@
     engines.push(idle(13));
     assert_eq!(
         place_prompt(&model(), &late(400_000), &engines, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
     engines.extend((14..16).map(idle));
     let placement =
@@ -202,7 +203,7 @@
                 waited,
                 ..long(300_000)
             };
-            let placement = place_prompt(&model(), &need, &engines, HerdAvoidance::default());
+            let placement = place_prompt(&model(), &need, &engines, HerdAvoidance::default()).ok();
             placement.map(|placement| waited + placement.first_event_forecast.mul_f64(1.025))
         });
         start.is_some_and(|first_event| first_event <= ms(3_000))
@@ -245,7 +246,7 @@
     });
     assert_eq!(
         place_prompt(&model(), &long(210_000), &engines, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
 }
 
@@ -311,10 +312,13 @@
         };
         place_prompt(&model(), &need, &engines, HerdAvoidance::default())
     };
-    assert_eq!(place(0, SuspectKind::Failing), None);
+    assert_eq!(place(0, SuspectKind::Failing), Err(WaitReason::NoEngines));
     let forecast = place(2_200, SuspectKind::Failing).unwrap();
     assert!(ms(2_200) + forecast.first_event_forecast <= ms(3_000));
-    assert_eq!(place(2_200, SuspectKind::Unreachable), None);
+    assert_eq!(
+        place(2_200, SuspectKind::Unreachable),
+        Err(WaitReason::NoEngines)
+    );
 }
 
 /// Bursts at many gateways: the last slot of an engine is left to placements that are not reported yet,
@@ -335,7 +339,7 @@
     let taken = engines(3, |order| decoding(order, 16, ms(200)));
     assert_eq!(
         place_prompt(&model(), &draft(), &taken, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
     let capped = engines(3, |order| EngineCandidate {
         accepts_requests: false,
@@ -343,11 +347,11 @@
     });
     assert_eq!(
         place_prompt(&model(), &draft(), &capped, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
     assert_eq!(
         place_prompt(&model(), &long(210_000), &capped, HerdAvoidance::default()),
-        None
+        Err(WaitReason::NoEngines)
     );
 }
 
--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -94,7 +94,7 @@
     };
     let model = engine::model();
     let place = |engines: &[EngineCandidate]| {
-        place_prompt(&model, &requirements, engines, HerdAvoidance::default())
+        place_prompt(&model, &requirements, engines, HerdAvoidance::default()).ok()
     };
     match queue.place(
         &prompt,
--- a/crates/policy/tests/queueing/mod.rs
+++ b/crates/policy/tests/queueing/mod.rs
@@ -230,7 +230,7 @@
             ..HerdAvoidance::default()
         };
         let place = |engines: &[EngineCandidate]| {
-            place_prompt(&model(), &requirements, engines, herd_avoidance)
+            place_prompt(&model(), &requirements, engines, herd_avoidance).ok()
         };
         let gateway = &mut self.gateways[index];
         let placed = gateway
--- a/crates/policy/tests/short_prompt_choice.rs
+++ b/crates/policy/tests/short_prompt_choice.rs
@@ -3,13 +3,16 @@
 mod engine;
 
 use engine::model;
-use policy::{EngineCandidate, HerdAvoidance, PromptRequirements, place_prompt};
+use policy::{
+    EngineCandidate, EnginePlacement, HerdAvoidance, PromptRequirements, WaitReason, place_prompt,
+};
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
 
 const TARGET: Duration = ms(300);
+const CHECK_INTERVAL: Duration = ms(30);
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -55,22 +58,34 @@
     parts.iter().enumerate().map(part).collect()
 }
 
-/// Time to the first event of a short prompt that is checked every 30 ms, and the time of its placement.
+/// Checks a short prompt that has waited for some time.
+fn check(
+    parts: &[(Duration, Duration)],
+    waited: Duration,
+    rng: &mut SmallRng,
+) -> Result<EnginePlacement, WaitReason> {
+    let herd_avoidance = HerdAvoidance {
+        unseen_placements: 25.0,
+        sender_fraction: 1.0,
+        random: rng.random(),
+        ..HerdAvoidance::default()
+    };
+    let engines = with_parts(parts, waited);
+    place_prompt(&model(), &draft(waited), &engines, herd_avoidance)
+}
+
+/// Times at which a short prompt is checked.
+fn check_times() -> impl Iterator<Item = Duration> {
+    (0..20).map(|n| CHECK_INTERVAL * n)
+}
+
+/// Time to the first event of a short prompt, and the time of its placement.
 fn first_event_behind_parts(
     parts: &[(Duration, Duration)],
     rng: &mut SmallRng,
 ) -> (Duration, Duration) {
-    let mut checks = (0..600).step_by(30).map(ms);
-    let placed = checks.find_map(|waited| {
-        let herd_avoidance = HerdAvoidance {
-            unseen_placements: 25.0,
-            sender_fraction: 1.0,
-            random: rng.random(),
-            ..HerdAvoidance::default()
-        };
-        let need = draft(waited);
-        let engines = with_parts(parts, waited);
-        let placement = place_prompt(&model(), &need, &engines, herd_avoidance)?;
+    let placed = check_times().find_map(|waited| {
+        let placement = check(parts, waited, rng).ok()?;
         Some((placement, waited))
     });
     let (placement, waited) = placed.expect("the wait ends");
@@ -113,3 +128,61 @@
         assert!(placed_at <= TARGET, "{placed_at:?}");
     }
 }
+
+/// The reason of a wait names the engine that answers first, and the figures by which it does.
+#[test]
+fn a_wait_names_its_engine_and_the_forecast() {
+    let parts = [(ms(180), ms(180)), (ms(60), ms(60)), (ms(120), ms(120))];
+    let reason = check(&parts, ms(20), &mut SmallRng::seed_from_u64(1));
+    let Err(WaitReason::SoonAble(soon)) = reason else {
+        panic!("{reason:?}");
+    };
+    let own = model().prefill_time(5_000) + model().decode_iteration_time(1);
+    assert_eq!((soon.engine, soon.backlog), (1, ms(40)));
+    assert_eq!(soon.forecast, ms(40) + own);
+    assert!(soon.backlog <= soon.max_wait, "{soon:?}");
+    assert!(soon.max_wait <= TARGET - ms(20), "{soon:?}");
+}
+
+/// All slots are taken. A log that called this a wait for an engine that becomes able to meet the targets
+/// would hide that there are too few engines.
+#[test]
+fn a_lack_of_room_is_no_wait_for_an_engine() {
+    let mut full = engine(0, Some(ms(60)));
+    full.load.jobs = model().slots;
+    assert_eq!(
+        place_prompt(&model(), &draft(ms(0)), &[full], HerdAvoidance::default()),
+        Err(WaitReason::NoEngines)
+    );
+}
+
+/// Parts end late or never, and engines become free in any order. However the wait goes on, no check may
+/// tell a longest wait that the prompt then exceeds.
+#[test]
+fn prompts_wait_no_longer_than_told() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut told = 0;
+    for _ in 0..300 {
+        let part = |_| {
+            let forecast = ms(rng.random_range(20..400));
+            (forecast, forecast + ms(rng.random_range(0..1_000)))
+        };
+        let parts: Vec<_> = (0..14).map(part).collect();
+        let mut latest_placement = Duration::MAX;
+        for waited in check_times() {
+            match check(&parts, waited, &mut rng) {
+                Err(WaitReason::SoonAble(soon)) => {
+                    assert!(waited <= latest_placement, "{waited:?}");
+                    latest_placement = latest_placement.min(waited + soon.max_wait);
+                    told += 1;
+                }
+                Err(WaitReason::NoEngines) => panic!("all engines have room"),
+                Ok(_) => {
+                    assert!(waited <= latest_placement.saturating_add(CHECK_INTERVAL));
+                    break;
+                }
+            }
+        }
+    }
+    assert!(told > 300, "{told} checks told a wait");
+}
--- a/crates/trials/src/capacity_placement.rs
+++ b/crates/trials/src/capacity_placement.rs
@@ -38,12 +38,12 @@
                     random: u64::from(call),
                     ..HerdAvoidance::default()
                 };
-                black_box(place_prompt(
+                drop(black_box(place_prompt(
                     &engine_profile(),
                     &requirements(prompt),
                     &candidates,
                     herd_avoidance,
-                ));
+                )));
             });
             series.push(servers as f64, micros);
         }
