Log the figures of the refusal "engines too far behind"

The refusal had its reason in "call: ended", but not by which forecast it was made, so that too few engines could not be told from a burst at one gateway. cannot_be_served returned a bool; it is now late_forecast and returns the forecast, the time left, the backlog and what goes first. The gateway logs them with the request's id. refusals_total counted the refusal before and still does.

--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -7,12 +7,13 @@
 use crate::shared::Shared;
 use crate::waiting_news::place_in_fleet_order;
 use policy::{
-    CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt,
+    CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LateForecast, LocalPrompt,
     PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
-    ServiceSpec, SuspectKind, TeamsOverShare, WaitReason, cannot_be_served, is_short_prompt,
+    ServiceSpec, SuspectKind, TeamsOverShare, WaitReason, is_short_prompt, late_forecast,
     leaves_urgent_room, place_prompt, service_key, suggest_retry_after_limit,
 };
 use proto::BackendEntry;
+use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
 /// as long to come back.
 const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
 
+/// Reason of refusals of prompts that the engines would get to too late, for logs and metrics.
+const TOO_FAR_BEHIND_REASON: &str = "engines too far behind";
+
 /// Whether to count on an engine for the prefill of a waiting prompt: it can be reached, and no
 /// request that decodes there has a shorter target for the gap between events than the prompt has.
 /// A prefill would delay the events of such a request for too long.
@@ -88,8 +92,10 @@
         if prompt.would_miss_deadline(self.profile, prefill_engines.count(), self.now) {
             return Some(Err(self.refuse("too late to be read", prompt, &engines)));
         }
-        if cannot_be_served(self.profile, prompt, &engines, ahead, self.now) {
-            return Some(Err(self.refuse("engines too far behind", prompt, &engines)));
+        if let Some(late) = late_forecast(self.profile, prompt, &engines, ahead, self.now) {
+            let refusal = self.refuse(TOO_FAR_BEHIND_REASON, prompt, &engines);
+            self.log_too_far_behind(waiting, &late, engines.len());
+            return Some(Err(refusal));
         }
         let requirements = prompt.request_at(self.now);
         let herd_avoidance = self
@@ -190,6 +196,19 @@
         (wait > MAX_PAUSE_WAIT).then_some(Err(refusal))
     }
 
+    /// Logs the figures by which a prompt is refused as too late. The refusal ends the prompt, so that
+    /// this comes once for each.
+    fn log_too_far_behind(&self, waiting: &WaitingPrompt, late: &LateForecast, engines: usize) {
+        let waited = self.now.saturating_sub(waiting.request.since);
+        info!(self.shared.log, "queue: prompt refused"; "req" => &*waiting.request.req,
+            "reason" => TOO_FAR_BEHIND_REASON,
+            "forecast_ms" => late.forecast.as_millis() as u64,
+            "remaining_ms" => late.remaining.as_millis() as u64,
+            "backlog_ms" => late.backlog.as_millis() as u64,
+            "ahead_ms" => late.ahead.as_millis() as u64, "engines" => engines,
+            "waited_ms" => waited.as_millis() as u64);
+    }
+
     fn refuse(
         &self,
         reason: &'static str,
--- a/crates/policy/src/admission_forecast.rs
+++ b/crates/policy/src/admission_forecast.rs
@@ -9,19 +9,33 @@
 /// are late, and engines finish some prefills sooner than published.
 const FORECAST_FRACTION: f64 = 0.8;
 
-/// Whether the caller of a waiting prompt gives up before `engines` get to it, by a forecast that is
-/// rather too short. `ahead` has the prefill times of the prompts that go before it.
+/// Forecast of a prompt that the engines would get to too late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LateForecast {
+    /// Time from now to the first event. Four fifths of it are longer than `remaining`.
+    pub forecast: Duration,
+    /// Time until the caller gives up.
+    pub remaining: Duration,
+    /// Prefill that all engines together have to do first.
+    pub backlog: Duration,
+    /// Prefill of the prompts that go before it and are not longer.
+    pub ahead: Duration,
+}
+
+/// Forecast of a waiting prompt whose caller gives up before `engines` get to it, by a forecast that is
+/// rather too short; `None` if it may be served. `ahead` has the prefill times of the prompts that go
+/// before it.
 ///
 /// Load pattern: a burst of more prompts than the engines can prefill before the callers give up. They
 /// waited until their time limits although it was known before that they could not be served, and had
 /// no time left to come back.
-pub fn cannot_be_served(
+pub fn late_forecast(
     profile: &EngineProfile,
     prompt: &QueuedPrompt,
     engines: &[EngineCandidate],
     ahead: &[Duration],
     now: Duration,
-) -> bool {
+) -> Option<LateForecast> {
     let remaining = prompt.deadline.saturating_sub(now);
     let mut backlogs: Vec<_> = engines
         .iter()
@@ -30,7 +44,7 @@
     backlogs.sort();
     let idle = backlogs.partition_point(Duration::is_zero);
     if idle > 0 && min_first_event_time(profile, &prompt.request, idle) <= remaining {
-        return false;
+        return None;
     }
     let prefill = profile.prefill_time(prompt.request.prompt_tokens);
     let parts = if is_short_prompt(profile, &prompt.request) {
@@ -40,10 +54,16 @@
     };
     // A longer prompt may wait for more engines, and this one be placed before it.
     let ahead = ahead.iter().filter(|ahead| **ahead <= prefill);
-    let all_done = fill_time(&backlogs, prefill + ahead.sum::<Duration>());
+    let ahead = ahead.sum::<Duration>();
+    let all_done = fill_time(&backlogs, prefill + ahead);
     let alone_done = fill_time(&backlogs[..parts.min(backlogs.len())], prefill);
     let forecast = all_done.max(alone_done) + profile.decode_iteration_time(0);
-    forecast.mul_f64(FORECAST_FRACTION) > remaining
+    (forecast.mul_f64(FORECAST_FRACTION) > remaining).then(|| LateForecast {
+        forecast,
+        remaining,
+        backlog: backlogs.iter().sum(),
+        ahead,
+    })
 }
 
 /// Time until engines with these backlogs, in rising order, have done `work` beside them if it could be
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -101,7 +101,7 @@
 mod waiting_frames;
 
 pub use active_config::ActiveConfig;
-pub use admission_forecast::cannot_be_served;
+pub use admission_forecast::{LateForecast, late_forecast};
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use claim_event::{
--- a/crates/policy/tests/admission_forecast.rs
+++ b/crates/policy/tests/admission_forecast.rs
@@ -3,7 +3,7 @@
 mod engine;
 
 use engine::model;
-use policy::{EngineCandidate, PromptRequirements, QueuedPrompt, cannot_be_served};
+use policy::{EngineCandidate, LateForecast, PromptRequirements, QueuedPrompt, late_forecast};
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -90,7 +90,8 @@
             let remaining = ms(rng.random_range(1_000..6_000));
             let answered = serve_next(&mut free, prefill) + model().decode_iteration_time(0);
             let prompt = prompt(tokens, remaining);
-            let is_refused = cannot_be_served(&model(), &prompt, &candidates, &ahead, NOW);
+            let late = late_forecast(&model(), &prompt, &candidates, &ahead, NOW);
+            let is_refused = late.is_some();
             assert!(
                 !is_refused || answered > remaining,
                 "seed {seed}, prompt {n}"
@@ -114,21 +115,12 @@
     let mut backlogs = vec![ms(60_000); 13];
     let ahead = vec![ms(300); 1_000];
     let long = prompt(60_000, ms(4_000));
-    assert!(cannot_be_served(
-        &model(),
-        &long,
-        &engines(&backlogs),
-        &ahead,
-        NOW
-    ));
+    assert!(late_forecast(&model(), &long, &engines(&backlogs), &ahead, NOW).is_some());
     backlogs.push(ms(0));
-    assert!(!cannot_be_served(
-        &model(),
-        &long,
-        &engines(&backlogs),
-        &ahead,
-        NOW
-    ));
+    assert_eq!(
+        late_forecast(&model(), &long, &engines(&backlogs), &ahead, NOW),
+        None
+    );
 }
 
 /// A longer prompt ahead may wait for more engines while a short one is placed.
@@ -137,7 +129,29 @@
     let engines = engines(&[ms(500); 14]);
     let short = prompt(5_000, ms(2_000));
     let longer = [ms(10_000); 20];
-    assert!(!cannot_be_served(&model(), &short, &engines, &longer, NOW));
+    assert_eq!(
+        late_forecast(&model(), &short, &engines, &longer, NOW),
+        None
+    );
     let equal = [model().prefill_time(5_000); 4_000];
-    assert!(cannot_be_served(&model(), &short, &engines, &equal, NOW));
+    assert!(late_forecast(&model(), &short, &engines, &equal, NOW).is_some());
+}
+
+/// A refusal says what it is based on. A longer prompt ahead that the decision left out would make the
+/// figures contradict it.
+#[test]
+fn a_refusal_has_the_figures_of_its_forecast() {
+    let prefill = model().prefill_time(5_000);
+    let ahead = [prefill, ms(10_000), prefill];
+    let engines = engines(&[ms(3_000), ms(5_000)]);
+    let late = late_forecast(&model(), &prompt(5_000, ms(1_000)), &engines, &ahead, NOW);
+    let done = ms(3_000) + 3 * prefill;
+    assert!(done < ms(5_000), "one engine does all of it: {prefill:?}");
+    let expected = LateForecast {
+        forecast: done + model().decode_iteration_time(0),
+        remaining: ms(1_000),
+        backlog: ms(8_000),
+        ahead: 2 * prefill,
+    };
+    assert_eq!(late, Some(expected));
 }
--- a/crates/trials/tests/queue_decisions.rs
+++ b/crates/trials/tests/queue_decisions.rs
@@ -155,5 +155,28 @@
         assert!(!explain(rig, "long").contains("queue: prompt waits"));
         let counted = "bergamothold_direct_held_prompts_total{reason=\"engine soon able\"} 1";
         assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await);
+    };    // One long prompt runs and a second one waits, so that a third could only begin after four seconds of
+    // its three. The reason alone would not tell whether the backlog or the queue was to blame.
+    a_refusal_of_a_late_prompt_is_explained => async |rig: &mut DirectRig, engine: &StandinServer<PlatformServer>| {
+        engine.standin().set_behaviour(ServerBehaviour::Hang);
+        let mut refused = None;
+        call_and_leave(rig, "runs", "/usual/x", LONG, async || {
+            call_and_leave(rig, "waits", "/usual/x", LONG, async || {
+                refused = Some(rig.gateway.caller().call("late", "/brief/x", KEY, LONG).await);
+            }).await;
+        }).await;
+        let refused = refused.unwrap();
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "{}", explain(rig, "late"));
+        assert!(refused.retry_after.is_some());
+        let line = only_line(rig, "late", "queue: prompt refused").await;
+        assert!(line.contains("reason=engines too far behind"), "{line}");
+        let forecast = figure(&line, "forecast_ms");
+        let (backlog, ahead) = (figure(&line, "backlog_ms"), figure(&line, "ahead_ms"));
+        assert!(backlog > 0.0 && ahead > 2_000.0, "{line}");
+        assert!(forecast > backlog + ahead + 2_000.0, "{line}");
+        assert!(0.8 * forecast > figure(&line, "remaining_ms"), "{line}");
+        assert!(figure(&line, "waited_ms") < 1_000.0, "refused when it arrives: {line}");
+        let counted = "bergamothold_direct_refusals_total{reason=\"engines too far behind\"} 1";
+        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await);
     };
 }
