Tell that a long prompt leaves room for urgent ones

A long prompt that left its engines to short prompts of a more urgent rank looked as if no engine had room. leaves_urgent_room returned a bool; it is now urgent_room_shortage and returns the free slots, the prompts expected, the forecast and the longest wait. The gateway logs these once for each prompt and counts the prompt in held_prompts_total as "urgent ranks".

--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -10,7 +10,7 @@
     CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LateForecast, LocalPrompt,
     PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
     ServiceSpec, SuspectKind, TeamsOverShare, WaitReason, is_short_prompt, late_forecast,
-    leaves_urgent_room, place_prompt, service_key, suggest_retry_after_limit,
+    place_prompt, service_key, suggest_retry_after_limit, urgent_room_shortage,
 };
 use proto::BackendEntry;
 use slog::info;
@@ -132,7 +132,7 @@
         let urgent_rate =
             demand.urgent_share(prompt.rank, self.now) * herd_avoidance.placement_rate;
         if !is_short
-            && !leaves_urgent_room(
+            && let Some(shortage) = urgent_room_shortage(
                 self.profile,
                 &requirements,
                 &engines,
@@ -140,6 +140,10 @@
                 urgent_rate,
             )
         {
+            let waited = requirements.waited;
+            waiting
+                .notices
+                .on_urgent_room_shortage(self.shared, &shortage, waited);
             return None;
         }
         let slowdown = engines[placement.decoder].slowdown;
--- a/crates/direct/src/hold_notices.rs
+++ b/crates/direct/src/hold_notices.rs
@@ -1,7 +1,7 @@
 //! Log lines and metrics of prompts that are held back.
 
 use crate::shared::Shared;
-use policy::SoonAbleEngine;
+use policy::{SoonAbleEngine, UrgentRoomShortage};
 use slog::info;
 use std::cell::Cell;
 use std::time::Duration;
@@ -13,6 +13,7 @@
     is_held: Cell<bool>,
     is_over_share: Cell<bool>,
     awaits_engine: Cell<bool>,
+    leaves_room: Cell<bool>,
 }
 
 impl HoldNotices {
@@ -23,6 +24,7 @@
             is_held: Cell::default(),
             is_over_share: Cell::default(),
             awaits_engine: Cell::default(),
+            leaves_room: Cell::default(),
         }
     }
 
@@ -65,4 +67,24 @@
             "waited_ms" => waited.as_millis() as u64,
             "max_wait_ms" => soon.max_wait.as_millis() as u64);
     }
+
+    /// Tells that the long prompt leaves its engines to more urgent short ones for now.
+    pub fn on_urgent_room_shortage(
+        &self,
+        shared: &Shared,
+        shortage: &UrgentRoomShortage,
+        waited: Duration,
+    ) {
+        if self.leaves_room.replace(true) {
+            return;
+        }
+        shared.metrics.held_prompt("urgent ranks");
+        info!(shared.log, "queue: prompt leaves room for more urgent ones"; "req" => &*self.req,
+            "reason" => "too few slots would be free for more urgent short prompts",
+            "free_slots" => shortage.free_slots,
+            "expected_prompts" => shortage.expected_prompts,
+            "forecast_ms" => shortage.forecast.as_millis() as u64,
+            "waited_ms" => waited.as_millis() as u64,
+            "max_wait_ms" => shortage.max_wait.as_millis() as u64);
+    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -159,7 +159,7 @@
 };
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
-pub use rank_demand::{RankDemand, leaves_urgent_room};
+pub use rank_demand::{RankDemand, UrgentRoomShortage, urgent_room_shortage};
 pub use rates::WarmSpeed;
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
--- a/crates/policy/src/rank_demand.rs
+++ b/crates/policy/src/rank_demand.rs
@@ -51,25 +51,37 @@
     }
 }
 
-/// Whether the engines that a long prompt does not take have slots for `urgent_rate` more urgent short
-/// prompts per second during its prefill. Always `true` once the prompt could otherwise no longer be served
-/// at all.
+/// Why a long prompt leaves its engines to more urgent short ones for now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UrgentRoomShortage {
+    /// Slots that are free on the engines that it would not take.
+    pub free_slots: u32,
+    /// More urgent short prompts that are expected during its prefill.
+    pub expected_prompts: f64,
+    /// Forecast of the time from now to its first event if it started.
+    pub forecast: Duration,
+    /// Longest time from now for which it leaves room to others, if its forecast stays as it is.
+    pub max_wait: Duration,
+}
+
+/// Checks whether the engines that a long prompt does not take have slots for `urgent_rate` more urgent
+/// short prompts per second during its prefill; `None` if they have. Always `None` once the prompt could
+/// otherwise no longer be served at all.
 ///
 /// Load pattern: bursts of long prompts of one rank and of short ones of another. Each long prompt that
 /// starts takes the engines that the short ones need a moment later.
-pub fn leaves_urgent_room(
+pub fn urgent_room_shortage(
     profile: &EngineProfile,
     request: &PromptRequirements,
     engines: &[EngineCandidate],
     placement: &EnginePlacement,
     urgent_rate: f64,
-) -> bool {
+) -> Option<UrgentRoomShortage> {
     let forecast = placement.first_event_forecast;
-    let start_limit = request
-        .remaining
-        .mul_f64(LATE_START_FRACTION * YIELDING_FRACTION);
+    let yielding_fraction = LATE_START_FRACTION * YIELDING_FRACTION;
+    let start_limit = request.remaining.mul_f64(yielding_fraction);
     if forecast >= start_limit {
-        return true;
+        return None;
     }
     let is_taken = |index: usize| {
         index == placement.decoder
@@ -85,6 +97,14 @@
             && engine.load.long_prefills == 0
     });
     let free = others.map(|(_, engine)| profile.slots.saturating_sub(engine.load.jobs));
-    let expected = urgent_rate * forecast.as_secs_f64();
-    f64::from(free.sum::<u32>()) >= expected
+    let free_slots = free.sum::<u32>();
+    let expected_prompts = urgent_rate * forecast.as_secs_f64();
+    (f64::from(free_slots) < expected_prompts).then(|| UrgentRoomShortage {
+        free_slots,
+        expected_prompts,
+        forecast,
+        max_wait: request
+            .remaining
+            .saturating_sub(forecast.div_f64(yielding_fraction)),
+    })
 }
