--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -7,12 +7,13 @@
 use crate::shared::Shared;
 use crate::waiting_news::place_in_fleet_order;
 use policy::{
-    CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LocalPrompt,
+    CapacityForecast, EngineCandidate, EnginePlacement, EngineProfile, LateForecast, LocalPrompt,
     PromptRequirements, QueuedPrompt, RefusedPrompt, RetryTurn, ReturnSchedule, SendTimes,
-    ServiceSpec, SuspectKind, TeamsOverShare, cannot_be_served, is_short_prompt,
-    leaves_urgent_room, place_prompt, service_key, suggest_retry_after_limit,
+    ServiceSpec, SuspectKind, TeamsOverShare, WaitReason, is_short_prompt, late_forecast,
+    place_prompt, service_key, suggest_retry_after_limit, urgent_room_shortage,
 };
 use proto::BackendEntry;
+use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,9 @@
 /// as long to come back.
 const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
 
+/// Reason of refusals of prompts that the engines would get to too late, for logs and metrics.
+const TOO_FAR_BEHIND_REASON: &str = "engines too far behind";
+
 /// Whether to count on an engine for the prefill of a waiting prompt: it can be reached, and no
 /// request that decodes there has a shorter target for the gap between events than the prompt has.
 /// A prefill would delay the events of such a request for too long.
@@ -88,8 +92,10 @@
         if prompt.would_miss_deadline(self.profile, prefill_engines.count(), self.now) {
             return Some(Err(self.refuse("too late to be read", prompt, &engines)));
         }
-        if cannot_be_served(self.profile, prompt, &engines, ahead, self.now) {
-            return Some(Err(self.refuse("engines too far behind", prompt, &engines)));
+        if let Some(late) = late_forecast(self.profile, prompt, &engines, ahead, self.now) {
+            let refusal = self.refuse(TOO_FAR_BEHIND_REASON, prompt, &engines);
+            self.log_too_far_behind(waiting, &late, engines.len());
+            return Some(Err(refusal));
         }
         let requirements = prompt.request_at(self.now);
         let herd_avoidance = self
@@ -101,7 +107,15 @@
         };
         let is_short = is_short_prompt(self.profile, &requirements);
         let placement = if is_short {
-            place(&engines)?
+            let placed = place(&engines);
+            if let Err(WaitReason::SoonAble(soon)) = &placed {
+                let server = &servers[soon.engine].id;
+                let waited = requirements.waited;
+                waiting
+                    .notices
+                    .on_soon_able(self.shared, server, soon, waited);
+            }
+            placed.ok()?
         } else {
             let local = LocalPrompt {
                 service: service_key(&self.spec.name),
@@ -110,6 +124,7 @@
             };
             let notices = &waiting.notices;
             let over_share = &self.over_share;
+            let place = |engines: &[EngineCandidate]| place(engines).ok();
             place_in_fleet_order(self.shared, notices, &local, &engines, over_share, place)?
         };
         let mut demand = self.shared.prompt_queue.lock_rank_demand();
@@ -117,7 +132,7 @@
         let urgent_rate =
             demand.urgent_share(prompt.rank, self.now) * herd_avoidance.placement_rate;
         if !is_short
-            && !leaves_urgent_room(
+            && let Some(shortage) = urgent_room_shortage(
                 self.profile,
                 &requirements,
                 &engines,
@@ -125,6 +140,10 @@
                 urgent_rate,
             )
         {
+            let waited = requirements.waited;
+            waiting
+                .notices
+                .on_urgent_room_shortage(self.shared, &shortage, waited);
             return None;
         }
         let slowdown = engines[placement.decoder].slowdown;
@@ -181,6 +200,19 @@
         (wait > MAX_PAUSE_WAIT).then_some(Err(refusal))
     }
 
+    /// Logs the figures by which a prompt is refused as too late. The refusal ends the prompt, so that
+    /// this comes once for each.
+    fn log_too_far_behind(&self, waiting: &WaitingPrompt, late: &LateForecast, engines: usize) {
+        let waited = self.now.saturating_sub(waiting.request.since);
+        info!(self.shared.log, "queue: prompt refused"; "req" => &*waiting.request.req,
+            "reason" => TOO_FAR_BEHIND_REASON,
+            "forecast_ms" => late.forecast.as_millis() as u64,
+            "remaining_ms" => late.remaining.as_millis() as u64,
+            "backlog_ms" => late.backlog.as_millis() as u64,
+            "ahead_ms" => late.ahead.as_millis() as u64, "engines" => engines,
+            "waited_ms" => waited.as_millis() as u64);
+    }
+
     fn refuse(
         &self,
         reason: &'static str,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -101,7 +101,7 @@
 mod waiting_frames;
 
 pub use active_config::ActiveConfig;
-pub use admission_forecast::cannot_be_served;
+pub use admission_forecast::{LateForecast, late_forecast};
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use claim_event::{
@@ -124,7 +124,7 @@
 pub use crash_guard::CrashGuard;
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
 pub use engine_choice::{
-    EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements,
+    EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements, WaitReason,
     is_short_prompt, min_first_event_time, place_prompt,
 };
 pub use engine_memory::max_tokens_per_job;
@@ -159,7 +159,7 @@
 };
 pub use placement::{LoadedModels, Placement, model_version};
 pub use plain_choice::{PlainCandidate, choose_plain_server};
-pub use rank_demand::{RankDemand, leaves_urgent_room};
+pub use rank_demand::{RankDemand, UrgentRoomShortage, urgent_room_shortage};
 pub use rates::WarmSpeed;
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
@@ -189,6 +189,7 @@
 pub use server_pauses::ServerPauses;
 pub use server_runs::{RunId, RunProof, ServerRuns};
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
+pub use short_prompt_choice::SoonAbleEngine;
 pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
 pub use slow_readers::{
     FREE_HELD_BYTES, MAX_HELD_BYTES, SlowReader, may_hold, needs_shared_memory, reader_to_end,
