Do not put prompts that are sent again behind others for their team's share

Cause: an engine crashed in the middle of a stream, and its prompt, to be resumed, waited behind others of its rank since its team was over its share, by the very start that had failed.

Change: a prompt that is sent again is ordered as one of a team within its share. Its prefill counted when it first started, and its caller may have part of the answer.

--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -359,6 +359,7 @@
         requirements: prompt_requirements(call),
         rank: call.rank(),
         team: team_key(call.admitted.team.as_ref().map(|team| &*team.name)),
+        is_retry,
         since,
         deadline: call
             .deadline
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -37,6 +37,8 @@
     pub rank: u8,
     /// Team of the caller.
     pub team: TeamKey,
+    /// Whether the request was sent before.
+    pub is_retry: bool,
     /// Time from which the wait is counted: the arrival of the request, or the start of a retry.
     pub since: Duration,
     /// Time at which the caller gives up.
@@ -113,6 +115,7 @@
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
             rank: request.rank,
             team: request.team,
+            is_retry: request.is_retry,
             request: request.requirements.clone(),
             queued_at: request.since,
             deadline: request.deadline,
@@ -223,7 +226,7 @@
             };
             let Some(result) = pass.decide(&prompt, &waiting[index], &ahead) else {
                 ahead.push(profile.prefill_time(prompt.request.prompt_tokens));
-                let shares = pass.over_share.shares(prompt.team);
+                let shares = prompt.shares_over(&pass.over_share);
                 waiting[index].notices.on_over_share(shared, shares);
                 left.push(prompt);
                 continue;
--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -18,6 +18,9 @@
     pub rank: u8,
     /// Team of its caller.
     pub team: TeamKey,
+    /// Whether it is sent again after its engine failed. It is not put behind others for its team's share:
+    /// its prefill counted when it first started, and its caller may have part of the answer.
+    pub is_retry: bool,
     /// What the prompt needs, as of its arrival.
     pub request: PromptRequirements,
     /// When it entered the queue.
@@ -46,6 +49,15 @@
         now + min_first_event_time(profile, &self.request, engines) > self.deadline
     }
 
+    /// Shares that its team has got and for which it goes behind others.
+    pub fn shares_over(&self, over_share: &TeamsOverShare) -> u8 {
+        if self.is_retry {
+            0
+        } else {
+            over_share.shares(self.team)
+        }
+    }
+
     /// Place of the prompt in the order of the queue.
     pub fn order(
         &self,
@@ -60,7 +72,7 @@
         QueueOrder {
             is_late: latest_start < now,
             rank: self.rank,
-            shares_over: over_share.shares(self.team),
+            shares_over: self.shares_over(over_share),
             latest_start,
         }
     }
--- a/crates/policy/tests/admission_forecast.rs
+++ b/crates/policy/tests/admission_forecast.rs
@@ -49,6 +49,7 @@
         id: 1,
         rank: 1,
         team: 0,
+        is_retry: false,
         request,
         queued_at: NOW,
         deadline: NOW + remaining,
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -99,6 +99,7 @@
         id,
         rank: 1,
         team: 0,
+        is_retry: false,
         request: need,
         queued_at: since,
         deadline: since + ms(12_000),
--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -210,26 +210,48 @@
     }
 }
 
-/// A team over its share goes behind the others of its rank, not behind those of other ranks, and no
-/// longer once its starts are some seconds old.
-#[test]
-fn a_team_over_its_share_goes_behind_others_of_its_rank() {
-    let prompt = |id, rank, team, queued_at| QueuedPrompt {
+fn queued_prompt(id: u64, rank: u8, team: u64, queued_at: Duration) -> QueuedPrompt {
+    QueuedPrompt {
         id,
         rank,
         team,
+        is_retry: false,
         request: requirements(ms(0)),
         queued_at,
         deadline: queued_at + ms(12_000),
-    };
+    }
+}
+
+/// A stream broke off with its engine, and its prompt was put behind others until its caller gave up:
+/// the start that had failed counted for its team.
+#[test]
+fn a_prompt_that_is_sent_again_does_not_go_behind_others() {
+    let mut shares = TeamShares::default();
+    shares.record_start(1, ms(4_000), ms(0));
+    let mut prompts = [
+        queued_prompt(10, 1, 2, ms(100)),
+        QueuedPrompt {
+            is_retry: true,
+            ..queued_prompt(11, 1, 1, ms(95))
+        },
+    ];
+    let over_share = shares.over_share([1, 2], ms(100));
+    sort_queue(&mut prompts, &engine::model(), 14, over_share, ms(100));
+    assert_eq!(prompts.map(|prompt| prompt.id), [11, 10]);
+}
+
+/// A team over its share goes behind the others of its rank, not behind those of other ranks, and no
+/// longer once its starts are some seconds old.
+#[test]
+fn a_team_over_its_share_goes_behind_others_of_its_rank() {
     let mut shares = TeamShares::default();
     shares.record_start(1, ms(4_000), ms(0));
     shares.record_start(2, ms(1_000), ms(0));
     let mut order = |at| {
         let mut prompts = [
-            prompt(10, 1, 1, at),
-            prompt(11, 1, 2, at + ms(5)),
-            prompt(12, 2, 3, at),
+            queued_prompt(10, 1, 1, at),
+            queued_prompt(11, 1, 2, at + ms(5)),
+            queued_prompt(12, 2, 3, at),
         ];
         let over_share = shares.over_share([1, 2, 3], at);
         sort_queue(&mut prompts, &engine::model(), 14, over_share, at);
--- a/crates/policy/tests/queueing/mod.rs
+++ b/crates/policy/tests/queueing/mod.rs
@@ -174,6 +174,7 @@
                 id: self.arrived,
                 rank,
                 team,
+                is_retry: false,
                 request,
                 queued_at: self.now,
                 deadline: self.now + target * 4,
--- a/crates/policy/tests/waiting_frames.rs
+++ b/crates/policy/tests/waiting_frames.rs
@@ -19,6 +19,7 @@
         id,
         rank: 1,
         team: u64::MAX,
+        is_retry: false,
         request: PromptRequirements {
             prompt_tokens: 200_000,
             expected_output_tokens: 800,
