Count what teams have got in half shares

Cause: in a_team_that_sends_ten_times_as_many_gets_no_more_than_twice_a_share_of_few_engines one prompt is about a share of the window (12 engines, 24 teams). A team that had got one was below 1.25 shares and counted like a team that had got none, so the order fell to the latest start, where the team with ten times the prompts wins. Change: the queue orders teams by half steps of 1.25 shares; logs and metrics keep whole ones.

--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -60,7 +60,7 @@
         QueueOrder {
             is_late: latest_start < now,
             rank: self.rank,
-            shares_over: over_share.shares(self.team),
+            shares_over: over_share.steps(self.team),
             latest_start,
         }
     }
@@ -73,14 +73,14 @@
     pub is_late: bool,
     /// Priority.
     pub rank: u8,
-    /// Shares that its team has got, if it is over its share.
+    /// Half shares that its team has got.
     pub shares_over: u8,
     /// Latest start with which it meets its target.
     pub latest_start: Duration,
 }
 
 /// Sorts queued prompts: those that can still meet their target first, then by rank, then those of
-/// teams that have got no more than their share, then by the latest time at which they can start and
+/// teams that have got the fewest half shares, then by the latest time at which they can start and
 /// still meet it.
 ///
 /// Load pattern: a burst of more long prompts than the engines can prefill in time. In order of
--- a/crates/policy/src/fleet_queue.rs
+++ b/crates/policy/src/fleet_queue.rs
@@ -82,7 +82,7 @@
         Some(QueueOrder {
             is_late: false,
             rank: self.reported.rank,
-            shares_over: over_share.shares(self.reported.team),
+            shares_over: over_share.steps(self.reported.team),
             latest_start,
         })
     }
--- a/crates/policy/src/team_shares.rs
+++ b/crates/policy/src/team_shares.rs
@@ -11,6 +11,10 @@
 /// Multiple of an equal share from which a team goes behind others. With 1.0, about half of the teams
 /// would be over it at any time.
 const MAX_SHARES: f64 = 1.25;
+/// Number of steps up to [`MAX_SHARES`] by which the queue orders teams. With a single one, a team that has
+/// got one prompt of about a share counts like one that has got nothing, and is given a second prompt
+/// before teams without any: 2.05 shares for a team with ten times the prompts.
+const STEPS: u8 = 2;
 /// Teams that gateways tell each other, those with the most prefill time. The others are far below
 /// their share.
 pub const MAX_REPORTED_TEAMS: usize = 16;
@@ -26,16 +30,21 @@
     name.map_or(0, |name| xxh3_64(name.as_bytes()))
 }
 
-/// Teams that have got more than their share, with the number of shares that each has got.
+/// How much of its share each team has got, in steps; teams below the first step are left out.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct TeamsOverShare(BTreeMap<TeamKey, u8>);
 
 impl TeamsOverShare {
     /// Whole shares that a team has got; 0 if it is not over its share.
+    pub fn shares(&self, team: TeamKey) -> u8 {
+        self.steps(team) / STEPS
+    }
+
+    /// Half shares that a team has got, by which the queue orders teams.
     ///
     /// The number counts because the share of a short time can be less than one long prompt, so that
     /// most teams are over it.
-    pub fn shares(&self, team: TeamKey) -> u8 {
+    pub fn steps(&self, team: TeamKey) -> u8 {
         self.0.get(&team).copied().unwrap_or_default()
     }
 }
@@ -114,7 +123,7 @@
         teams
     }
 
-    /// Teams that have got more than their share; `waiting` are those with prompts that wait here or
+    /// What teams have got of their share; `waiting` are those with prompts that wait here or
     /// at peers. The result is up to 50 ms old.
     ///
     /// A team's share depends on the number of teams only, so that none gains by sending more. What it
@@ -174,8 +183,8 @@
         let total: f64 = started.values().map(Duration::as_secs_f64).sum();
         let limit = MAX_SHARES * total / started.len().max(1) as f64;
         let over = started.into_iter().filter_map(|(team, started)| {
-            let shares = started.as_secs_f64() / limit;
-            (shares > 1.0).then_some((team, shares as u8))
+            let steps = started.as_secs_f64() / limit * f64::from(STEPS);
+            (steps > 1.0).then_some((team, steps as u8))
         });
         TeamsOverShare(over.collect())
     }
