Test short prompts while engines begin to fail under load

Cause: the choice of engines that fail some requests had no replay with a failure in the middle of the load. The longest prompts take the engines that do not fail; from the middle on, the five that hold the short prompts fail a quarter of their requests, and the gateways learn it from the answers.

--- a/crates/policy/tests/short_prompt_choice.rs
+++ b/crates/policy/tests/short_prompt_choice.rs
@@ -1,8 +1,10 @@
 //! Short prompts that wait for an engine. Each test names the load pattern that it covers.
 
 mod engine;
+mod mixed_load;
 
 use engine::model;
+use mixed_load::{FAILURES_START, MixedLoad};
 use policy::{EngineCandidate, HerdAvoidance, PromptRequirements, place_prompt};
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
@@ -10,6 +12,8 @@
 use std::time::Duration;
 
 const TARGET: Duration = ms(300);
+/// Required share of short prompts on time.
+const MIN_ON_TIME: f64 = 0.95;
 
 const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -26,19 +30,26 @@
     }
 }
 
+fn idle(order: usize) -> EngineCandidate {
+    EngineCandidate {
+        shared_order: order as u64,
+        load: ServerUsage::default(),
+        slowdown: 1.0,
+        accepts_requests: true,
+        is_limited: false,
+        suspect: None,
+    }
+}
+
 /// An engine that prefills a part of a long prompt for the given time, if any.
 fn engine(order: usize, part: Option<Duration>) -> EngineCandidate {
     EngineCandidate {
-        shared_order: order as u64,
         load: ServerUsage {
             prefill_remaining: part.unwrap_or_default(),
             long_prefills: u32::from(part.is_some()),
             ..ServerUsage::default()
         },
-        slowdown: 1.0,
-        accepts_requests: true,
-        is_limited: false,
-        suspect: None,
+        ..idle(order)
     }
 }
 
@@ -113,3 +124,18 @@
         assert!(placed_at <= TARGET, "{placed_at:?}");
     }
 }
+
+/// A load of short prompts beside the longest ones. In the middle of it the engines that hold the short ones
+/// begin to fail a quarter of their requests. Guards against short prompts that are placed behind parts of
+/// long ones while engines that answer most of their requests are free.
+#[test]
+fn short_prompts_are_on_time_though_engines_begin_to_fail() {
+    for seed in 1..=8 {
+        let load = MixedLoad::run(seed);
+        let shares = [ms(0), FAILURES_START].map(|start| load.share_on_time(start));
+        println!("seed {seed}: {shares:.3?}");
+        for share in shares {
+            assert!(share >= MIN_ON_TIME, "seed {seed}: {shares:?}");
+        }
+    }
+}
