Test the margin of a start while engines begin to fail

Cause: the margin for the forecast's error had no replay with a failure in the middle of the load. Change: the replay of gateways before the same engines has prefills that take longer than forecast and engines that fail a quarter of their requests, of which each gateway learns from its own prompts. Replays without these draw the same random numbers as before.

--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -10,7 +10,7 @@
     TeamShares, TeamsOverShare, engines_needed, place_prompt, service_key, sort_queue,
 };
 use proto::{ReportedPrompt, ServerUsage, ServiceQueue, TeamPrefill, WaitingFrame};
-use queueing::{Load, World, ms};
+use queueing::{Ended, Load, World, ms};
 use std::time::Duration;
 
 /// Guards against a prompt that waits at one gateway while others start less urgent ones.
@@ -39,6 +39,28 @@
     }
 }
 
+/// In the middle of the load a third of the engines begins to fail some of its requests, so that more prompts
+/// start shortly before they would be late, also on failing engines. Prefills take up to a fortieth longer
+/// than forecast. Guards against starts that count as on time and end late.
+#[test]
+fn starts_as_on_time_end_in_time_though_engines_begin_to_fail() {
+    for seed in 1..=10 {
+        let mut world = World::new(11, 12, seed);
+        world.overrun_forecasts(0.025);
+        world.run(ms(15_000), &Load::OfThreeRanks);
+        let before = world.started_as_on_time().count();
+        world.fail_engines(0..4);
+        world.run(ms(15_000), &Load::OfThreeRanks);
+        let starts: Vec<_> = world.started_as_on_time().collect();
+        let is_late = |start: &&&Ended| start.ended_in_time == Some(false);
+        let late = starts.iter().filter(is_late).count();
+        let starts = starts.len();
+        println!("seed {seed}: {late} late of {starts}, {before} before");
+        assert!(starts > before, "seed {seed}: no starts after the failures");
+        assert_eq!(late, 0, "seed {seed}: {late} of {starts}");
+    }
+}
+
 fn requirements(waited: Duration) -> PromptRequirements {
     PromptRequirements {
         prompt_tokens: 200_000,
--- a/crates/policy/tests/queueing/mod.rs
+++ b/crates/policy/tests/queueing/mod.rs
@@ -2,13 +2,14 @@
 
 use crate::engine::model;
 use policy::{
-    EngineCandidate, FleetPlacement, FleetQueue, HerdAvoidance, LocalPrompt, MAX_REPORTED_PROMPTS,
-    PromptRequirements, QueuedPrompt, TeamShares, TeamsOverShare, engines_needed, next_check_after,
-    place_prompt, service_key, sort_queue,
+    AttemptResult, EngineCandidate, FleetPlacement, FleetQueue, HerdAvoidance, LocalPrompt,
+    MAX_REPORTED_PROMPTS, PromptRequirements, QueuedPrompt, ServerHealth, TeamShares,
+    TeamsOverShare, engines_needed, next_check_after, place_prompt, service_key, sort_queue,
 };
 use proto::{ReportedPrompt, ServerUsage, ServiceQueue, WaitingFrame};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
+use std::ops::Range;
 use std::time::Duration;
 
 pub const fn ms(millis: u64) -> Duration {
@@ -20,6 +21,8 @@
 const FRAME_DELAY: Duration = ms(10);
 const FRAME_INTERVAL: Duration = ms(50);
 const TEAMS: u64 = 24;
+/// Share of its requests that a failing engine does not answer.
+const FAILURE_RATE: f64 = 0.25;
 
 /// What arrives.
 #[derive(Debug)]
@@ -37,6 +40,8 @@
     pub gateway: usize,
     pub on_time: bool,
     pub team: u64,
+    /// Whether its prefill ended within the target; `None` if it did not start or an engine failed it.
+    pub ended_in_time: Option<bool>,
     /// Prefill time that was started over all engines while another team's prompt waited that could
     /// still be on time; zero otherwise.
     pub started: Duration,
@@ -47,22 +52,63 @@
     queue: Vec<QueuedPrompt>,
     fleet_queue: FleetQueue,
     shares: TeamShares,
+    /// Health of the engines as this gateway knows it.
+    health: Vec<ServerHealth>,
     next_check: Duration,
     next_frame: Duration,
     is_silent: bool,
 }
 
+impl Gateway {
+    fn before(engines: usize) -> Self {
+        Self {
+            health: vec![ServerHealth::default(); engines],
+            ..Self::default()
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct World {
     now: Duration,
     rng: SmallRng,
-    busy_until: Vec<Duration>,
+    /// Time at which each engine has ended its prefill, actual and by forecast.
+    busy: Vec<(Duration, Duration)>,
     gateways: Vec<Gateway>,
     frames: Vec<(Duration, usize, WaitingFrame)>,
     ended: Vec<Ended>,
     /// Number, team and time up to which it can be on time of each prompt that waits.
     waiting: Vec<(u64, u64, Duration)>,
     arrived: u64,
+    faults: Faults,
+}
+
+/// Errors of forecasts and failures of engines. They have random numbers of their own, so that a replay
+/// without them does not depend on them.
+#[derive(Debug)]
+struct Faults {
+    rng: SmallRng,
+    /// Largest part of a forecast by which a prefill takes longer.
+    max_overrun: f64,
+    /// Engines that fail a part of their requests.
+    failing: Range<usize>,
+    /// Prompts that an engine fails, with the time at which their gateways hear of it.
+    failed: Vec<(Duration, usize, QueuedPrompt, usize)>,
+}
+
+impl Faults {
+    /// Factor by which a prefill takes longer than forecast.
+    fn overrun(&mut self) -> f64 {
+        if self.max_overrun == 0.0 {
+            return 1.0;
+        }
+        1.0 + self.rng.random_range(0.0..=self.max_overrun)
+    }
+
+    /// The first of these engines that fails the prompt.
+    fn failing_engine(&mut self, mut engines: impl Iterator<Item = usize>) -> Option<usize> {
+        engines.find(|engine| self.failing.contains(engine) && self.rng.random_bool(FAILURE_RATE))
+    }
 }
 
 impl World {
@@ -70,21 +116,44 @@
         Self {
             now: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
-            busy_until: vec![Duration::ZERO; engines],
-            gateways: (0..gateways).map(|_| Gateway::default()).collect(),
+            busy: vec![(Duration::ZERO, Duration::ZERO); engines],
+            gateways: (0..gateways).map(|_| Gateway::before(engines)).collect(),
             frames: Vec::new(),
             ended: Vec::new(),
             waiting: Vec::new(),
             arrived: 0,
+            faults: Faults {
+                rng: SmallRng::seed_from_u64(seed),
+                max_overrun: 0.0,
+                failing: 0..0,
+                failed: Vec::new(),
+            },
         }
     }
 
+    /// From now on, prefills take up to `max` of their forecasts longer.
+    pub fn overrun_forecasts(&mut self, max: f64) {
+        self.faults.max_overrun = max;
+    }
+
+    /// From now on, these engines fail some of their requests.
+    pub fn fail_engines(&mut self, engines: Range<usize>) {
+        self.faults.failing = engines;
+    }
+
+    /// Prompts that started, with a forecast within their target, and no engine failed.
+    pub fn started_as_on_time(&self) -> impl Iterator<Item = &Ended> {
+        let started = self.ended.iter();
+        started.filter(|ended| ended.on_time && ended.ended_in_time.is_some())
+    }
+
     pub fn run(&mut self, time: Duration, load: &Load) {
         let end = self.now + time;
         while self.now < end {
             self.now += STEP;
             self.arrive(load);
             self.deliver_frames();
+            self.return_failed();
             let first = self.rng.random_range(0..self.gateways.len());
             for offset in 0..self.gateways.len() {
                 let gateway = (first + offset) % self.gateways.len();
@@ -113,6 +182,7 @@
                 gateway,
                 on_time: false,
                 team: prompt.team,
+                ended_in_time: None,
                 started: Duration::ZERO,
             })
         });
@@ -201,7 +271,7 @@
         if now < self.gateways[index].next_check {
             return;
         }
-        let (random, engines) = (self.rng.random(), self.busy_until.len());
+        let (random, engines) = (self.rng.random(), self.busy.len());
         let gateway = &mut self.gateways[index];
         let targets = gateway.queue.iter();
         let target = targets.map(|prompt| prompt.request.first_event_target);
@@ -218,7 +288,7 @@
 
     fn try_start(&mut self, index: usize, prompt: QueuedPrompt, over_share: &TeamsOverShare) {
         let now = self.now;
-        let engines = self.candidates();
+        let engines = self.candidates(index);
         let requirements = prompt.request_at(now);
         let local = LocalPrompt {
             service: service_key("s"),
@@ -240,15 +310,28 @@
             .waiting
             .iter()
             .any(|(_, team, latest)| *team != prompt.team && now <= *latest);
-        let mut started = Duration::ZERO;
+        let (mut started, mut ended_in_time) = (Duration::ZERO, None);
         let on_time = match placed {
             FleetPlacement::Start(placement) => {
                 started = placement.part_prefill_time * (1 + placement.helpers.len() as u32);
                 gateway.shares.record_start(prompt.team, started, now);
                 let helpers = placement.helpers.iter().map(|helper| helper.engine);
-                for engine in helpers.chain([placement.decoder]) {
-                    self.busy_until[engine] = now + placement.part_prefill_time;
+                let chosen: Vec<_> = helpers.chain([placement.decoder]).collect();
+                let overrun = self.faults.overrun();
+                let end = now + placement.part_prefill_time.mul_f64(overrun);
+                for engine in &chosen {
+                    self.busy[*engine] = (end, now + placement.part_prefill_time);
+                }
+                if let Some(engine) = self.faults.failing_engine(chosen.iter().copied()) {
+                    self.faults.failed.push((end, index, prompt, engine));
+                    return;
+                }
+                for engine in chosen {
+                    gateway.health[engine].on_result(AttemptResult::Answered, now);
                 }
+                let first_event = now + placement.first_event_forecast.mul_f64(overrun);
+                let target = prompt.queued_at + requirements.first_event_target;
+                ended_in_time = Some(first_event <= target);
                 requirements.waited + placement.first_event_forecast
                     <= requirements.first_event_target
             }
@@ -261,12 +344,13 @@
             gateway: index,
             on_time,
             team: prompt.team,
+            ended_in_time,
             started: if others_wait { started } else { Duration::ZERO },
         });
     }
 
     fn send_frame(&mut self, index: usize) {
-        let (now, engines) = (self.now, self.busy_until.len());
+        let (now, engines) = (self.now, self.busy.len());
         let gateway = &mut self.gateways[index];
         let has_waiting = !gateway.queue.is_empty() || gateway.fleet_queue.has_waiting(now);
         if now < gateway.next_frame || gateway.is_silent || !has_waiting {
@@ -294,20 +378,34 @@
         self.frames.push((now + FRAME_DELAY, index, frame));
     }
 
-    fn candidates(&self) -> Vec<EngineCandidate> {
-        let engines = self.busy_until.iter().enumerate();
-        let candidates = engines.map(|(index, busy_until)| EngineCandidate {
-            shared_order: index as u64,
-            load: ServerUsage {
-                prefill_remaining: busy_until.saturating_sub(self.now),
-                long_prefills: u32::from(*busy_until > self.now),
-                ..ServerUsage::default()
-            },
-            slowdown: 1.0,
-            accepts_requests: true,
-            is_limited: false,
-            suspect: None,
-        });
+    /// Returns prompts to the queues of their gateways once an engine has failed them.
+    fn return_failed(&mut self) {
+        let now = self.now;
+        let failed = self.faults.failed.extract_if(.., |failed| failed.0 <= now);
+        for (_, index, prompt, engine) in failed {
+            let gateway = &mut self.gateways[index];
+            gateway.health[engine].on_result(AttemptResult::Failed, now);
+            gateway.queue.push(prompt);
+            gateway.next_check = now;
+        }
+    }
+
+    fn candidates(&self, gateway: usize) -> Vec<EngineCandidate> {
+        let engines = self.busy.iter().zip(&self.gateways[gateway].health);
+        let candidates = engines
+            .enumerate()
+            .map(|(index, ((end, forecast), health))| EngineCandidate {
+                shared_order: index as u64,
+                load: ServerUsage {
+                    prefill_remaining: forecast.saturating_sub(self.now),
+                    long_prefills: u32::from(*end > self.now),
+                    ..ServerUsage::default()
+                },
+                slowdown: 1.0,
+                accepts_requests: true,
+                is_limited: false,
+                suspect: health.suspect_kind(self.now),
+            });
         candidates.collect()
     }
 }
