Bound the least share of a team before few engines too

Cause: no team may be served less than a quarter as often as all teams; with few engines only the share of the large team was checked. Change: the test with 12 engines checks the least share as well.

--- a/crates/policy/tests/fleet_queue.rs
+++ b/crates/policy/tests/fleet_queue.rs
@@ -215,6 +215,8 @@
         world.run(ms(30_000), &Load::WithLargeTeam);
         let shares = world.shares();
         assert!(shares[0] <= 2.0, "seed {seed}: {shares:?}");
+        let least = shares.iter().copied().fold(f64::MAX, f64::min);
+        assert!(least >= 0.25, "seed {seed}: {shares:?}");
     }
 }
 
