--- a/crates/policy/src/engine_queue.rs
+++ b/crates/policy/src/engine_queue.rs
@@ -49,7 +49,7 @@
         now + min_first_event_time(profile, &self.request, engines) > self.deadline
     }
 
-    /// Shares that its team has got and for which it goes behind others.
+    /// Whole shares that its team has got and for which it goes behind others.
     pub fn shares_over(&self, over_share: &TeamsOverShare) -> u8 {
         if self.is_retry {
             0
@@ -58,6 +58,14 @@
         }
     }
 
+    fn share_steps(&self, over_share: &TeamsOverShare) -> u8 {
+        if self.is_retry {
+            0
+        } else {
+            over_share.steps(self.team)
+        }
+    }
+
     /// Place of the prompt in the order of the queue.
     pub fn order(
         &self,
@@ -72,7 +80,7 @@
         QueueOrder {
             is_late: latest_start < now,
             rank: self.rank,
-            shares_over: self.shares_over(over_share),
+            shares_over: self.share_steps(over_share),
             latest_start,
         }
     }
@@ -85,14 +93,14 @@
     pub is_late: bool,
     /// Priority.
     pub rank: u8,
-    /// Shares that its team has got, if it is over its share.
+    /// Half shares that its team has got.
     pub shares_over: u8,
     /// Latest start with which it meets its target.
     pub latest_start: Duration,
 }
 
 /// Sorts queued prompts: those that can still meet their target first, then by rank, then those of
-/// teams that have got no more than their share, then by the latest time at which they can start and
+/// teams that have got the fewest half shares, then by the latest time at which they can start and
 /// still meet it.
 ///
 /// Load pattern: a burst of more long prompts than the engines can prefill in time. In order of
