Unseen placements: reports of few peers are half an interval old

Cause: the age of reports counted the time to send them, measured with 25 peers, for any number of peers.

Change: below a report interval of 50 ms (a dozen peers) the age is half of it. With more peers nothing changes. A gateway that hears no peers no longer multiplies its own rate by a number of peers that it may not know: at its start it assumed 191, and long prompts left room for 826 urgent ones.

Both new tests fail without the change.

--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -22,6 +22,10 @@
 /// Number of standard deviations by which the own placements may exceed the expected number before
 /// they count as a burst.
 const MAX_CHANCE_DEVIATIONS: f64 = 2.0;
+/// Report interval from which the time to send the reports counts, that of about a dozen peers. Reports
+/// to fewer peers leave at once, and a higher estimate spreads short prompts over engines that long ones
+/// need: before 14 engines, 0.55 of the longest prompts were on time instead of 0.58.
+const MIN_SEND_INTERVAL: Duration = Duration::from_millis(50);
 /// Age of the reports up to which it is a whole interval.
 const MAX_SEND_TIME: Duration = Duration::from_millis(100);
 
@@ -64,6 +68,17 @@
         self.reported_rate.max(self.own_rate() * self.peers as f64)
     }
 
+    /// Prompts that peers are known to place per second. A gateway that hears no peers may not know how
+    /// many there are: at its start it assumes many, and its own placements times their number would hold
+    /// long prompts back for nothing.
+    fn known_rate(&self) -> f64 {
+        if self.hears_peers {
+            self.placement_rate()
+        } else {
+            self.reported_rate
+        }
+    }
+
     /// Prompts that this gateway places per second.
     fn own_rate(&self) -> f64 {
         self.own as f64 / OWN_PLACEMENT_WINDOW.as_secs_f64()
@@ -73,7 +88,12 @@
     /// which grows with the number of peers as the interval does; and the time since the last of them.
     fn report_age(&self) -> Duration {
         let interval = self.report_interval;
-        interval.min(MAX_SEND_TIME).max(interval / 2) + self.silence
+        let min_age = if interval < MIN_SEND_INTERVAL {
+            Duration::ZERO
+        } else {
+            interval.min(MAX_SEND_TIME)
+        };
+        min_age.max(interval / 2) + self.silence
     }
 }
 
@@ -106,7 +126,7 @@
             unseen_placements: known.estimate_unseen(),
             sender_fraction,
             random,
-            placement_rate: known.placement_rate() + known.own_rate(),
+            placement_rate: known.known_rate() + known.own_rate(),
         }
     }
 
--- a/crates/policy/tests/herd_avoidance.rs
+++ b/crates/policy/tests/herd_avoidance.rs
@@ -5,8 +5,8 @@
 
 use engine::model;
 use policy::{
-    EngineCandidate, EngineProfile, FleetLoad, HerdAvoidance, JobLoad, PromptRequirements,
-    place_prompt,
+    EngineCandidate, EngineProfile, FleetLoad, HerdAvoidance, JobLoad, KnownPlacements,
+    PromptRequirements, place_prompt,
 };
 use proto::ServerUsage;
 use rand::rngs::SmallRng;
@@ -229,3 +229,38 @@
             assert!(used <= MAX_STEADY_ENGINES, "{:?}", burst.decoding);
         };
 }
+
+/// Guards against long prompts that a gateway holds back at its start for the prompts of peers that it
+/// does not hear: it then assumes many more gateways than there are.
+#[test]
+fn peers_that_are_not_heard_place_no_prompts_for_which_long_ones_wait() {
+    let known = KnownPlacements {
+        peers: 191,
+        hears_peers: false,
+        reported_rate: 0.0,
+        own: 1,
+        report_interval: REPORT_INTERVAL,
+        silence: ms(0),
+    };
+    assert_eq!(HerdAvoidance::estimate(&known, 1.0, 0).placement_rate, 4.0);
+}
+
+/// Guards against an estimate for many gateways that is used for few: short prompts took the engines
+/// that long ones needed.
+#[test]
+fn reports_of_few_peers_are_half_an_interval_old() {
+    let unseen = |peers, report_interval| {
+        let known = KnownPlacements {
+            peers,
+            hears_peers: true,
+            reported_rate: 1_000.0,
+            own: 0,
+            report_interval,
+            silence: ms(0),
+        };
+        HerdAvoidance::estimate(&known, 1.0, 0).unseen_placements
+    };
+    assert_eq!(unseen(3, ms(12)), 6.0);
+    assert_eq!(unseen(25, ms(100)), 100.0);
+    assert_eq!(unseen(102, ms(408)), 204.0);
+}
