direct: peers hear of servers that an answer names as at fault

A server that another's answer names (`At-Server`) was recorded only at the gateway that read the answer, so that each gateway had to get such an answer itself. ServerFailures now reports it in the existing frames (ServerState::NamedAtFault) at most once per server and report interval. Peers avoid the server for 600 ms unless it has sent them data since. A peer that has such data says so (ServerState::Answers), which ends the report at all gateways; without this a misled gateway would keep an intact server from the others. A server that is named counts towards no lost domain, and data does not end a refusal. ServerReport::accepts became an enum whose first two states are encoded as the bool was. New log line `servers: named as at fault to a peer`, new gauge bergamothold_direct_named_servers.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -288,6 +288,9 @@
         AttemptError::MayHaveRun(name(), error_text(&err))
     })?;
     let head = ResponseHead::read(&response.head, &call.head.id);
+    if head.is_genuine && !head.misdirected {
+        server_failure::record_data(shared, server);
+    }
     if !head.misdirected {
         request_limit::record(shared, &server.id, &response.head.headers, sent_at);
         server_pause::record(shared, &server.id, head.status, &response.head.headers);
@@ -360,8 +363,9 @@
     for server in &servers {
         info!(shared.log, "attempt: another server is at fault"; "req" => &*call.head.id,
             "server" => &*answered.id, "at_fault" => &*server.id);
-        let health = AttemptResult::Silent;
-        shared.fleet.on_result(&server.id, health, now);
+        let fleet = &shared.fleet;
+        fleet.on_result(&server.id, AttemptResult::Silent, now);
+        fleet.with_failures(|failures| failures.on_named_at_fault(server, now));
     }
     servers.into_iter().map(|server| server.id).collect()
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -33,6 +33,7 @@
     pauses: IntCounter,
     paused_servers: IntGauge,
     refusing_servers: IntGauge,
+    named_servers: IntGauge,
     invalid_answers: IntCounterVec,
     buffered_bytes: IntGauge,
     stream_buffer_bytes: IntGauge,
@@ -168,6 +169,10 @@
                 "bergamothold_direct_refusing_servers",
                 "Backend servers that refuse connections, of this gateway or of peers",
             )?,
+            named_servers: gauge(
+                "bergamothold_direct_named_servers",
+                "Backend servers that a response to this gateway or a peer has named as at fault",
+            )?,
             registry,
         })
     }
@@ -244,9 +249,10 @@
         self.paused_servers.set(servers as i64);
     }
 
-    /// Sets the number of servers that refuse connections.
-    pub fn set_refusing_servers(&self, servers: usize) {
-        self.refusing_servers.set(servers as i64);
+    /// Sets the number of servers that refuse connections, and of those that were named as at fault.
+    pub fn set_failed_servers(&self, refusing: usize, named: usize) {
+        self.refusing_servers.set(refusing as i64);
+        self.named_servers.set(named as i64);
     }
 
     /// Sets the bytes that count towards the memory for buffered bodies, and those that streams hold
--- a/crates/direct/src/server_failure.rs
+++ b/crates/direct/src/server_failure.rs
@@ -1,11 +1,12 @@
-//! Records servers that refuse connections, tells peers of them and tries them again.
+//! Records servers that refuse connections or are named as at fault, tells peers of them and tries
+//! those again that refuse connections.
 
 use crate::attempt::{ProbeResult, probe_server};
 use crate::news_stream::PeerNews;
 use crate::shared::Shared;
 use async_io::Timer;
 use policy::server_key;
-use proto::{BackendEntry, ServerFailureFrame, StreamOpening};
+use proto::{BackendEntry, ServerFailureFrame, ServerState, StreamOpening};
 use runtime::HttpError;
 use slog::{info, warn};
 use std::collections::HashSet;
@@ -36,6 +37,13 @@
     });
 }
 
+/// Records that a server has sent data.
+pub fn record_data(shared: &Shared, server: &BackendEntry) {
+    let now = shared.clock.now();
+    let fleet = &shared.fleet;
+    fleet.with_failures(|failures| failures.on_data(server, now));
+}
+
 /// Whether the host of a server refused a connection.
 pub fn is_refusal(err: &HttpError) -> bool {
     matches!(err, HttpError::Connect(_, err) if err.kind() == ErrorKind::ConnectionRefused)
@@ -46,14 +54,14 @@
     let mut domains_out = HashSet::new();
     loop {
         Timer::after(CHECK_INTERVAL).await;
-        let refusing = shared
+        let now = shared.clock.now();
+        let (refusing, named) = shared
             .fleet
-            .with_failures(|failures| failures.refusing_servers());
-        shared.metrics.set_refusing_servers(refusing);
+            .with_failures(|failures| (failures.refusing_servers(), failures.named_servers(now)));
+        shared.metrics.set_failed_servers(refusing, named);
         if refusing == 0 && domains_out.is_empty() {
             continue;
         }
-        let now = shared.clock.now();
         let servers = shared.store_cache.all_usable_servers(now);
         let shares = shared.fleet.send_shares();
         let (out, trial) = shared.fleet.with_failures(|failures| {
@@ -88,7 +96,7 @@
     }
 }
 
-/// Exchanges with peers which servers refuse connections.
+/// Exchanges with peers which servers refuse connections or are named as at fault.
 #[derive(Debug)]
 pub struct FailureNews;
 
@@ -111,12 +119,16 @@
     fn on_frame(shared: &Shared, peer: &str, frame: ServerFailureFrame) {
         let now = shared.clock.now();
         let fleet = &shared.fleet;
-        let refusing =
-            fleet.with_failures(|failures| failures.on_peer_reports(&frame.reports, now));
-        for key in refusing {
-            let server = shared.store_cache.server_with_key(key);
-            info!(shared.log, "servers: refuses connections of a peer";
-                "server" => server.as_deref(), "peer" => peer);
+        let news = fleet.with_failures(|failures| failures.on_peer_reports(&frame.reports, now));
+        for report in news {
+            let server = shared.store_cache.server_with_key(report.server);
+            if report.state == ServerState::NamedAtFault {
+                info!(shared.log, "servers: named as at fault to a peer";
+                    "server" => server.as_deref(), "peer" => peer);
+            } else {
+                info!(shared.log, "servers: refuses connections of a peer";
+                    "server" => server.as_deref(), "peer" => peer);
+            }
         }
     }
 }
--- a/crates/policy/src/server_failures.rs
+++ b/crates/policy/src/server_failures.rs
@@ -1,8 +1,9 @@
-//! Tracks which backend servers refuse connections, from what this gateway and its peers have seen.
+//! Tracks which backend servers refuse connections or are named as at fault, from what this gateway and
+//! its peers have seen.
 
 use crate::fleet_load::server_key;
 use crate::send_shares::SendShares;
-use proto::{BackendEntry, DomainKey, ServerKey, ServerReport};
+use proto::{BackendEntry, DomainKey, ServerKey, ServerReport, ServerState};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -27,7 +28,12 @@
 /// be presumed gone. Two may end by chance, or by the same request.
 const MIN_DOMAIN_REFUSALS: usize = 3;
 const DOMAIN_WINDOW: Duration = Duration::from_secs(1);
-/// Peers hear again of a server that still refuses connections after this time.
+/// Time for which a server is avoided that another server's response has named as at fault. The gateway
+/// which got the response avoids it for as long after a first failure. A trial connection would not
+/// end it, as a server that has stopped still accepts connections.
+const NAMED_AVOID_TIME: Duration = Duration::from_millis(600);
+/// Peers hear again of a server that still refuses connections, or is named as at fault again, after
+/// this time.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// A refusal that was not seen again for this time is forgotten; the row of its server is gone by then.
 const FORGET_TIME: Duration = Duration::from_secs(10);
@@ -54,15 +60,28 @@
     is_own_acceptance: bool,
     /// Revision and time of the last change that peers have to hear of.
     reported: Option<(u64, Duration)>,
+    /// When it last sent data to a gateway.
+    data_at: Option<Duration>,
+    /// Whether that was this gateway.
+    is_own_data: bool,
+    /// Whether the last change is that it has sent this gateway data after it was named as at fault.
+    contradicts: bool,
+    /// When a response to any gateway, and when one to this gateway, last named it as at fault. Absent
+    /// if it has sent data since.
+    named_at: Option<Duration>,
+    own_named_at: Option<Duration>,
 }
 
-/// Servers that refuse connections.
+/// Servers that refuse connections, or that other servers name as at fault.
 ///
 /// Load pattern: all servers of a failure domain end at once under load. Each gateway would find them
-/// one by one, with a refused connection, or a wait, of a caller's request for each.
+/// one by one, with a refused connection, or a wait, of a caller's request for each. A server that
+/// stops, but whose host accepts connections, is named as at fault by the servers that it helps; each
+/// gateway would send it long prompts until it has got such a response itself.
 ///
 /// A report is a hint that a server is to be chosen after all others. It never says that a request has
-/// not run.
+/// not run. That a server was named does not count towards the loss of a failure domain, as the server
+/// that named it may itself be cut off from a domain.
 #[derive(Debug, Default)]
 pub struct ServerFailures {
     servers: HashMap<ServerKey, TrackedServer>,
@@ -82,7 +101,36 @@
         self.on_own_failure(server, now, false);
     }
 
-    /// Records that a server accepted a connection of this gateway, or has sent data, at `at`.
+    /// Records that another server's response to this gateway has named a server as at fault. Peers
+    /// hear of it at most once in `REPORT_INTERVAL`, as the two may contradict each other at the rate of
+    /// requests.
+    pub fn on_named_at_fault(&mut self, server: &BackendEntry, now: Duration) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        tracked.named_at = Some(now);
+        tracked.own_named_at = Some(now);
+        if tracked.is_report_due(now) {
+            self.report(key, now);
+        }
+    }
+
+    /// Records that a server has sent data to this gateway. It is not at fault then, and peers hear of
+    /// that if it was named; but it may refuse new connections, as a server that leaves does.
+    pub fn on_data(&mut self, server: &BackendEntry, now: Duration) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        let was_named = tracked.is_named(now);
+        tracked.on_data(now, true);
+        if was_named && tracked.is_report_due(now) {
+            self.report_data(key, now);
+        }
+    }
+
+    /// Records that a server accepted a connection of this gateway at `at`.
     pub fn on_accepted(&mut self, server: &BackendEntry, at: Duration, now: Duration) {
         let (key, domain) = (server_key(&server.id), server_key(&server.domain));
         self.end_trial(key);
@@ -98,30 +146,51 @@
         }
     }
 
-    /// Applies a frame of a peer; returns the servers that were not known to refuse connections.
-    pub fn on_peer_reports(&mut self, reports: &[ServerReport], now: Duration) -> Vec<ServerKey> {
-        let mut refusing = Vec::new();
+    /// Applies a frame of a peer; returns the reports of servers that were not known to refuse
+    /// connections, or to be at fault.
+    pub fn on_peer_reports(
+        &mut self,
+        reports: &[ServerReport],
+        now: Duration,
+    ) -> Vec<ServerReport> {
+        let mut news = Vec::new();
         for report in reports.iter().take(MAX_FRAME_REPORTS) {
             let at = now.saturating_sub(report.age);
             let Some(tracked) = self.track(report.server, report.domain, now) else {
                 continue;
             };
-            if report.accepts {
-                tracked.accept(at, false);
-            } else if tracked.accepted_at.is_some_and(|accepted| accepted >= at) {
-                // The server has accepted a connection since, or the peer is cut off from it.
-                if tracked.is_own_acceptance && tracked.is_report_due(now) {
-                    self.report(report.server, now);
+            match report.state {
+                ServerState::Accepts => tracked.accept(at, false),
+                ServerState::Answers => tracked.on_data(at, false),
+                ServerState::NamedAtFault if tracked.data_at >= Some(at) => {
+                    // It has sent data since, or the peer was misled.
+                    if tracked.is_own_data && tracked.is_report_due(now) {
+                        self.report_data(report.server, now);
+                    }
+                }
+                ServerState::NamedAtFault => {
+                    let was_named = tracked.is_named(now);
+                    tracked.named_at = tracked.named_at.max(Some(at));
+                    if !was_named && tracked.is_named(now) {
+                        news.push(*report);
+                    }
                 }
-            } else {
-                if tracked.refusal.is_none() {
-                    refusing.push(report.server);
+                ServerState::Refuses if tracked.accepted_at.is_some_and(|last| last >= at) => {
+                    // The server has accepted a connection since, or the peer is cut off from it.
+                    if tracked.is_own_acceptance && tracked.is_report_due(now) {
+                        self.report(report.server, now);
+                    }
+                }
+                ServerState::Refuses => {
+                    if tracked.refusal.is_none() {
+                        news.push(*report);
+                    }
+                    tracked.refuse(at, false);
+                    self.contradict(report.domain, at, now);
                 }
-                tracked.refuse(at, false);
-                self.contradict(report.domain, at, now);
             }
         }
-        refusing
+        news
     }
 
     /// What peers have to hear of that have heard of `revision`, or of nothing yet, and the present
@@ -129,20 +198,17 @@
     pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> (Vec<ServerReport>, u64) {
         let reports = self.servers.iter().filter_map(|(server, tracked)| {
             let (reported, _) = tracked.reported?;
-            let refusal = tracked.refusal.filter(|refusal| refusal.is_reported);
-            let is_due = match revision {
-                Some(revision) => reported > revision,
-                None => refusal.is_some(),
-            };
-            let seen_at = match (refusal, tracked.refusal) {
-                (Some(refusal), _) => refusal.last_at,
-                (None, None) => tracked.accepted_at.filter(|_| tracked.is_own_acceptance)?,
-                (None, Some(_)) => return None,
+            let (state, seen_at) = tracked.news()?;
+            let is_due = match (revision, state) {
+                (Some(revision), _) => reported > revision,
+                (None, ServerState::Refuses) => true,
+                (None, ServerState::NamedAtFault) => tracked.is_named(now),
+                (None, ServerState::Accepts | ServerState::Answers) => false,
             };
             is_due.then_some(ServerReport {
                 server: *server,
                 domain: tracked.domain,
-                accepts: refusal.is_none(),
+                state,
                 age: now.saturating_sub(seen_at),
             })
         });
@@ -155,8 +221,8 @@
     }
 
     /// For each of the servers among which one is chosen, whether it is gone as far as is known: it has
-    /// refused a connection a moment ago, or its failure domain is presumed gone. No domain is presumed
-    /// gone if all of them would be.
+    /// refused a connection or was named as at fault a moment ago, or its failure domain is presumed gone.
+    /// No domain is presumed gone if all of them would be.
     pub fn gone(&self, servers: &[BackendEntry], now: Duration) -> Vec<bool> {
         let out = self.domains_out(servers);
         let is_gone = |server: &BackendEntry| {
@@ -173,6 +239,12 @@
         servers.filter(|tracked| tracked.refusal.is_some()).count()
     }
 
+    /// Number of servers that were named as at fault a moment ago.
+    pub fn named_servers(&self, now: Duration) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|tracked| tracked.is_named(now)).count()
+    }
+
     /// Failure domains of these servers that are presumed gone.
     pub fn domains_out(&self, servers: &[BackendEntry]) -> HashSet<DomainKey> {
         if self
@@ -295,6 +367,15 @@
         if let Some(tracked) = self.servers.get_mut(&server) {
             self.revision += 1;
             tracked.reported = Some((self.revision, now));
+            tracked.contradicts = false;
+        }
+    }
+
+    /// Tells peers of a server that was named as at fault and has sent this gateway data since.
+    fn report_data(&mut self, server: ServerKey, now: Duration) {
+        self.report(server, now);
+        if let Some(tracked) = self.servers.get_mut(&server) {
+            tracked.contradicts = true;
         }
     }
 
@@ -321,6 +402,11 @@
             accepted_at: None,
             is_own_acceptance: false,
             reported: None,
+            data_at: None,
+            is_own_data: false,
+            contradicts: false,
+            named_at: None,
+            own_named_at: None,
         });
         Some(tracked)
     }
@@ -348,9 +434,41 @@
         self.refusal = self.refusal.filter(|refusal| refusal.last_at > at);
     }
 
+    fn on_data(&mut self, at: Duration, is_own: bool) {
+        if self.data_at < Some(at) {
+            self.data_at = Some(at);
+            self.is_own_data = is_own;
+        }
+        self.named_at = self.named_at.filter(|named| *named > at);
+        self.own_named_at = self.own_named_at.filter(|named| *named > at);
+    }
+
+    /// What this gateway has seen last that peers may have to hear of, and when.
+    fn news(&self) -> Option<(ServerState, Duration)> {
+        if let Some(refusal) = self.refusal.filter(|refusal| refusal.is_reported) {
+            return Some((ServerState::Refuses, refusal.last_at));
+        }
+        let accepted_at = self.accepted_at.filter(|_| self.is_own_acceptance);
+        if let Some(at) = self.own_named_at.filter(|at| accepted_at < Some(*at)) {
+            return Some((ServerState::NamedAtFault, at));
+        }
+        if self.refusal.is_some() {
+            return None;
+        }
+        if self.contradicts {
+            return Some((ServerState::Answers, self.data_at?));
+        }
+        Some((ServerState::Accepts, accepted_at?))
+    }
+
     fn is_avoided(&self, now: Duration) -> bool {
         let refusal = self.refusal;
-        refusal.is_some_and(|refusal| now < refusal.last_at + AVOID_TIME)
+        let is_refused = refusal.is_some_and(|refusal| now < refusal.last_at + AVOID_TIME);
+        is_refused || self.is_named(now)
+    }
+
+    fn is_named(&self, now: Duration) -> bool {
+        self.named_at.is_some_and(|at| now < at + NAMED_AVOID_TIME)
     }
 
     fn is_forgotten(&self, now: Duration) -> bool {
--- a/crates/policy/tests/server_failures.rs
+++ b/crates/policy/tests/server_failures.rs
@@ -1,7 +1,8 @@
-//! Shared detection of servers that refuse connections, replayed in virtual time.
+//! Shared detection of servers that refuse connections or are named as at fault, replayed in virtual
+//! time.
 
-use policy::{SendShares, ServerFailures};
-use proto::{BackendEntry, ServerReport};
+use policy::{SendShares, ServerFailures, server_key};
+use proto::{BackendEntry, ServerReport, ServerState};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng as _, SeedableRng as _};
@@ -16,6 +17,13 @@
 /// Requests per second at each gateway.
 const REQUEST_RATE: f64 = 20.0;
 const OUTAGE: Duration = Duration::from_secs(2);
+/// Time for which a server is avoided that was named as at fault, and interval of reports on it.
+const NAMED_AVOID_TIME: Duration = Duration::from_millis(600);
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(40);
+/// Server of domain "a" that is named as at fault.
+const NAMED_SERVER: usize = 6;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -53,6 +61,17 @@
     /// When a request, and not a trial, met a refused connection.
     refused: Vec<Duration>,
     trials: Vec<(Duration, usize)>,
+    /// When `NAMED_SERVER` stops: it accepts connections, and servers that it was to help name it as
+    /// at fault.
+    stops_at: Duration,
+    /// When a response named it as at fault after it stopped.
+    named: Vec<Duration>,
+    /// Gateway of which half the responses name `NAMED_SERVER` although it runs.
+    misled_gateway: Option<usize>,
+    /// Gateways and servers of the streams that run.
+    streams: Vec<(usize, usize)>,
+    /// Reports on `NAMED_SERVER` that each gateway has sent.
+    named_server_reports: [u32; GATEWAYS],
 }
 
 impl Fleet {
@@ -73,12 +92,18 @@
             has_links: true,
             refused: Vec::new(),
             trials: Vec::new(),
+            stops_at: Duration::MAX,
+            named: Vec::new(),
+            misled_gateway: None,
+            streams: Vec::new(),
+            named_server_reports: [0; GATEWAYS],
         }
     }
 
     /// Runs until `end`; `is_gone` says which servers refuse connections.
     fn run(&mut self, end: Duration, is_gone: impl Fn(&BackendEntry, Duration) -> bool) {
         while self.now < end {
+            self.stream_events(&is_gone);
             for index in 0..self.gateways.len() {
                 self.receive(index);
                 if self.rng.random_bool(REQUEST_RATE * STEP.as_secs_f64()) {
@@ -101,16 +126,39 @@
         }
     }
 
+    /// Each stream of a server that runs has an event every `EVENT_GAP`.
+    fn stream_events(&mut self, is_gone: impl Fn(&BackendEntry, Duration) -> bool) {
+        for (gateway, index) in &self.streams {
+            let phase = STEP * ((gateway + index) % 10) as u32;
+            let is_due = (self.now + phase)
+                .as_millis()
+                .is_multiple_of(EVENT_GAP.as_millis());
+            let has_stopped = *index == NAMED_SERVER && self.now >= self.stops_at;
+            let server = &self.servers[*index];
+            if is_due && !has_stopped && !is_gone(server, self.now) {
+                self.gateways[*gateway].failures.on_data(server, self.now);
+            }
+        }
+    }
+
     fn send_request(&mut self, index: usize, is_gone: impl Fn(&BackendEntry, Duration) -> bool) {
         let failures = &mut self.gateways[index].failures;
         let gone = failures.gone(&self.servers, self.now);
         let usable: Vec<_> = (0..SERVERS).filter(|server| !gone[*server]).collect();
-        let server = &self.servers[*usable.choose(&mut self.rng).unwrap()];
-        if is_gone(server, self.now) {
+        let chosen = *usable.choose(&mut self.rng).unwrap();
+        let server = &self.servers[chosen];
+        if chosen == NAMED_SERVER && self.now >= self.stops_at {
+            self.named.push(self.now);
+            failures.on_named_at_fault(server, self.now);
+        } else if is_gone(server, self.now) {
             self.refused.push(self.now);
             failures.on_refused(server, self.now);
         } else {
             failures.on_accepted(server, self.now, self.now);
+            failures.on_data(server, self.now);
+        }
+        if self.misled_gateway == Some(index) && self.rng.random_bool(0.5) {
+            failures.on_named_at_fault(&self.servers[NAMED_SERVER], self.now);
         }
     }
 
@@ -137,6 +185,11 @@
         let revision = Some(gateway.sent_revision);
         let (reports, revision) = gateway.failures.changed_since(revision, self.now);
         gateway.sent_revision = revision;
+        let named_server = server_key(&self.servers[NAMED_SERVER].id);
+        let of_named_server = reports
+            .iter()
+            .filter(|report| report.server == named_server);
+        self.named_server_reports[index] += of_named_server.count() as u32;
         if reports.is_empty() || !self.has_links {
             return;
         }
@@ -210,6 +263,120 @@
     }
 }
 
+/// Guards against 26 gateways that each send prompts with a helper that has stopped, until a response
+/// names it to them. In the middle, a failure domain is lost as well.
+#[test]
+fn a_server_that_has_stopped_is_named_by_few_responses() {
+    const LOSS: Duration = Duration::from_secs(5);
+    const END: Duration = Duration::from_secs(8);
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed);
+        fleet.stops_at = OUTAGE;
+        let is_gone = |server: &BackendEntry, now| now >= LOSS && &*server.domain == "b";
+        fleet.run(END, is_gone);
+        // One response at the end of each time for which it is avoided, and one before peers hear.
+        let bound = 2 * (END - OUTAGE).div_duration_f64(NAMED_AVOID_TIME) as usize;
+        let named = fleet.named.len();
+        assert!(named <= bound, "seed {seed}: {named}");
+        assert!(
+            fleet.refused.len() <= SERVERS / 3,
+            "seed {seed}: {}",
+            fleet.refused.len()
+        );
+        let late = fleet.refused.iter().filter(|at| **at > LOSS + ms(200));
+        assert_eq!(late.count(), 0, "seed {seed}");
+    }
+}
+
+/// Guards against one misled gateway that takes a server which runs from all others, and against
+/// reports at the rate of responses. In the middle, the server stops indeed.
+#[test]
+fn a_server_that_is_named_wrongly_stays_in_use() {
+    const STOP: Duration = Duration::from_secs(8);
+    const END: Duration = Duration::from_secs(12);
+    const MISLED: usize = 9;
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed);
+        fleet.misled_gateway = Some(MISLED);
+        fleet.stops_at = STOP;
+        fleet.streams = (0..5).map(|gateway| (gateway, NAMED_SERVER)).collect();
+        let (mut avoided, mut steps) = (0, 0);
+        while fleet.now < STOP {
+            fleet.run(fleet.now + STEP, |_, _| false);
+            let others = fleet.gateways.iter().enumerate();
+            for (_, gateway) in others.filter(|(index, _)| *index != MISLED) {
+                let gone = gateway.failures.gone(&fleet.servers, fleet.now);
+                avoided += u32::from(gone[NAMED_SERVER]);
+                steps += 1;
+            }
+        }
+        // Until the next event, and until peers have heard of it.
+        let share = f64::from(avoided) / f64::from(steps);
+        let bound = (EVENT_GAP + REPORT_DELAY).div_duration_f64(REPORT_INTERVAL);
+        assert!(share <= bound, "seed {seed}: {share}");
+        fleet.run(END, |_, _| false);
+        let named = fleet.named.len();
+        let bound = 2 * (END - STOP).div_duration_f64(NAMED_AVOID_TIME) as usize;
+        assert!(named <= bound, "seed {seed}: {named}");
+        let bound = 1 + END.div_duration_f64(REPORT_INTERVAL) as u32;
+        let reports = fleet.named_server_reports;
+        assert!(
+            reports.iter().all(|sent| *sent <= bound),
+            "seed {seed}: {reports:?}"
+        );
+        assert!(reports[MISLED] > 0, "seed {seed}");
+    }
+}
+
+/// A peer that was misled, or that reports late, names a server that has answered this gateway since.
+#[test]
+fn a_server_that_has_sent_data_since_it_was_named_is_not_avoided() {
+    let servers = servers();
+    let (mut misled, mut other) = (ServerFailures::default(), ServerFailures::default());
+    misled.on_named_at_fault(&servers[NAMED_SERVER], ms(100));
+    other.on_data(&servers[NAMED_SERVER], ms(105));
+    let (reports, revision) = misled.changed_since(None, ms(110));
+    assert_eq!(reports[0].state, ServerState::NamedAtFault);
+    assert!(other.on_peer_reports(&reports, ms(110)).is_empty());
+    assert!(!other.gone(&servers, ms(110)).contains(&true));
+    let (answers, _) = other.changed_since(Some(0), ms(115));
+    assert_eq!(answers[0].state, ServerState::Answers);
+    // It had sent data before only.
+    misled.on_named_at_fault(&servers[NAMED_SERVER], ms(700));
+    let (reports, _) = misled.changed_since(Some(revision), ms(710));
+    assert_eq!(other.on_peer_reports(&reports, ms(710)), reports);
+    assert!(other.gone(&servers, ms(710))[NAMED_SERVER]);
+    other.on_data(&servers[NAMED_SERVER], ms(720));
+    let (answers, _) = other.changed_since(Some(0), ms(730));
+    assert_eq!(answers[0].state, ServerState::Answers);
+    misled.on_peer_reports(&answers, ms(740));
+    assert!(!misled.gone(&servers, ms(740)).contains(&true));
+}
+
+/// A server that is cut off from a domain names each server there.
+#[test]
+fn servers_that_are_named_are_no_lost_domain() {
+    let servers = servers();
+    let mut failures = ServerFailures::default();
+    for server in servers.iter().step_by(3).take(4) {
+        failures.on_named_at_fault(server, ms(100));
+    }
+    let gone = failures.gone(&servers, ms(110));
+    assert_eq!(gone.iter().filter(|gone| **gone).count(), 4);
+    let gone = failures.gone(&servers, ms(100) + NAMED_AVOID_TIME);
+    assert!(!gone.contains(&true));
+}
+
+/// A server that leaves refuses connections while its streams go on.
+#[test]
+fn data_does_not_end_a_refusal() {
+    let servers = servers();
+    let mut failures = ServerFailures::default();
+    failures.on_refused(&servers[0], ms(100));
+    failures.on_data(&servers[0], ms(110));
+    assert!(failures.gone(&servers, ms(120))[0]);
+}
+
 /// Guards against a presumption without a domain left to send to.
 #[test]
 fn no_domain_is_presumed_gone_if_all_would_be() {
@@ -273,6 +440,8 @@
     let mut failures = ServerFailures::default();
     for index in 0..10_000 {
         failures.on_refused(&server(index), ms(100));
+        failures.on_named_at_fault(&server(index), ms(100));
+        failures.on_data(&server(index), ms(100));
     }
     assert_eq!(failures.refusing_servers(), 4_096);
     failures.next_trial(&servers(), &SendShares::of_starting("g"), ms(20_000));
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -48,7 +48,7 @@
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
-pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport};
+pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport, ServerState};
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
 pub use waiting::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, TeamPrefill, WaitingFrame};
--- a/crates/proto/src/opening.rs
+++ b/crates/proto/src/opening.rs
@@ -59,8 +59,8 @@
     /// Crashes of servers under the sender's requests, and what crashes servers.
     /// [`crate::CrashFrame`]s follow, nothing comes back.
     Crashes,
-    /// Backend servers that refuse the sender's connections. [`crate::ServerFailureFrame`]s follow,
-    /// nothing comes back.
+    /// Backend servers that refuse the sender's connections, or that other servers name as at fault.
+    /// [`crate::ServerFailureFrame`]s follow, nothing comes back.
     ServerFailures,
     /// Prompts that wait for engines at the sender. [`crate::WaitingFrame`]s follow, nothing comes back.
     Waiting,
--- a/crates/proto/tests/gateway_frames.rs
+++ b/crates/proto/tests/gateway_frames.rs
@@ -1,7 +1,8 @@
 //! Sizes of the frames that gateways exchange all the time.
 
 use proto::{
-    BackendEntry, BackendRow, LoadFrame, ServerUsage, StoreSnapshot, StoreVersions, encode,
+    BackendEntry, BackendRow, LoadFrame, ServerReport, ServerState, ServerUsage, StoreSnapshot,
+    StoreVersions, encode,
 };
 use std::time::Duration;
 
@@ -72,3 +73,20 @@
     let difference = size(&snapshot(1));
     assert!(difference <= 80, "difference of one row: {difference}");
 }
+
+/// Guards against gateways of two versions that misread each other's reports on servers that refuse
+/// connections: the state was a `bool` that says whether the server accepts them.
+#[test]
+fn states_of_servers_are_encoded_as_before() {
+    let (server, domain, age) = (7_u64, 9_u64, Duration::from_millis(12));
+    for (state, accepts) in [(ServerState::Refuses, false), (ServerState::Accepts, true)] {
+        let report = ServerReport {
+            server,
+            domain,
+            state,
+            age,
+        };
+        let before = encode(&(server, domain, accepts, age)).unwrap();
+        assert_eq!(encode(&report).unwrap(), before);
+    }
+}
--- a/crates/trials/tests/direct_peers.rs
+++ b/crates/trials/tests/direct_peers.rs
@@ -3,7 +3,7 @@
 
 use hyper::StatusCode;
 use runtime::Executor;
-use standins::ServerKind;
+use standins::{ServerBehaviour, ServerKind};
 use trials::{DirectGateway, DirectRig, FaultProxy, LinkFault};
 
 const PROMPT_TOKENS: u64 = 1_000;
@@ -180,3 +180,45 @@
         assert!(!log.contains("attempt: no answer"), "{log}");
     });
 }
+
+/// Guards against peers that send requests with a helper which a response has named as at fault.
+#[test]
+fn peers_hear_of_a_server_that_is_named_as_at_fault() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let store = rig.store.local_addr();
+        let second = rig.add_gateway("gateway-2", store).unwrap();
+        let add = |name| rig.add_server(name, "registry", ServerKind::Plain).unwrap();
+        let names_other = add("registry-1");
+        assert!(wait_until_served(&rig, &rig.gateway, "key-1").await);
+        assert!(wait_until_served(&rig, &second, "key-1").await);
+        let named = add("registry-2");
+        let gateways = [&rig.gateway, &second];
+        for gateway in gateways {
+            let log = || gateway.process.log();
+            let is_ready = async || {
+                let log = log();
+                log.contains("peers: link open") && log.contains("registry-2")
+            };
+            assert!(rig.wait_until(is_ready).await, "{}", log());
+        }
+        let behaviour = ServerBehaviour::NameAtFault(named.local_addr());
+        names_other.standin().set_behaviour(behaviour);
+        let mut calls = 0;
+        let is_named = async || {
+            calls += 1;
+            status(&rig.gateway, &format!("call-{calls}"), "key-1").await;
+            let log = rig.gateway.process.log();
+            log.contains("another server is at fault")
+        };
+        assert!(
+            rig.wait_until(is_named).await,
+            "{}",
+            rig.gateway.process.log()
+        );
+        let log = || second.process.log();
+        let heard = async || log().contains("servers: named as at fault to a peer");
+        assert!(rig.wait_until(heard).await, "{}", log());
+    });
+}
