direct: a server that sends events is not presumed gone with its domain

When three servers of a failure domain refuse connections within a second, all its others were avoided until one of them accepted a connection, also those that were sending events at that moment. A server whose data a gateway reads more than 100 ms after the domain was presumed gone is now used by this gateway. Data may be read that late by a gateway with a small share of a core, so earlier data is no evidence; and data speaks for its own server only, so that a domain that has ended is found as before. Data does not end a refusal, as a server that leaves refuses connections while its streams go on.

The data of a stream is recorded only while a server refuses connections or was named as at fault (one relaxed load per event otherwise), and then at most every 50 ms (DataEvidence), since each record takes the lock of all requests.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -365,7 +365,7 @@
             "server" => &*answered.id, "at_fault" => &*server.id);
         let fleet = &shared.fleet;
         fleet.on_result(&server.id, AttemptResult::Silent, now);
-        fleet.with_failures(|failures| failures.on_named_at_fault(server, now));
+        fleet.with_failures(now, |failures| failures.on_named_at_fault(server, now));
     }
     servers.into_iter().map(|server| server.id).collect()
 }
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
-use policy::{AttemptResult, BackendId, PromptRequirements, RetryTurn, team_key};
+use policy::{AttemptResult, BackendId, DataEvidence, PromptRequirements, RetryTurn, team_key};
 use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
@@ -97,6 +97,7 @@
     reservations: Reservations,
     run: GuardedRun,
     splitter: EventSplitter,
+    evidence: DataEvidence,
     sent_at: Duration,
     awaits_first_event: bool,
     is_last_choice: bool,
@@ -189,6 +190,7 @@
             reservations,
             run,
             splitter: EventSplitter::after(last_event.or(call.head.last_event_id)),
+            evidence: DataEvidence::default(),
             sent_at,
             awaits_first_event: true,
             is_last_choice: false,
@@ -260,6 +262,9 @@
             self.reservations.on_data();
             match self.splitter.push(&data) {
                 Ok(Some(events)) => {
+                    let server = &self.assignment.server;
+                    let fleet = &call.shared.fleet;
+                    fleet.on_stream_data(server, &mut self.evidence, clock.now());
                     self.run.on_events();
                     return StreamItem::Events(events);
                 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -3,15 +3,15 @@
 use crate::signal::Signal;
 use adapter::HostSettings;
 use policy::{
-    AttemptResult, BackendId, EngineCandidate, FleetLoad, HerdAvoidance, JobId, JobLoad,
-    LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits, SendLimiter,
-    SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses, ServiceName, ServiceSpec,
-    SuspectKind, cold_send_bound, server_key,
+    AttemptResult, BackendId, DataEvidence, EngineCandidate, FleetLoad, HerdAvoidance, JobId,
+    JobLoad, LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
+    SendLimiter, SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses, ServiceName,
+    ServiceSpec, SuspectKind, cold_send_bound, server_key,
 };
 use proto::{BackendEntry, RequestLimit, ServerKey, ServerReport, ServerUsage};
 use rand::Rng as _;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     state: Mutex<State>,
+    /// Whether data of streams is recorded, as of the last update of the server failures.
+    awaits_data: AtomicBool,
     update_interval_micros: AtomicU64,
     next_job_id: AtomicU64,
     changed: Signal,
@@ -60,6 +62,7 @@
                 retry_budgets: HashMap::new(),
             }),
             name: settings.name.clone(),
+            awaits_data: AtomicBool::new(false),
             update_interval_micros: AtomicU64::new(0),
             next_job_id: AtomicU64::new(1),
             domain: settings.domain.clone(),
@@ -226,16 +229,35 @@
     }
 
     /// Updates the servers that refuse connections; peers are told at once of what they have to hear.
-    pub fn with_failures<T>(&self, f: impl FnOnce(&mut ServerFailures) -> T) -> T {
+    pub fn with_failures<T>(&self, now: Duration, f: impl FnOnce(&mut ServerFailures) -> T) -> T {
         let mut state = self.lock();
         let revision = state.failures.revision();
         let result = f(&mut state.failures);
         if state.failures.revision() != revision {
             self.urgent.notify();
         }
+        let awaits_data = state.failures.awaits_data(now);
+        self.awaits_data.store(awaits_data, Ordering::Relaxed);
         result
     }
 
+    /// Records that a stream of a server has data, where this matters and not for each event.
+    pub fn on_stream_data(
+        &self,
+        server: &BackendEntry,
+        evidence: &mut DataEvidence,
+        now: Duration,
+    ) {
+        if self.awaits_data.load(Ordering::Relaxed) && evidence.is_due(now) {
+            self.with_failures(now, |failures| failures.on_data(server, now));
+        }
+    }
+
+    /// Number of the last change of server failures.
+    pub fn failure_revision(&self) -> u64 {
+        self.lock().failures.revision()
+    }
+
     /// Reports on servers that a peer has to hear of which has heard of `revision`, or of nothing yet,
     /// and the present revision.
     pub fn server_reports_since(
--- a/crates/direct/src/server_failure.rs
+++ b/crates/direct/src/server_failure.rs
@@ -21,14 +21,14 @@
 pub fn record_accepted(shared: &Shared, server: &BackendEntry) {
     let now = shared.clock.now();
     let fleet = &shared.fleet;
-    fleet.with_failures(|failures| failures.on_accepted(server, now, now));
+    fleet.with_failures(now, |failures| failures.on_accepted(server, now, now));
 }
 
 /// Records that a connection to a server could not be made.
 pub fn record_failure(shared: &Shared, server: &BackendEntry, err: &HttpError) {
     let now = shared.clock.now();
     let is_refused = is_refusal(err);
-    shared.fleet.with_failures(|failures| {
+    shared.fleet.with_failures(now, |failures| {
         if is_refused {
             failures.on_refused(server, now);
         } else {
@@ -41,7 +41,7 @@
 pub fn record_data(shared: &Shared, server: &BackendEntry) {
     let now = shared.clock.now();
     let fleet = &shared.fleet;
-    fleet.with_failures(|failures| failures.on_data(server, now));
+    fleet.with_failures(now, |failures| failures.on_data(server, now));
 }
 
 /// Whether the host of a server refused a connection.
@@ -55,16 +55,16 @@
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let now = shared.clock.now();
-        let (refusing, named) = shared
-            .fleet
-            .with_failures(|failures| (failures.refusing_servers(), failures.named_servers(now)));
+        let (refusing, named) = shared.fleet.with_failures(now, |failures| {
+            (failures.refusing_servers(), failures.named_servers(now))
+        });
         shared.metrics.set_failed_servers(refusing, named);
         if refusing == 0 && domains_out.is_empty() {
             continue;
         }
         let servers = shared.store_cache.all_usable_servers(now);
         let shares = shared.fleet.send_shares();
-        let (out, trial) = shared.fleet.with_failures(|failures| {
+        let (out, trial) = shared.fleet.with_failures(now, |failures| {
             let trial = failures.next_trial(&servers, &shares, now);
             (failures.domains_out(&servers), trial)
         });
@@ -106,7 +106,7 @@
     const NAME: &str = "server failures";
 
     fn revision(shared: &Shared) -> u64 {
-        shared.fleet.with_failures(|failures| failures.revision())
+        shared.fleet.failure_revision()
     }
 
     fn changed_since(shared: &Shared, revision: Option<u64>) -> (Option<ServerFailureFrame>, u64) {
@@ -119,7 +119,9 @@
     fn on_frame(shared: &Shared, peer: &str, frame: ServerFailureFrame) {
         let now = shared.clock.now();
         let fleet = &shared.fleet;
-        let news = fleet.with_failures(|failures| failures.on_peer_reports(&frame.reports, now));
+        let news = fleet.with_failures(now, |failures| {
+            failures.on_peer_reports(&frame.reports, now)
+        });
         for report in news {
             let server = shared.store_cache.server_with_key(report.server);
             if report.state == ServerState::NamedAtFault {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 mod config_rows;
 mod crash_evidence;
 mod crash_guard;
+mod data_evidence;
 mod dispatch;
 mod domain_tracker;
 mod engine_choice;
@@ -122,6 +123,7 @@
 };
 pub use crash_evidence::CrashEvidence;
 pub use crash_guard::CrashGuard;
+pub use data_evidence::DataEvidence;
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
 pub use engine_choice::{
     EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements,
--- a/crates/policy/src/server_failures.rs
+++ b/crates/policy/src/server_failures.rs
@@ -32,6 +32,9 @@
 /// which got the response avoids it for as long after a first failure. A trial connection would not
 /// end it, as a server that has stopped still accepts connections.
 const NAMED_AVOID_TIME: Duration = Duration::from_millis(600);
+/// Data of a server that has ended may be read for this long. A gateway with a small share of a core
+/// does not run for up to a tenth of a second at a time.
+const UNREAD_DATA_TIME: Duration = Duration::from_millis(100);
 /// Peers hear again of a server that still refuses connections, or is named as at fault again, after
 /// this time.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,7 +137,7 @@
     pub fn on_accepted(&mut self, server: &BackendEntry, at: Duration, now: Duration) {
         let (key, domain) = (server_key(&server.id), server_key(&server.domain));
         self.end_trial(key);
-        let was_out = self.is_domain_out(domain);
+        let was_out = self.domain_out_since(domain).is_some();
         let Some(tracked) = self.track(key, domain, now) else {
             return;
         };
@@ -221,14 +224,18 @@
     }
 
     /// For each of the servers among which one is chosen, whether it is gone as far as is known: it has
-    /// refused a connection or was named as at fault a moment ago, or its failure domain is presumed gone.
-    /// No domain is presumed gone if all of them would be.
+    /// refused a connection or was named as at fault a moment ago, or its failure domain is presumed gone
+    /// and it has sent no data since. No domain is presumed gone if all of them would be. Data of a
+    /// server says nothing about the others of its domain: only an accepted connection does, as data
+    /// may be read after its server has ended.
     pub fn gone(&self, servers: &[BackendEntry], now: Duration) -> Vec<bool> {
-        let out = self.domains_out(servers);
+        let out = self.domains_out_since(servers);
         let is_gone = |server: &BackendEntry| {
             let tracked = self.servers.get(&server_key(&server.id));
             let is_avoided = tracked.is_some_and(|tracked| tracked.is_avoided(now));
-            is_avoided || out.contains(&server_key(&server.domain))
+            let data_at = tracked.and_then(|tracked| tracked.data_at);
+            let out_since = out.get(&server_key(&server.domain));
+            is_avoided || out_since.is_some_and(|since| data_at <= Some(*since + UNREAD_DATA_TIME))
         };
         servers.iter().map(is_gone).collect()
     }
@@ -245,23 +252,35 @@
         servers.filter(|tracked| tracked.is_named(now)).count()
     }
 
+    /// Whether data of servers matters now: some refuse connections or were named as at fault.
+    pub fn awaits_data(&self, now: Duration) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|tracked| tracked.refusal.is_some() || tracked.is_named(now))
+    }
+
     /// Failure domains of these servers that are presumed gone.
     pub fn domains_out(&self, servers: &[BackendEntry]) -> HashSet<DomainKey> {
+        self.domains_out_since(servers).into_keys().collect()
+    }
+
+    /// Failure domains of these servers that are presumed gone, and since when.
+    fn domains_out_since(&self, servers: &[BackendEntry]) -> HashMap<DomainKey, Duration> {
         if self
             .servers
             .values()
             .all(|tracked| tracked.refusal.is_none())
         {
-            return HashSet::new();
+            return HashMap::new();
         }
         let domains: HashSet<_> = servers
             .iter()
             .map(|server| server_key(&server.domain))
             .collect();
         let out = domains.iter().copied();
-        let out: HashSet<_> = out.filter(|domain| self.is_domain_out(*domain)).collect();
+        let out = out.filter_map(|domain| Some((domain, self.domain_out_since(domain)?)));
+        let out: HashMap<_, _> = out.collect();
         if out.len() == domains.len() {
-            return HashSet::new();
+            return HashMap::new();
         }
         out
     }
@@ -306,9 +325,9 @@
         Some((domain, last + PRESUMED_TRIAL_DELAY))
     }
 
-    /// Whether several servers of a domain began to refuse connections within `DOMAIN_WINDOW`, and none
+    /// When several servers of a domain last began to refuse connections within `DOMAIN_WINDOW`, if none
     /// of the domain has accepted one since.
-    fn is_domain_out(&self, domain: DomainKey) -> bool {
+    fn domain_out_since(&self, domain: DomainKey) -> Option<Duration> {
         let of_domain = || {
             let servers = self.servers.values();
             servers.filter(move |tracked| tracked.domain == domain)
@@ -320,9 +339,10 @@
             .collect();
         starts.retain(|start| accepted_at.is_none_or(|accepted| accepted < *start));
         starts.sort_unstable();
-        starts
-            .windows(MIN_DOMAIN_REFUSALS)
-            .any(|window| window[MIN_DOMAIN_REFUSALS - 1] - window[0] <= DOMAIN_WINDOW)
+        let mut windows = starts.windows(MIN_DOMAIN_REFUSALS).rev();
+        let last =
+            windows.find(|window| window[MIN_DOMAIN_REFUSALS - 1] - window[0] <= DOMAIN_WINDOW)?;
+        Some(last[MIN_DOMAIN_REFUSALS - 1])
     }
 
     fn refusals(&self, domain: DomainKey) -> impl Iterator<Item = Refusal> {
--- a/crates/policy/tests/server_failures.rs
+++ b/crates/policy/tests/server_failures.rs
@@ -1,7 +1,7 @@
 //! Shared detection of servers that refuse connections or are named as at fault, replayed in virtual
 //! time.
 
-use policy::{SendShares, ServerFailures, server_key};
+use policy::{DataEvidence, SendShares, ServerFailures, server_key};
 use proto::{BackendEntry, ServerReport, ServerState};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom as _;
@@ -20,6 +20,8 @@
 /// Time for which a server is avoided that was named as at fault, and interval of reports on it.
 const NAMED_AVOID_TIME: Duration = Duration::from_millis(600);
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which data of a server that has ended may still be read.
+const UNREAD_DATA_TIME: Duration = Duration::from_millis(100);
 /// Time between events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(40);
 /// Server of domain "a" that is named as at fault.
@@ -69,7 +71,7 @@
     /// Gateway of which half the responses name `NAMED_SERVER` although it runs.
     misled_gateway: Option<usize>,
     /// Gateways and servers of the streams that run.
-    streams: Vec<(usize, usize)>,
+    streams: Vec<(usize, usize, DataEvidence)>,
     /// Reports on `NAMED_SERVER` that each gateway has sent.
     named_server_reports: [u32; GATEWAYS],
 }
@@ -128,15 +130,17 @@
 
     /// Each stream of a server that runs has an event every `EVENT_GAP`.
     fn stream_events(&mut self, is_gone: impl Fn(&BackendEntry, Duration) -> bool) {
-        for (gateway, index) in &self.streams {
-            let phase = STEP * ((gateway + index) % 10) as u32;
+        for (gateway, index, evidence) in &mut self.streams {
+            let phase = STEP * ((*gateway + *index) % 10) as u32;
             let is_due = (self.now + phase)
                 .as_millis()
                 .is_multiple_of(EVENT_GAP.as_millis());
             let has_stopped = *index == NAMED_SERVER && self.now >= self.stops_at;
             let server = &self.servers[*index];
-            if is_due && !has_stopped && !is_gone(server, self.now) {
-                self.gateways[*gateway].failures.on_data(server, self.now);
+            let runs = !has_stopped && !is_gone(server, self.now);
+            let failures = &mut self.gateways[*gateway].failures;
+            if is_due && runs && failures.awaits_data(self.now) && evidence.is_due(self.now) {
+                failures.on_data(server, self.now);
             }
         }
     }
@@ -299,7 +303,8 @@
         let mut fleet = Fleet::new(seed);
         fleet.misled_gateway = Some(MISLED);
         fleet.stops_at = STOP;
-        fleet.streams = (0..5).map(|gateway| (gateway, NAMED_SERVER)).collect();
+        let stream = |gateway| (gateway, NAMED_SERVER, DataEvidence::default());
+        fleet.streams = (0..5).map(stream).collect();
         let (mut avoided, mut steps) = (0, 0);
         while fleet.now < STOP {
             fleet.run(fleet.now + STEP, |_, _| false);
@@ -367,6 +372,88 @@
     assert!(!gone.contains(&true));
 }
 
+/// Guards against the loss of a whole domain to new requests while three of its servers end, as by
+/// requests that crash them, and the others send events. In the middle, the whole domain ends indeed.
+#[test]
+fn servers_that_send_events_are_not_presumed_gone() {
+    const LOSS: Duration = Duration::from_secs(6);
+    const CRASHED: [usize; 3] = [1, 4, 7];
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(seed);
+        // Without links, a gateway hears of no connection that another one made.
+        fleet.has_links = false;
+        let servers = (0..SERVERS).filter(|index| index % 3 == 1 && !CRASHED.contains(index));
+        let stream = |index| (index % GATEWAYS, index, DataEvidence::default());
+        fleet.streams = servers.map(stream).collect();
+        let ids = CRASHED.map(|index| server(index).id);
+        let is_gone = |server: &BackendEntry, now| {
+            now >= OUTAGE && ids.contains(&server.id) || now >= LOSS && &*server.domain == "b"
+        };
+        fleet.run(OUTAGE, is_gone);
+        for gateway in &mut fleet.gateways {
+            for index in CRASHED {
+                gateway.failures.on_refused(&fleet.servers[index], OUTAGE);
+            }
+        }
+        // Data may be read late by `UNREAD_DATA_TIME`, and is recorded every other event.
+        fleet.run(OUTAGE + UNREAD_DATA_TIME + 2 * EVENT_GAP, is_gone);
+        for (gateway, index, _) in &fleet.streams {
+            let failures = &fleet.gateways[*gateway].failures;
+            let gone = failures.gone(&fleet.servers, fleet.now);
+            assert!(!gone[*index], "seed {seed}: server {index}");
+        }
+        fleet.run(LOSS, is_gone);
+        let before = fleet.refused.len();
+        fleet.run(LOSS + ms(4_000), is_gone);
+        // As many as where no server sends events: each gateway finds the domain by itself.
+        let refused = fleet.refused.len() - before;
+        assert!(refused <= GATEWAYS * 4, "seed {seed}: {refused}");
+    }
+}
+
+/// Data that was still to be read when its server ended is no evidence.
+#[test]
+fn data_at_the_end_of_a_domain_keeps_no_server_in_use() {
+    let servers = servers();
+    let mut failures = ServerFailures::default();
+    for server in servers.iter().step_by(3).take(3) {
+        failures.on_refused(server, ms(100));
+    }
+    failures.on_data(&servers[9], ms(100) + UNREAD_DATA_TIME);
+    assert!(failures.gone(&servers, ms(210))[9]);
+    failures.on_data(&servers[9], ms(101) + UNREAD_DATA_TIME);
+    assert!(!failures.gone(&servers, ms(210))[9]);
+    // Others of the domain refuse connections later.
+    for server in servers.iter().step_by(3).skip(4).take(3) {
+        failures.on_refused(server, ms(500));
+    }
+    let gone = failures.gone(&servers, ms(510));
+    assert_eq!(gone.iter().filter(|gone| **gone).count(), SERVERS / 3);
+}
+
+/// Guards against a lock for each event of each stream.
+#[test]
+fn data_of_a_stream_is_recorded_at_most_every_50_ms() {
+    for seed in 0..5 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut evidence = DataEvidence::default();
+        let (mut now, mut recorded, mut last_event) = (ms(1_000), Vec::new(), ms(1_000));
+        while now < ms(11_000) {
+            let is_due = evidence.is_due(now);
+            let after_pause = now - last_event >= ms(50);
+            assert!(
+                is_due || !after_pause,
+                "seed {seed}: first event after a pause"
+            );
+            recorded.extend(is_due.then_some(now));
+            last_event = now;
+            now += ms(rng.random_range(1..=12) * rng.random_range(1..=12));
+        }
+        let mut gaps = recorded.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(gaps.all(|gap| gap >= ms(50)), "seed {seed}");
+    }
+}
+
 /// A server that leaves refuses connections while its streams go on.
 #[test]
 fn data_does_not_end_a_refusal() {
