trials: build the binaries without the variables of the test's package

Tests that start gateways build the shipped binaries where they are older than the sources. cargo test sets CARGO_PKG_* and CARGO_MANIFEST_* for the test; the build script of ring depends on them, so that this build made ring, rustls, quinn and all that uses them anew, and the next cargo test did so once more. The time counted as that of the test. The build no longer gets these variables. It is also checked once in each process: a change of a source that the binaries do not depend on left them older than it, so that each start of a gateway ran cargo. The time of a build goes to standard error.

--- a/crates/trials/src/binaries.rs
+++ b/crates/trials/src/binaries.rs
@@ -5,11 +5,14 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::Command;
-use std::time::SystemTime;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Instant, SystemTime};
 
 const GATEWAY: &str = "bergamothold";
 const AGENT: &str = "bergamothold-agent";
 const RELEASE_DIRECTORY: &str = "release";
+/// Prefixes of the variables in which cargo tells a program about its package.
+const PACKAGE_VARIABLES: [&str; 2] = ["CARGO_MANIFEST_", "CARGO_PKG_"];
 
 /// Paths of the shipped binaries.
 #[derive(Debug, Clone)]
@@ -22,15 +25,25 @@
 
 impl Binaries {
     /// Finds the binaries of the build profile of the running program, and builds them if needed.
+    ///
+    /// They are checked once in each process. A change of a source that they do not depend on leaves
+    /// them older than it, so that a check at each start of a gateway would run cargo each time.
     pub fn find() -> Result<Self, TrialError> {
+        static IS_CHECKED: Mutex<bool> = Mutex::new(false);
         let directory = profile_directory()?;
         let binaries = Self {
             gateway: directory.join(GATEWAY),
             agent: directory.join(AGENT),
         };
-        if !binaries.are_up_to_date() {
+        // Others wait for the build.
+        let mut is_checked = IS_CHECKED.lock().unwrap_or_else(PoisonError::into_inner);
+        if !*is_checked && !binaries.are_up_to_date() {
+            let start = Instant::now();
             build(&directory)?;
+            let took = start.elapsed().as_secs_f64();
+            eprintln!("the shipped binaries were built within the test, in {took:.1} s");
         }
+        *is_checked = true;
         Ok(binaries)
     }
 
@@ -61,6 +74,22 @@
 }
 
 fn build(directory: &Path) -> Result<(), TrialError> {
+    let status = build_command(directory)
+        .status()
+        .map_err(|err| TrialError::Build(err.to_string().into()))?;
+    if status.success() {
+        Ok(())
+    } else {
+        Err(TrialError::Build(status.to_string().into()))
+    }
+}
+
+/// Command that builds the binaries into the directory of a build profile.
+///
+/// It leaves out what `cargo test` tells a test about its package. Build scripts of dependencies depend
+/// on variables of these names, so that `ring` and all that uses it would be built anew, and once more by
+/// the next `cargo test`.
+pub fn build_command(directory: &Path) -> Command {
     let cargo = env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command
@@ -72,14 +101,16 @@
     if directory.ends_with(RELEASE_DIRECTORY) {
         command.arg("--release");
     }
-    let status = command
-        .status()
-        .map_err(|err| TrialError::Build(err.to_string().into()))?;
-    if status.success() {
-        Ok(())
-    } else {
-        Err(TrialError::Build(status.to_string().into()))
+    for (name, _) in env::vars_os() {
+        let text = name.to_string_lossy();
+        if PACKAGE_VARIABLES
+            .iter()
+            .any(|prefix| text.starts_with(prefix))
+        {
+            command.env_remove(name);
+        }
     }
+    command
 }
 
 fn latest_source_change(directory: &Path) -> SystemTime {
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -64,7 +64,7 @@
 mod temp_dir;
 mod wait_until;
 
-pub use binaries::{Binaries, workspace};
+pub use binaries::{Binaries, build_command, workspace};
 pub use caller::{Call, End, Outcome};
 pub use capacity::Capacity;
 pub use capacity_sum::CapacityLine;
