--- a/crates/policy/src/server_failures.rs
+++ b/crates/policy/src/server_failures.rs
@@ -63,6 +63,10 @@
     is_own_acceptance: bool,
     /// Revision and time of the last change that peers have to hear of.
     reported: Option<(u64, Duration)>,
+    /// When peers were last told that it refuses connections, and that it accepts one again. A server
+    /// may do both in turn at the rate of requests.
+    refusal_reported_at: Option<Duration>,
+    acceptance_reported_at: Option<Duration>,
     /// When it last sent data to a gateway.
     data_at: Option<Duration>,
     /// Whether that was this gateway.
@@ -143,8 +147,12 @@
         };
         let was_refusing = tracked.refusal.is_some();
         tracked.accept(at, true);
-        let is_news = was_refusing && tracked.refusal.is_none() || was_out;
-        if is_news && tracked.is_report_due(now) || was_refusing && tracked.refusal.is_none() {
+        let ends_refusal = was_refusing && tracked.refusal.is_none();
+        let ends_refusal = ends_refusal && is_due(tracked.acceptance_reported_at, now);
+        if ends_refusal {
+            tracked.acceptance_reported_at = Some(now);
+        }
+        if ends_refusal || was_out && tracked.is_report_due(now) {
             self.report(key, now);
         }
     }
@@ -362,7 +370,8 @@
             .refusal
             .is_none_or(|refusal| now >= refusal.last_at + REPORT_INTERVAL);
         tracked.refuse(now, is_reported);
-        if is_reported && is_news {
+        if is_reported && is_news && is_due(tracked.refusal_reported_at, now) {
+            tracked.refusal_reported_at = Some(now);
             self.report(key, now);
         }
     }
@@ -422,6 +431,8 @@
             accepted_at: None,
             is_own_acceptance: false,
             reported: None,
+            refusal_reported_at: None,
+            acceptance_reported_at: None,
             data_at: None,
             is_own_data: false,
             contradicts: false,
@@ -497,11 +508,15 @@
     }
 
     fn is_report_due(&self, now: Duration) -> bool {
-        self.reported
-            .is_none_or(|(_, at)| now >= at + REPORT_INTERVAL)
+        is_due(self.reported.map(|(_, at)| at), now)
     }
 }
 
+/// Whether `REPORT_INTERVAL` is over since the last report, if there was one.
+fn is_due(last: Option<Duration>, now: Duration) -> bool {
+    last.is_none_or(|last| now >= last + REPORT_INTERVAL)
+}
+
 /// Whether it is this gateway's turn to try a server.
 fn may_try(shares: &SendShares, key: u64, due: Duration, now: Duration) -> bool {
     let mut turns = TRIAL_GATEWAYS.iter();
--- a/crates/policy/tests/server_failures.rs
+++ b/crates/policy/tests/server_failures.rs
@@ -454,6 +454,43 @@
     }
 }
 
+/// Guards against a frame to each peer for each request to a server that fails and answers in turn.
+#[test]
+fn reports_on_a_server_keep_their_interval() {
+    const END: Duration = Duration::from_secs(10);
+    for seed in 0..5 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut failures = ServerFailures::default();
+        let tried = &servers()[NAMED_SERVER];
+        let (mut now, mut reports, mut revision) = (ms(1), 0, 0);
+        while now < END {
+            match rng.random_range(0..5) {
+                0 => failures.on_refused(tried, now),
+                1 => failures.on_accepted(tried, now, now),
+                2 => failures.on_named_at_fault(tried, now),
+                3 => failures.on_data(tried, now),
+                _ => {
+                    let states = [ServerState::Refuses, ServerState::NamedAtFault];
+                    let report = ServerReport {
+                        server: server_key(&tried.id),
+                        domain: server_key(&tried.domain),
+                        state: *states.choose(&mut rng).unwrap(),
+                        age: REPORT_DELAY,
+                    };
+                    failures.on_peer_reports(&[report], now);
+                }
+            }
+            reports += failures.revision() - revision;
+            revision = failures.revision();
+            now += ms(5);
+        }
+        // Refusals, their ends, and what a response says are reported once each.
+        let intervals = END.div_duration_f64(REPORT_INTERVAL) as u64 + 1;
+        assert!(reports <= 3 * intervals, "seed {seed}: {reports}");
+        assert!(reports >= intervals, "seed {seed}: {reports}");
+    }
+}
+
 /// A server that leaves refuses connections while its streams go on.
 #[test]
 fn data_does_not_end_a_refusal() {
