--- a/crates/policy/src/server_failures.rs
+++ b/crates/policy/src/server_failures.rs
@@ -1,8 +1,9 @@
-//! Tracks which backend servers refuse connections, from what this gateway and its peers have seen.
+//! Tracks which backend servers refuse connections or are named as at fault, from what this gateway and
+//! its peers have seen.
 
 use crate::fleet_load::server_key;
 use crate::send_shares::SendShares;
-use proto::{BackendEntry, DomainKey, ServerKey, ServerReport};
+use proto::{BackendEntry, DomainKey, ServerKey, ServerReport, ServerState};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -27,7 +28,15 @@
 /// be presumed gone. Two may end by chance, or by the same request.
 const MIN_DOMAIN_REFUSALS: usize = 3;
 const DOMAIN_WINDOW: Duration = Duration::from_secs(1);
-/// Peers hear again of a server that still refuses connections after this time.
+/// Time for which a server is avoided that another server's response has named as at fault. The gateway
+/// which got the response avoids it for as long after a first failure. A trial connection would not
+/// end it, as a server that has stopped still accepts connections.
+const NAMED_AVOID_TIME: Duration = Duration::from_millis(600);
+/// Data of a server that has ended may be read for this long. A gateway with a small share of a core
+/// does not run for up to a tenth of a second at a time.
+const UNREAD_DATA_TIME: Duration = Duration::from_millis(100);
+/// Peers hear again of a server that still refuses connections, or is named as at fault again, after
+/// this time.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// A refusal that was not seen again for this time is forgotten; the row of its server is gone by then.
 const FORGET_TIME: Duration = Duration::from_secs(10);
@@ -54,15 +63,32 @@
     is_own_acceptance: bool,
     /// Revision and time of the last change that peers have to hear of.
     reported: Option<(u64, Duration)>,
+    /// When peers were last told that it refuses connections, and that it accepts one again. A server
+    /// may do both in turn at the rate of requests.
+    refusal_reported_at: Option<Duration>,
+    acceptance_reported_at: Option<Duration>,
+    /// When it last sent data to a gateway.
+    data_at: Option<Duration>,
+    /// Whether that was this gateway.
+    is_own_data: bool,
+    /// Whether the last change is that it has sent this gateway data after it was named as at fault.
+    contradicts: bool,
+    /// When a response to any gateway, and when one to this gateway, last named it as at fault. Absent
+    /// if it has sent data since.
+    named_at: Option<Duration>,
+    own_named_at: Option<Duration>,
 }
 
-/// Servers that refuse connections.
+/// Servers that refuse connections, or that other servers name as at fault.
 ///
 /// Load pattern: all servers of a failure domain end at once under load. Each gateway would find them
-/// one by one, with a refused connection, or a wait, of a caller's request for each.
+/// one by one, with a refused connection, or a wait, of a caller's request for each. A server that
+/// stops, but whose host accepts connections, is named as at fault by the servers that it helps; each
+/// gateway would send it long prompts until it has got such a response itself.
 ///
 /// A report is a hint that a server is to be chosen after all others. It never says that a request has
-/// not run.
+/// not run. That a server was named does not count towards the loss of a failure domain, as the server
+/// that named it may itself be cut off from a domain.
 #[derive(Debug, Default)]
 pub struct ServerFailures {
     servers: HashMap<ServerKey, TrackedServer>,
@@ -82,46 +108,100 @@
         self.on_own_failure(server, now, false);
     }
 
-    /// Records that a server accepted a connection of this gateway, or has sent data, at `at`.
+    /// Records that another server's response to this gateway has named a server as at fault. Peers
+    /// hear of it at most once in `REPORT_INTERVAL`, as the two may contradict each other at the rate of
+    /// requests.
+    pub fn on_named_at_fault(&mut self, server: &BackendEntry, now: Duration) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        tracked.named_at = Some(now);
+        tracked.own_named_at = Some(now);
+        if tracked.is_report_due(now) {
+            self.report(key, now);
+        }
+    }
+
+    /// Records that a server has sent data to this gateway. It is not at fault then, and peers hear of
+    /// that if it was named; but it may refuse new connections, as a server that leaves does.
+    pub fn on_data(&mut self, server: &BackendEntry, now: Duration) {
+        let (key, domain) = (server_key(&server.id), server_key(&server.domain));
+        let Some(tracked) = self.track(key, domain, now) else {
+            return;
+        };
+        let was_named = tracked.is_named(now);
+        tracked.on_data(now, true);
+        if was_named && tracked.is_report_due(now) {
+            self.report_data(key, now);
+        }
+    }
+
+    /// Records that a server accepted a connection of this gateway at `at`.
     pub fn on_accepted(&mut self, server: &BackendEntry, at: Duration, now: Duration) {
         let (key, domain) = (server_key(&server.id), server_key(&server.domain));
         self.end_trial(key);
-        let was_out = self.is_domain_out(domain);
+        let was_out = self.domain_out_since(domain).is_some();
         let Some(tracked) = self.track(key, domain, now) else {
             return;
         };
         let was_refusing = tracked.refusal.is_some();
         tracked.accept(at, true);
-        let is_news = was_refusing && tracked.refusal.is_none() || was_out;
-        if is_news && tracked.is_report_due(now) || was_refusing && tracked.refusal.is_none() {
+        let ends_refusal = was_refusing && tracked.refusal.is_none();
+        let ends_refusal = ends_refusal && is_due(tracked.acceptance_reported_at, now);
+        if ends_refusal {
+            tracked.acceptance_reported_at = Some(now);
+        }
+        if ends_refusal || was_out && tracked.is_report_due(now) {
             self.report(key, now);
         }
     }
 
-    /// Applies a frame of a peer; returns the servers that were not known to refuse connections.
-    pub fn on_peer_reports(&mut self, reports: &[ServerReport], now: Duration) -> Vec<ServerKey> {
-        let mut refusing = Vec::new();
+    /// Applies a frame of a peer; returns the reports of servers that were not known to refuse
+    /// connections, or to be at fault.
+    pub fn on_peer_reports(
+        &mut self,
+        reports: &[ServerReport],
+        now: Duration,
+    ) -> Vec<ServerReport> {
+        let mut news = Vec::new();
         for report in reports.iter().take(MAX_FRAME_REPORTS) {
             let at = now.saturating_sub(report.age);
             let Some(tracked) = self.track(report.server, report.domain, now) else {
                 continue;
             };
-            if report.accepts {
-                tracked.accept(at, false);
-            } else if tracked.accepted_at.is_some_and(|accepted| accepted >= at) {
-                // The server has accepted a connection since, or the peer is cut off from it.
-                if tracked.is_own_acceptance && tracked.is_report_due(now) {
-                    self.report(report.server, now);
+            match report.state {
+                ServerState::Accepts => tracked.accept(at, false),
+                ServerState::Answers => tracked.on_data(at, false),
+                ServerState::NamedAtFault if tracked.data_at >= Some(at) => {
+                    // It has sent data since, or the peer was misled.
+                    if tracked.is_own_data && tracked.is_report_due(now) {
+                        self.report_data(report.server, now);
+                    }
                 }
-            } else {
-                if tracked.refusal.is_none() {
-                    refusing.push(report.server);
+                ServerState::NamedAtFault => {
+                    let was_named = tracked.is_named(now);
+                    tracked.named_at = tracked.named_at.max(Some(at));
+                    if !was_named && tracked.is_named(now) {
+                        news.push(*report);
+                    }
+                }
+                ServerState::Refuses if tracked.accepted_at.is_some_and(|last| last >= at) => {
+                    // The server has accepted a connection since, or the peer is cut off from it.
+                    if tracked.is_own_acceptance && tracked.is_report_due(now) {
+                        self.report(report.server, now);
+                    }
+                }
+                ServerState::Refuses => {
+                    if tracked.refusal.is_none() {
+                        news.push(*report);
+                    }
+                    tracked.refuse(at, false);
+                    self.contradict(report.domain, at, now);
                 }
-                tracked.refuse(at, false);
-                self.contradict(report.domain, at, now);
             }
         }
-        refusing
+        news
     }
 
     /// What peers have to hear of that have heard of `revision`, or of nothing yet, and the present
@@ -129,20 +209,17 @@
     pub fn changed_since(&self, revision: Option<u64>, now: Duration) -> (Vec<ServerReport>, u64) {
         let reports = self.servers.iter().filter_map(|(server, tracked)| {
             let (reported, _) = tracked.reported?;
-            let refusal = tracked.refusal.filter(|refusal| refusal.is_reported);
-            let is_due = match revision {
-                Some(revision) => reported > revision,
-                None => refusal.is_some(),
-            };
-            let seen_at = match (refusal, tracked.refusal) {
-                (Some(refusal), _) => refusal.last_at,
-                (None, None) => tracked.accepted_at.filter(|_| tracked.is_own_acceptance)?,
-                (None, Some(_)) => return None,
+            let (state, seen_at) = tracked.news()?;
+            let is_due = match (revision, state) {
+                (Some(revision), _) => reported > revision,
+                (None, ServerState::Refuses) => true,
+                (None, ServerState::NamedAtFault) => tracked.is_named(now),
+                (None, ServerState::Accepts | ServerState::Answers) => false,
             };
             is_due.then_some(ServerReport {
                 server: *server,
                 domain: tracked.domain,
-                accepts: refusal.is_none(),
+                state,
                 age: now.saturating_sub(seen_at),
             })
         });
@@ -155,14 +232,18 @@
     }
 
     /// For each of the servers among which one is chosen, whether it is gone as far as is known: it has
-    /// refused a connection a moment ago, or its failure domain is presumed gone. No domain is presumed
-    /// gone if all of them would be.
+    /// refused a connection or was named as at fault a moment ago, or its failure domain is presumed gone
+    /// and it has sent no data since. No domain is presumed gone if all of them would be. Data of a
+    /// server says nothing about the others of its domain: only an accepted connection does, as data
+    /// may be read after its server has ended.
     pub fn gone(&self, servers: &[BackendEntry], now: Duration) -> Vec<bool> {
-        let out = self.domains_out(servers);
+        let out = self.domains_out_since(servers);
         let is_gone = |server: &BackendEntry| {
             let tracked = self.servers.get(&server_key(&server.id));
             let is_avoided = tracked.is_some_and(|tracked| tracked.is_avoided(now));
-            is_avoided || out.contains(&server_key(&server.domain))
+            let data_at = tracked.and_then(|tracked| tracked.data_at);
+            let out_since = out.get(&server_key(&server.domain));
+            is_avoided || out_since.is_some_and(|since| data_at <= Some(*since + UNREAD_DATA_TIME))
         };
         servers.iter().map(is_gone).collect()
     }
@@ -173,23 +254,41 @@
         servers.filter(|tracked| tracked.refusal.is_some()).count()
     }
 
+    /// Number of servers that were named as at fault a moment ago.
+    pub fn named_servers(&self, now: Duration) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|tracked| tracked.is_named(now)).count()
+    }
+
+    /// Whether data of servers matters now: some refuse connections or were named as at fault.
+    pub fn awaits_data(&self, now: Duration) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|tracked| tracked.refusal.is_some() || tracked.is_named(now))
+    }
+
     /// Failure domains of these servers that are presumed gone.
     pub fn domains_out(&self, servers: &[BackendEntry]) -> HashSet<DomainKey> {
+        self.domains_out_since(servers).into_keys().collect()
+    }
+
+    /// Failure domains of these servers that are presumed gone, and since when.
+    fn domains_out_since(&self, servers: &[BackendEntry]) -> HashMap<DomainKey, Duration> {
         if self
             .servers
             .values()
             .all(|tracked| tracked.refusal.is_none())
         {
-            return HashSet::new();
+            return HashMap::new();
         }
         let domains: HashSet<_> = servers
             .iter()
             .map(|server| server_key(&server.domain))
             .collect();
         let out = domains.iter().copied();
-        let out: HashSet<_> = out.filter(|domain| self.is_domain_out(*domain)).collect();
+        let out = out.filter_map(|domain| Some((domain, self.domain_out_since(domain)?)));
+        let out: HashMap<_, _> = out.collect();
         if out.len() == domains.len() {
-            return HashSet::new();
+            return HashMap::new();
         }
         out
     }
@@ -234,9 +333,9 @@
         Some((domain, last + PRESUMED_TRIAL_DELAY))
     }
 
-    /// Whether several servers of a domain began to refuse connections within `DOMAIN_WINDOW`, and none
+    /// When several servers of a domain last began to refuse connections within `DOMAIN_WINDOW`, if none
     /// of the domain has accepted one since.
-    fn is_domain_out(&self, domain: DomainKey) -> bool {
+    fn domain_out_since(&self, domain: DomainKey) -> Option<Duration> {
         let of_domain = || {
             let servers = self.servers.values();
             servers.filter(move |tracked| tracked.domain == domain)
@@ -248,9 +347,10 @@
             .collect();
         starts.retain(|start| accepted_at.is_none_or(|accepted| accepted < *start));
         starts.sort_unstable();
-        starts
-            .windows(MIN_DOMAIN_REFUSALS)
-            .any(|window| window[MIN_DOMAIN_REFUSALS - 1] - window[0] <= DOMAIN_WINDOW)
+        let mut windows = starts.windows(MIN_DOMAIN_REFUSALS).rev();
+        let last =
+            windows.find(|window| window[MIN_DOMAIN_REFUSALS - 1] - window[0] <= DOMAIN_WINDOW)?;
+        Some(last[MIN_DOMAIN_REFUSALS - 1])
     }
 
     fn refusals(&self, domain: DomainKey) -> impl Iterator<Item = Refusal> {
@@ -270,7 +370,8 @@
             .refusal
             .is_none_or(|refusal| now >= refusal.last_at + REPORT_INTERVAL);
         tracked.refuse(now, is_reported);
-        if is_reported && is_news {
+        if is_reported && is_news && is_due(tracked.refusal_reported_at, now) {
+            tracked.refusal_reported_at = Some(now);
             self.report(key, now);
         }
     }
@@ -295,6 +396,15 @@
         if let Some(tracked) = self.servers.get_mut(&server) {
             self.revision += 1;
             tracked.reported = Some((self.revision, now));
+            tracked.contradicts = false;
+        }
+    }
+
+    /// Tells peers of a server that was named as at fault and has sent this gateway data since.
+    fn report_data(&mut self, server: ServerKey, now: Duration) {
+        self.report(server, now);
+        if let Some(tracked) = self.servers.get_mut(&server) {
+            tracked.contradicts = true;
         }
     }
 
@@ -321,6 +431,13 @@
             accepted_at: None,
             is_own_acceptance: false,
             reported: None,
+            refusal_reported_at: None,
+            acceptance_reported_at: None,
+            data_at: None,
+            is_own_data: false,
+            contradicts: false,
+            named_at: None,
+            own_named_at: None,
         });
         Some(tracked)
     }
@@ -348,9 +465,41 @@
         self.refusal = self.refusal.filter(|refusal| refusal.last_at > at);
     }
 
+    fn on_data(&mut self, at: Duration, is_own: bool) {
+        if self.data_at < Some(at) {
+            self.data_at = Some(at);
+            self.is_own_data = is_own;
+        }
+        self.named_at = self.named_at.filter(|named| *named > at);
+        self.own_named_at = self.own_named_at.filter(|named| *named > at);
+    }
+
+    /// What this gateway has seen last that peers may have to hear of, and when.
+    fn news(&self) -> Option<(ServerState, Duration)> {
+        if let Some(refusal) = self.refusal.filter(|refusal| refusal.is_reported) {
+            return Some((ServerState::Refuses, refusal.last_at));
+        }
+        let accepted_at = self.accepted_at.filter(|_| self.is_own_acceptance);
+        if let Some(at) = self.own_named_at.filter(|at| accepted_at < Some(*at)) {
+            return Some((ServerState::NamedAtFault, at));
+        }
+        if self.refusal.is_some() {
+            return None;
+        }
+        if self.contradicts {
+            return Some((ServerState::Answers, self.data_at?));
+        }
+        Some((ServerState::Accepts, accepted_at?))
+    }
+
     fn is_avoided(&self, now: Duration) -> bool {
         let refusal = self.refusal;
-        refusal.is_some_and(|refusal| now < refusal.last_at + AVOID_TIME)
+        let is_refused = refusal.is_some_and(|refusal| now < refusal.last_at + AVOID_TIME);
+        is_refused || self.is_named(now)
+    }
+
+    fn is_named(&self, now: Duration) -> bool {
+        self.named_at.is_some_and(|at| now < at + NAMED_AVOID_TIME)
     }
 
     fn is_forgotten(&self, now: Duration) -> bool {
@@ -359,11 +508,15 @@
     }
 
     fn is_report_due(&self, now: Duration) -> bool {
-        self.reported
-            .is_none_or(|(_, at)| now >= at + REPORT_INTERVAL)
+        is_due(self.reported.map(|(_, at)| at), now)
     }
 }
 
+/// Whether `REPORT_INTERVAL` is over since the last report, if there was one.
+fn is_due(last: Option<Duration>, now: Duration) -> bool {
+    last.is_none_or(|last| now >= last + REPORT_INTERVAL)
+}
+
 /// Whether it is this gateway's turn to try a server.
 fn may_try(shares: &SendShares, key: u64, due: Duration, now: Duration) -> bool {
     let mut turns = TRIAL_GATEWAYS.iter();
