Trial of named servers: wait for the log line

Cause: a_server_that_names_another_as_at_fault_is_asked_again read the log right after the response, while the gateway writes it in the background.

Change: the test waits until the line is there, as its neighbours do. The line is still required.

--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -435,6 +435,8 @@
             .set_behaviour(ServerBehaviour::NameAtFault(lost));
         let response = rig.call("f1", "/once/x", KEY).await;
         assert_eq!(response.status, StatusCode::OK, "{}", log());
-        assert!(log().contains("attempt: another server is at fault"));
+        // The log is written in the background.
+        let is_logged = async || log().contains("attempt: another server is at fault");
+        assert!(rig.wait_until(is_logged).await, "{}", log());
     });
 }
