--- a/crates/direct/src/hold_notices.rs
+++ b/crates/direct/src/hold_notices.rs
@@ -48,6 +48,7 @@
             "reason" => "more urgent prompts wait at peers", "peer" => peer, "peer_rank" => rank,
             "engines" => engines);
     }
+
     /// Tells that the prompt waits for the engine `server`, which becomes able to meet its targets.
     pub fn on_soon_able(
         &self,
