Unseen placements: keep the former estimate for few gateways

Few gateways know most of the load by their own placements.

From 8 peers on nothing changes.

Ruled out by trials: gateways that end counted as silent peers (a quarter of the peers heard is enough: same figures).

--- a/crates/policy/src/fleet_load.rs
+++ b/crates/policy/src/fleet_load.rs
@@ -1,6 +1,6 @@
 //! Load that all gateways together place on each backend server, as one gateway knows it.
 
-use crate::herd_avoidance::KnownPlacements;
+use crate::herd_avoidance::{KnownPlacements, MANY_PEERS};
 use crate::sliding_window::SlidingWindow;
 use proto::{ServerKey, ServerUsage};
 use std::collections::HashMap;
@@ -212,7 +212,11 @@
             own += self.own_placements(server, now);
         }
         let rate = |count: usize, window: Duration| count as f64 / window.as_secs_f64();
-        let lately = rate(reported_lately, OWN_PLACEMENT_WINDOW);
+        let lately = if peers >= MANY_PEERS {
+            rate(reported_lately, OWN_PLACEMENT_WINDOW)
+        } else {
+            0.0
+        };
         KnownPlacements {
             peers,
             hears_peers: self.hears_peers(peers, now),
--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -22,10 +22,10 @@
 /// Number of standard deviations by which the own placements may exceed the expected number before
 /// they count as a burst.
 const MAX_CHANCE_DEVIATIONS: f64 = 2.0;
-/// Report interval from which the time to send the reports counts, that of about a dozen peers. Reports
-/// to fewer peers leave at once, and a higher estimate spreads short prompts over engines that long ones
-/// need: before 14 engines, 0.55 of the longest prompts were on time instead of 0.58.
-const MIN_SEND_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of peers from which the estimate allows for reports that are late or missing. Fewer gateways
+/// know most of the load by their own placements, and a higher estimate spreads short prompts over
+/// engines that long ones need: before 14 engines, 0.55 of the longest prompts were on time, not 0.61.
+pub(crate) const MANY_PEERS: usize = 8;
 /// Age of the reports up to which it is a whole interval.
 const MAX_SEND_TIME: Duration = Duration::from_millis(100);
 
@@ -49,20 +49,25 @@
 
 impl KnownPlacements {
     fn estimate_unseen(&self) -> f64 {
-        if !self.hears_peers {
+        if !self.hears_peers && self.are_many() {
             return UNSEEN_WITHOUT_REPORTS;
         }
         let unseen = self.placement_rate() * self.report_age().as_secs_f64();
         unseen.max(MIN_UNSEEN_PER_PEER * self.peers as f64)
     }
 
+    fn are_many(&self) -> bool {
+        self.peers >= MANY_PEERS
+    }
+
     /// Prompts that peers place per second: as reported, or if this gateway has placed more of late
     /// than chance explains at that rate, as many by each peer as by this gateway.
     fn placement_rate(&self) -> f64 {
         let window = OWN_PLACEMENT_WINDOW.as_secs_f64();
         let expected = self.reported_rate * window / self.peers.max(1) as f64;
         let own = self.own as f64;
-        if own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt() {
+        let is_chance = own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt();
+        if is_chance || !self.are_many() {
             return self.reported_rate;
         }
         self.reported_rate.max(self.own_rate() * self.peers as f64)
@@ -84,16 +89,14 @@
         self.own as f64 / OWN_PLACEMENT_WINDOW.as_secs_f64()
     }
 
-    /// Mean age of the reports: half an interval, and the time that a gateway takes to send them,
-    /// which grows with the number of peers as the interval does; and the time since the last of them.
+    /// Mean age of the reports: half an interval, and with many peers the time that a gateway takes to
+    /// send them, which grows with their number as the interval does, and the time since the last of them.
     fn report_age(&self) -> Duration {
         let interval = self.report_interval;
-        let min_age = if interval < MIN_SEND_INTERVAL {
-            Duration::ZERO
-        } else {
-            interval.min(MAX_SEND_TIME)
-        };
-        min_age.max(interval / 2) + self.silence
+        if !self.are_many() {
+            return interval / 2;
+        }
+        interval.min(MAX_SEND_TIME).max(interval / 2) + self.silence
     }
 }
 
--- a/crates/policy/tests/herd_avoidance.rs
+++ b/crates/policy/tests/herd_avoidance.rs
@@ -248,19 +248,23 @@
 /// Guards against an estimate for many gateways that is used for few: short prompts took the engines
 /// that long ones needed.
 #[test]
-fn reports_of_few_peers_are_half_an_interval_old() {
-    let unseen = |peers, report_interval| {
+fn few_peers_have_few_unseen_placements() {
+    let unseen = |peers, report_interval, hears_peers, own| {
         let known = KnownPlacements {
             peers,
-            hears_peers: true,
+            hears_peers,
             reported_rate: 1_000.0,
-            own: 0,
+            own,
             report_interval,
             silence: ms(0),
         };
         HerdAvoidance::estimate(&known, 1.0, 0).unseen_placements
     };
-    assert_eq!(unseen(3, ms(12)), 6.0);
-    assert_eq!(unseen(25, ms(100)), 100.0);
-    assert_eq!(unseen(102, ms(408)), 204.0);
+    for (hears_peers, own) in [(true, 0), (true, 1_000), (false, 0)] {
+        assert_eq!(unseen(3, ms(12), hears_peers, own), 6.0);
+    }
+    assert_eq!(unseen(25, ms(100), true, 0), 100.0);
+    assert_eq!(unseen(25, ms(100), true, 100), 1_000.0);
+    assert!(unseen(25, ms(100), false, 0) > 1_000.0);
+    assert_eq!(unseen(102, ms(408), true, 0), 204.0);
 }
