--- a/crates/policy/src/herd_avoidance.rs
+++ b/crates/policy/src/herd_avoidance.rs
@@ -49,14 +49,14 @@
 
 impl KnownPlacements {
     fn estimate_unseen(&self) -> f64 {
-        if !self.hears_peers && self.are_many() {
+        if !self.hears_peers && self.has_many_peers() {
             return UNSEEN_WITHOUT_REPORTS;
         }
         let unseen = self.placement_rate() * self.report_age().as_secs_f64();
         unseen.max(MIN_UNSEEN_PER_PEER * self.peers as f64)
     }
 
-    fn are_many(&self) -> bool {
+    fn has_many_peers(&self) -> bool {
         self.peers >= MANY_PEERS
     }
 
@@ -67,7 +67,7 @@
         let expected = self.reported_rate * window / self.peers.max(1) as f64;
         let own = self.own as f64;
         let is_chance = own <= expected + MAX_CHANCE_DEVIATIONS * expected.sqrt();
-        if is_chance || !self.are_many() {
+        if is_chance || !self.has_many_peers() {
             return self.reported_rate;
         }
         self.reported_rate.max(self.own_rate() * self.peers as f64)
@@ -93,7 +93,7 @@
     /// send them, which grows with their number as the interval does, and the time since the last of them.
     fn report_age(&self) -> Duration {
         let interval = self.report_interval;
-        if !self.are_many() {
+        if !self.has_many_peers() {
             return interval / 2;
         }
         interval.min(MAX_SEND_TIME).max(interval / 2) + self.silence
