--- a/review/standins.py
+++ b/review/standins.py
@@ -353,7 +353,7 @@
                                         stderr=subprocess.STDOUT)
         self.record.write(f"{self.name} starts")
 
-    async def wait_ready(self, limit_s=20):
+    async def wait_ready(self, limit_s=20, quiet=False):
         host, port = self.ready.split(":")
         end = now() + limit_s
         while now() < end:
@@ -363,7 +363,8 @@
                 head = await asyncio.wait_for(reader.readline(), 1)
                 writer.close()
                 if b" 200 " in head:
-                    self.record.write(f"{self.name} says that it is ready")
+                    if not quiet:
+                        self.record.write(f"{self.name} says that it is ready")
                     return True
             except (OSError, asyncio.TimeoutError):
                 pass
@@ -376,8 +377,9 @@
 
     def stop(self):
         """Ends the process, if it still runs, and removes its folder."""
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
-        self.log.close()
+        if hasattr(self, "process"):
+            if self.process.poll() is None:
+                self.process.kill()
+            self.process.wait()
+            self.log.close()
         self.folder.cleanup()
