--- a/review/standins.py
+++ b/review/standins.py
@@ -34,6 +34,8 @@
         self.file = open(path, "w", encoding="utf-8")
 
     def write(self, text):
+        if self.file.closed:
+            return
         line = f"{now():8.3f} s  {text}"
         self.file.write(line + "\n")
         self.file.flush()
@@ -131,7 +133,8 @@
             after = int(query["AfterRevision"])
             end = time.monotonic() + min(int(query["WaitMs"]), 30_000) / 1000
             while True:
-                rows = [r for r in self.changes if r["Table"] == table and r["Ver"] > after]
+                rows = {r["Key"]: r for r in self.changes if r["Table"] == table and r["Ver"] > after}
+                rows = sorted(rows.values(), key=lambda row: row["Ver"])
                 left = end - time.monotonic()
                 if rows or left <= 0:
                     return self.answer({"Rows": rows})
