Logs: what the retry budget counts, servers that are used again after they left

The lines could not show whether a gateway had forgotten its repeats, knew too few gateways, or had dropped the mark of a server that leaves. No decision changes.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -166,9 +166,12 @@
         if allowed {
             self.progress.sends.fetch_add(1, Ordering::Relaxed);
         } else {
+            let fleet = &self.shared.fleet;
+            let counts = fleet.repeat_counts(&self.admitted.service.name, now);
             self.shared.metrics.retry_denied();
             info!(self.shared.log, "call: not sent again, the retry budget is exhausted";
-                "req" => &*self.head.id, "sends" => sends);
+                "req" => &*self.head.id, "sends" => sends, "repeats" => counts.repeats,
+                "first_sends" => counts.first_sends, "gateways" => fleet.gateways());
         }
         allowed
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -4,9 +4,9 @@
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, DataEvidence, EngineCandidate, FleetLoad, HerdAvoidance, JobId,
-    JobLoad, LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatLimits,
-    SendLimiter, SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses, ServiceName,
-    ServiceSpec, SuspectKind, cold_send_bound, server_key,
+    JobLoad, LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatCounts,
+    RepeatLimits, SendLimiter, SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses,
+    ServiceName, ServiceSpec, SuspectKind, cold_send_bound, server_key,
 };
 use proto::{BackendEntry, RequestLimit, ServerKey, ServerReport, ServerUsage};
 use rand::Rng as _;
@@ -377,6 +377,11 @@
         })
     }
 
+    /// What the retry budget of the service counts at present.
+    pub fn repeat_counts(&self, service: &str, now: Duration) -> RepeatCounts {
+        self.with_retry_budget(service, |budget| budget.counts(now))
+    }
+
     /// Adds a job to the load of its servers.
     pub fn start_job(&self, job: JobId, loads: &[JobLoad], now: Duration) {
         self.lock().load.start(job, loads, now);
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -120,6 +120,7 @@
                 "change" => ?change);
             state.servers.on_row(&row.key, change, row.version, now);
         }
+        self.log_restarted(&mut state);
         state.versions.servers = state.versions.servers.max(version);
     }
 
@@ -132,6 +133,7 @@
             .servers
             .on_listing(rows.collect(), listing.version, now);
         state.versions.servers = state.versions.servers.max(listing.version);
+        self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
             "version" => listing.version);
     }
@@ -186,6 +188,14 @@
                 state.servers.on_listing(rows, versions.servers, now);
             }
             state.versions.servers = versions.servers;
+            self.log_restarted(&mut state);
+        }
+    }
+
+    fn log_restarted(&self, state: &mut State) {
+        for server in state.servers.take_restarted() {
+            info!(self.log, "servers: has started anew, in use again after it had left";
+                "server" => &*server);
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -192,7 +192,7 @@
 pub use server_runs::{RunId, RunProof, ServerRuns};
 pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
 pub use short_prompt_choice::SoonAbleEngine;
-pub use sliding_window::{RepeatBudget, RepeatLimits, SendRateCap, SlidingWindow};
+pub use sliding_window::{RepeatBudget, RepeatCounts, RepeatLimits, SendRateCap, SlidingWindow};
 pub use slow_readers::{
     FREE_HELD_BYTES, MAX_HELD_BYTES, SlowReader, may_hold, needs_shared_memory, reader_to_end,
 };
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -37,6 +37,8 @@
     /// Version since which all changes of rows are known, also those of servers that came and went.
     history_start: u64,
     store_returned_at: Option<Duration>,
+    /// Servers that have started anew since [`Self::take_restarted`] was called.
+    restarted: Vec<BackendId>,
 }
 
 impl ServerSet {
@@ -66,6 +68,7 @@
         let comes_back = known.row == BackendRow::Absent && row != BackendRow::Absent;
         if comes_back && known.left_at.is_some_and(|at| now >= at + LEAVING_TIME) {
             known.left_at = None;
+            self.restarted.push(id.into());
         }
         if let BackendRow::Present(entry) = &known.row {
             known.last_entry = Some(entry.clone());
@@ -120,6 +123,11 @@
         known.left_at.replace(now).is_none()
     }
 
+    /// Returns the servers that had said that they leave and have started anew since the last call.
+    pub fn take_restarted(&mut self) -> Vec<BackendId> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// Sets the failure domains that must not get new requests.
     pub fn set_evacuated(&mut self, domains: HashSet<DomainName>) {
         self.evacuated = domains;
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -140,6 +140,15 @@
     pub window: Duration,
 }
 
+/// What a [`RepeatBudget`] counts in the window that ends now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RepeatCounts {
+    /// First sends of callers' requests.
+    pub first_sends: usize,
+    /// Repeats that were allowed.
+    pub repeats: usize,
+}
+
 /// Fraction of the limit that is used; the rest covers gateways that have joined unnoticed.
 const USED_FRACTION: f64 = 0.8;
 
@@ -157,6 +166,14 @@
         self.first_sends.record(now);
     }
 
+    /// What is counted in the window that ends at `now`.
+    pub fn counts(&mut self, now: Duration) -> RepeatCounts {
+        RepeatCounts {
+            first_sends: self.first_sends.count(now),
+            repeats: self.repeats.count(now),
+        }
+    }
+
     /// Takes one repeat from the budget; returns whether there was one left.
     pub fn try_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
         let earned = limits.ratio * self.first_sends.count(now) as f64;
