--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -51,6 +51,163 @@
     }
 }
 
+/// What happens to the gateways while repeats press.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Upset {
+    /// All are killed at the same moment, three times in a row.
+    AllKilled,
+    /// One after the other is stopped, and its callers go to the others.
+    StoppedInTurn,
+    /// Callers move from one part of the gateways to another.
+    CallersMove,
+}
+
+/// Gateways that share a retry budget and repeat whatever they are allowed to.
+struct RepeatingGateways {
+    budgets: Vec<RepeatBudget>,
+    /// When each of them runs; it is down before.
+    runs_from: Vec<u64>,
+}
+
+/// Time of a virtual process between its end and its next start, and a planned stop.
+const RESTART_MILLIS: u64 = 500;
+const DAY_MILLIS: u64 = 60_000;
+const STEP_MILLIS: u64 = 10;
+/// Servers begin to fail requests at the same moment of each period, and the upset follows.
+const PERIOD_MILLIS: u64 = 25_000;
+const FAILURES_BEGIN: u64 = 10_000;
+const KILLS: [u64; 3] = [11_000, 13_500, 16_000];
+
+fn new_budget(_started: u64) -> RepeatBudget {
+    RepeatBudget::new(LIMITS.window)
+}
+
+impl RepeatingGateways {
+    fn start(gateways: usize) -> Self {
+        Self {
+            budgets: (0..gateways).map(|_| new_budget(0)).collect(),
+            runs_from: vec![0; gateways],
+        }
+    }
+
+    fn restart(&mut self, gateway: usize, now: u64) {
+        self.runs_from[gateway] = now + RESTART_MILLIS;
+        self.budgets[gateway] = new_budget(now + RESTART_MILLIS);
+    }
+
+    /// The gateway that gets a caller's request; callers of one that is down go to the next one.
+    fn receiver(&self, first: usize, now: u64) -> Option<usize> {
+        let count = self.budgets.len();
+        let mut order = (0..count).map(|n| (first + n) % count);
+        order.find(|gateway| self.runs_from[*gateway] <= now)
+    }
+
+    fn upset(&mut self, upset: Upset, now: u64) {
+        let count = self.budgets.len();
+        match upset {
+            Upset::AllKilled if KILLS.contains(&(now % PERIOD_MILLIS)) => {
+                (0..count).for_each(|gateway| self.restart(gateway, now));
+            }
+            Upset::StoppedInTurn => {
+                let after_failures = |n: usize| (n as u64 + 1) * 8_000 / count as u64;
+                let stop = |n: usize| (FAILURES_BEGIN + after_failures(n)) / STEP_MILLIS;
+                let step = now % PERIOD_MILLIS / STEP_MILLIS;
+                for gateway in (0..count).filter(|n| stop(*n) == step) {
+                    self.restart(gateway, now);
+                }
+            }
+            Upset::AllKilled | Upset::CallersMove => {}
+        }
+    }
+}
+
+/// Numbers of events up to each step.
+fn sums(counts: &[u64]) -> Vec<f64> {
+    let sums = counts.iter().scan(0, |sum, count| {
+        *sum += count;
+        Some(*sum as f64)
+    });
+    std::iter::once(0.0).chain(sums).collect()
+}
+
+/// All gateways repeat as much as they may while some of them start anew or get the callers of others.
+fn repeats_keep_the_bound(gateways: usize, upset: Upset) {
+    let most_arrivals = 4.max(gateways / 8);
+    for seed in 0..4 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = RepeatingGateways::start(gateways);
+        let (mut firsts, mut repeats) = (Vec::new(), Vec::new());
+        for now in (0..DAY_MILLIS).step_by(STEP_MILLIS as usize) {
+            if now > 0 {
+                fleet.upset(upset, now);
+            }
+            let half = gateways.div_ceil(2);
+            let moved = now % PERIOD_MILLIS > FAILURES_BEGIN + 500;
+            let mut arrived = 0;
+            for _ in 0..rng.random_range(0..most_arrivals) {
+                let any = match upset {
+                    Upset::CallersMove => rng.random_range(0..half) + usize::from(moved) * half,
+                    _ => rng.random_range(0..gateways),
+                };
+                arrived += 1;
+                if let Some(receiver) = fleet.receiver(any % gateways, now) {
+                    fleet.budgets[receiver].record_first(at(now));
+                }
+            }
+            let mut repeated = 0;
+            for (budget, runs_from) in fleet.budgets.iter_mut().zip(&fleet.runs_from) {
+                let presses = now % PERIOD_MILLIS >= FAILURES_BEGIN && *runs_from <= now;
+                repeated += u64::from(presses && budget.try_spend(at(now), LIMITS, gateways));
+            }
+            firsts.push(arrived);
+            repeats.push(repeated);
+        }
+        check_windows(&sums(&firsts), &sums(&repeats), seed);
+    }
+}
+
+/// Checks each window against the requests in it, in the one before it and half a window earlier.
+fn check_windows(firsts: &[f64], repeats: &[f64], seed: u64) {
+    let window = (LIMITS.window.as_millis() as u64 / STEP_MILLIS) as usize;
+    for start in window..repeats.len() - window {
+        let within = |sums: &[f64], start: usize| sums[start + window] - sums[start];
+        let requests = [start, start - window / 2, start - window];
+        let requests = requests.map(|start| within(firsts, start));
+        let requests = requests.into_iter().fold(0.0, f64::max);
+        let (repeats, bound) = (
+            within(repeats, start),
+            LIMITS.ratio * requests + LIMITS.extra,
+        );
+        let at = start as u64 * STEP_MILLIS;
+        assert!(
+            repeats <= bound,
+            "seed {seed}, window from {at}: {repeats} over {bound}"
+        );
+    }
+}
+
+macro_rules! repeats_keep_the_bound {
+    ($($name:ident: $gateways:expr, $upset:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            repeats_keep_the_bound($gateways, $upset);
+        }
+    )*};
+}
+
+repeats_keep_the_bound! {
+    repeats_went_beyond_the_bound_when_3_gateways_were_killed: 3, Upset::AllKilled;
+    repeats_went_beyond_the_bound_when_11_gateways_were_killed: 11, Upset::AllKilled;
+    repeats_went_beyond_the_bound_when_103_gateways_were_killed: 103, Upset::AllKilled;
+    repeats_went_beyond_the_bound_when_340_gateways_were_killed: 340, Upset::AllKilled;
+    repeats_went_beyond_the_bound_when_3_gateways_were_stopped_in_turn: 3, Upset::StoppedInTurn;
+    repeats_went_beyond_the_bound_when_11_gateways_were_stopped_in_turn: 11, Upset::StoppedInTurn;
+    repeats_went_beyond_the_bound_when_103_gateways_were_stopped_in_turn: 103, Upset::StoppedInTurn;
+    repeats_went_beyond_the_bound_when_340_gateways_were_stopped_in_turn: 340, Upset::StoppedInTurn;
+    repeats_went_beyond_the_bound_when_callers_moved_between_11_gateways: 11, Upset::CallersMove;
+    repeats_went_beyond_the_bound_when_callers_moved_between_103_gateways: 103, Upset::CallersMove;
+}
+
 /// Shares of each of `gateways` gateways. Each one does not know of a random part of the others.
 fn shares_of(gateways: usize, unknown: f64, rng: &mut SmallRng) -> Vec<SendShares> {
     let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
