Known red: a server that said it leaves is used again when its row comes back

A gateway takes a server whose row disappears and comes back 30 s or more after it said that it leaves for a new process. A row also disappears while its server cannot reach the store. Listed until the fix.

--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -98,6 +98,17 @@
     assert!(set.is_usable("x", at(60_000)), "it has started anew");
 }
 
+/// A server that had said that it leaves lost its row for a moment much later, as one that cannot reach
+/// the store does, and got requests again.
+#[test]
+fn a_server_that_left_got_requests_when_its_row_came_back() {
+    let mut set = set();
+    set.on_leaving("x", at(0));
+    set.on_row("x", BackendRow::Absent, 12, at(40_000));
+    set.on_row("x", entry("x", false), 13, at(42_000));
+    assert!(!set.is_usable("x", at(42_000)));
+}
+
 type Rows = Vec<(Box<str>, BackendRow, u64)>;
 
 /// What `set` sends to a gateway that knows all up to `version`; `None` if it has to send all rows.
