Retry budget holds whatever gateways spent before they restarted

Cause: each gateway counts its repeats in its own memory. One that starts anew had a whole allowance again, and callers that go from one gateway to another earned repeats at both. Ruled out: wrong numbers of gateways (the log of denied repeats says 11 at nearly all of them), repeats that are not counted (lines of sends and the users' count differ by 3 of 601).

Change: the constant part counts only once the process is as old as the window, so that its predecessor's share has left the window. The earned part is half of the ratio: repeats in a window can be earned in two windows, and the bound takes the larger one.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -432,7 +432,8 @@
         let mut state = self.lock();
         let window = self.retry_limits.window;
         let budget = state.retry_budgets.entry(service.into());
-        f(budget.or_insert_with(|| RepeatBudget::new(window)))
+        // Times are counted from the start of the process.
+        f(budget.or_insert_with(|| RepeatBudget::new(window, Duration::ZERO)))
     }
 
     /// Requests that all gateways together may send to one server of the service per second.
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -115,16 +115,21 @@
     }
 }
 
-/// Retry budget of one gateway for one service, over a sliding window.
+/// Retry budget of one gateway process for one service, over a sliding window.
 ///
-/// Each gateway may repeat a fixed ratio of its own first sends, plus an equal share of a constant,
+/// Each process may repeat a fixed ratio of its own first sends, plus an equal share of a constant,
 /// so the sum over all gateways stays within the limit without any messages between them. Such a
 /// limit keeps retries from multiplying the load ("Timeouts that get retried into an outage").
 ///
+/// Load pattern: servers fail while gateways start anew, or while callers go from one gateway to
+/// another. No process knows what another one has spent, its predecessor included, so the sum has to
+/// hold whatever each of them spent before.
+///
 /// It is for gateways that send to the backend servers themselves. Gateways that send to agents use
 /// a [`RetryBudget`](crate::RetryBudget).
 #[derive(Debug)]
 pub struct RepeatBudget {
+    started: Duration,
     first_sends: SlidingWindow,
     repeats: SlidingWindow,
 }
@@ -149,13 +154,18 @@
     pub repeats: usize,
 }
 
-/// Fraction of the limit that is used; the rest covers gateways that have joined unnoticed.
-const USED_FRACTION: f64 = 0.8;
+/// Fraction of the limit for first sends that is used. The repeats in a window count against the first
+/// sends of that window, or of the one before, while each process may spend on both of them.
+const EARNED_FRACTION: f64 = 0.5;
+/// Fraction of the constant that is used; the rest covers gateways that have joined unnoticed.
+const CONSTANT_FRACTION: f64 = 0.9;
 
 impl RepeatBudget {
-    /// Creates a budget without any sends, for a window of the given length.
-    pub fn new(window: Duration) -> Self {
+    /// Creates a budget without any sends, for a window of the given length and a process that was
+    /// started at `started`.
+    pub fn new(window: Duration, started: Duration) -> Self {
         Self {
+            started,
             first_sends: SlidingWindow::new(window),
             repeats: SlidingWindow::new(window),
         }
@@ -176,12 +186,21 @@
 
     /// Takes one repeat from the budget; returns whether there was one left.
     pub fn try_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
-        let earned = limits.ratio * self.first_sends.count(now) as f64;
-        let fixed = limits.extra / gateways.max(1) as f64;
-        let allowed = ((self.repeats.count(now) + 1) as f64) <= USED_FRACTION * (earned + fixed);
-        if allowed {
+        let earned = EARNED_FRACTION * limits.ratio * self.first_sends.count(now) as f64;
+        let allowed = earned + self.constant_share(now, limits, gateways);
+        let is_allowed = (self.repeats.count(now) + 1) as f64 <= allowed;
+        if is_allowed {
             self.repeats.record(now);
         }
-        allowed
+        is_allowed
+    }
+
+    /// Share of the constant; none in the first window of the process, for which the one before it may
+    /// have spent it.
+    fn constant_share(&self, now: Duration, limits: RepeatLimits, gateways: usize) -> f64 {
+        if now < self.started + limits.window {
+            return 0.0;
+        }
+        CONSTANT_FRACTION * limits.extra / gateways.max(1) as f64
     }
 }
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -21,7 +21,7 @@
 fn repeats_keep_the_bound_in_every_window() {
     for seed in 0..20 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut budgets: Vec<_> = (0..4).map(|_| RepeatBudget::new(LIMITS.window)).collect();
+        let mut budgets: Vec<_> = (0..4).map(|_| new_budget(0)).collect();
         let (mut firsts, mut repeats) = (Vec::new(), Vec::new());
         for millis in 0..40_000 {
             let is_busy = (millis / 7_000) % 2 == 0;
@@ -78,8 +78,8 @@
 const FAILURES_BEGIN: u64 = 10_000;
 const KILLS: [u64; 3] = [11_000, 13_500, 16_000];
 
-fn new_budget(_started: u64) -> RepeatBudget {
-    RepeatBudget::new(LIMITS.window)
+fn new_budget(started: u64) -> RepeatBudget {
+    RepeatBudget::new(LIMITS.window, at(started))
 }
 
 impl RepeatingGateways {
