A server that said it leaves stays out until a new process of it has started

What callers saw: a request reached a server some time after it had said that it leaves.

Cause: the mark was dropped when the server's row disappeared and came back 30 s or more after its last such answer. A row also disappears while its server cannot reach the store, or beyond the number of removed rows that are kept. The class: a fact that is unlearned by time where evidence is at hand. Rows state when the process started, which nothing read.

Change: only a later start than the last one that was stated ends the mark. The assertion that a row which comes back after 60 s is a new process was wrong: the same process can write it; it is replaced by cases with the stated start.

--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -44,6 +44,10 @@
         Paused(server: Box<str>) {
             display("reserve memory of {server}: it has asked for a pause")
         }
+        /// The engine leaves, or has left.
+        Left(server: Box<str>) {
+            display("reserve memory of {server}: it leaves")
+        }
         /// The engine did not accept the connection, so that it holds no memory.
         NotConnected(server: BackendId, reason: Box<str>) {
             display("reserve memory of {server}: {reason}")
@@ -138,12 +142,13 @@
             engine_lost,
         };
         for reservation in &acquired.state.reservations {
-            if shared
-                .fleet
-                .is_paused(&reservation.server, shared.clock.now())
-            {
+            let now = shared.clock.now();
+            if shared.fleet.is_paused(&reservation.server, now) {
                 return Err(ReserveError::Paused(reservation.server.clone()));
             }
+            if !shared.store_cache.is_usable(&reservation.server, now) {
+                return Err(ReserveError::Left(reservation.server.clone()));
+            }
             reserve(shared, reservation).await?;
         }
         if !acquired.state.reservations.is_empty() {
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -1,6 +1,6 @@
 //! Cached content of the store: declarations, evacuations and backend servers.
 
-use adapter::{Listing, StoreRow, decode_backend_row, decode_declarations, evacuated_domain, keys};
+use adapter::{Listing, StoreRow, decode_declarations, decode_server_row, evacuated_domain, keys};
 use policy::{BackendId, DomainName, RouteTable, ServerSet, server_key};
 use proto::{BackendEntry, BackendRow, ServerKey, StoreSnapshot, StoreVersions};
 use slog::{Logger, info, warn};
@@ -115,10 +115,13 @@
     pub fn on_server_rows(&self, rows: &[StoreRow], version: u64, now: Duration) {
         let mut state = self.lock();
         for row in rows {
-            let change = decode_backend_row(row);
+            let change = decode_server_row(row);
             info!(self.log, "servers: row changed"; "server" => &*row.key, "version" => row.version,
-                "change" => ?change);
-            state.servers.on_row(&row.key, change, row.version, now);
+                "change" => ?change.row);
+            state.servers.on_row(&row.key, change.row, row.version, now);
+            if let Some(started) = change.started {
+                state.servers.on_start(&row.key, started);
+            }
         }
         self.log_restarted(&mut state);
         state.versions.servers = state.versions.servers.max(version);
@@ -126,12 +129,18 @@
 
     /// Applies the whole servers' table.
     pub fn on_server_listing(&self, listing: &Listing, now: Duration) {
-        let rows = listing.rows.iter();
-        let rows = rows.map(|row| (row.key.clone(), decode_backend_row(row), row.version));
+        let mut starts = Vec::new();
+        let rows = listing.rows.iter().map(|row| {
+            let decoded = decode_server_row(row);
+            starts.extend(decoded.started.map(|started| (&row.key, started)));
+            (row.key.clone(), decoded.row, row.version)
+        });
+        let rows = rows.collect();
         let mut state = self.lock();
-        state
-            .servers
-            .on_listing(rows.collect(), listing.version, now);
+        state.servers.on_listing(rows, listing.version, now);
+        for (server, started) in starts {
+            state.servers.on_start(server, started);
+        }
         state.versions.servers = state.versions.servers.max(listing.version);
         self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -19,13 +19,14 @@
     last_entry: Option<BackendEntry>,
     /// When the server last said in a response that it leaves.
     left_at: Option<Duration>,
+    /// Latest start of its process that a row has stated, as time since the Unix epoch.
+    started: Option<Duration>,
 }
 
 /// Time after an outage of the store within which rows that expired during the outage come back.
 pub const EXPIRED_ROW_GRACE: Duration = Duration::from_millis(1_800);
-/// A server whose row comes back this long after it last said that it leaves has started anew under its
-/// id. Sooner, its row may only have expired while the store was away.
-const LEAVING_TIME: Duration = Duration::from_secs(30);
+/// A removed server that said it leaves is remembered for at least this long. It ends within minutes.
+const LEFT_RETENTION: Duration = Duration::from_secs(86_400);
 /// Rows of removed servers are kept, to recognize late updates, until there are this many rows.
 const MAX_TOMBSTONES: usize = 4_096;
 
@@ -56,6 +57,7 @@
             usable_until: None,
             last_entry: None,
             left_at: None,
+            started: None,
         });
         if version <= known.version {
             return false;
@@ -65,11 +67,6 @@
             (BackendRow::Present(entry), BackendRow::Absent) if !entry.draining => grace,
             _ => None,
         };
-        let comes_back = known.row == BackendRow::Absent && row != BackendRow::Absent;
-        if comes_back && known.left_at.is_some_and(|at| now >= at + LEAVING_TIME) {
-            known.left_at = None;
-            self.restarted.push(id.into());
-        }
         if let BackendRow::Present(entry) = &known.row {
             known.last_entry = Some(entry.clone());
         }
@@ -77,6 +74,19 @@
         true
     }
 
+    /// Records when the process of a server started, as its row states. A later start than the last one
+    /// that was stated is that of a new process, to which nothing applies that the former one said.
+    pub fn on_start(&mut self, id: &str, started: Duration) {
+        let Some(known) = self.known.get_mut(id) else {
+            return;
+        };
+        let is_new = known.started.is_some_and(|last| started > last);
+        known.started = known.started.max(Some(started));
+        if is_new && known.left_at.take().is_some() {
+            self.restarted.push(id.into());
+        }
+    }
+
     /// Records a complete listing as of `version`. Servers that it does not contain are removed.
     pub fn on_listing(
         &mut self,
@@ -97,7 +107,7 @@
         }
         // Servers that came and went since the last known version are in no listing.
         self.history_start = self.history_start.max(version);
-        self.remove_tombstones();
+        self.remove_tombstones(now);
     }
 
     /// Records the rows that have changed since a version up to which all is known, `known`. A row that is
@@ -111,11 +121,11 @@
         for (id, row, version) in rows.into_iter().filter(|(.., version)| *version > known) {
             self.on_row(&id, row, version, now);
         }
-        self.remove_tombstones();
+        self.remove_tombstones(now);
     }
 
     /// Records that a server has said in a response that it leaves. It gets no new requests, whatever its
-    /// row says. Returns whether that is news.
+    /// row says, until a later start is stated. Returns whether that is news.
     pub fn on_leaving(&mut self, id: &str, now: Duration) -> bool {
         let Some(known) = self.known.get_mut(id) else {
             return false;
@@ -183,7 +193,7 @@
         (now < until).then_some(until)
     }
 
-    fn remove_tombstones(&mut self) {
+    fn remove_tombstones(&mut self, now: Duration) {
         if self.known.len() <= MAX_TOMBSTONES {
             return;
         }
@@ -191,8 +201,10 @@
         let removed = removed.filter(|known| known.row == BackendRow::Absent);
         let last = removed.map(|known| known.version).max();
         self.history_start = self.history_start.max(last.unwrap_or(0));
-        self.known
-            .retain(|_, known| known.row != BackendRow::Absent);
+        self.known.retain(|_, known| {
+            let left_at = known.left_at.filter(|at| now < *at + LEFT_RETENTION);
+            known.row != BackendRow::Absent || left_at.is_some()
+        });
     }
 }
 
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -93,9 +93,44 @@
     set.on_row("x", BackendRow::Absent, 12, at(2_000));
     set.on_row("x", entry("x", false), 13, at(4_000));
     assert!(!set.is_usable("x", at(4_000)), "its row had expired");
-    set.on_row("x", BackendRow::Absent, 14, at(5_000));
-    set.on_row("x", entry("x", false), 15, at(60_000));
-    assert!(set.is_usable("x", at(60_000)), "it has started anew");
+}
+
+/// The id of a server that left is used again by its next process, whose row states a later start.
+#[test]
+fn a_server_that_left_gets_requests_once_it_has_started_anew() {
+    let start = |millis: u64| Duration::from_millis(1_700_000_000_000 + millis);
+    let mut set = set();
+    set.on_start("x", start(0));
+    set.on_leaving("x", at(0));
+    for (version, started) in [(12, start(0)), (13, start(0))] {
+        set.on_row("x", entry("x", false), version, at(60_000));
+        set.on_start("x", started);
+        assert!(!set.is_usable("x", at(60_000)), "the same process");
+    }
+    set.on_row("x", BackendRow::Absent, 14, at(70_000));
+    set.on_row("x", entry("x", false), 15, at(71_000));
+    set.on_start("x", start(70_500));
+    assert!(set.is_usable("x", at(71_000)));
+    assert_eq!(set.take_restarted(), ["x".into()]);
+    set.on_leaving("x", at(72_000));
+    set.on_start("x", start(0));
+    assert!(!set.is_usable("x", at(72_000)), "an older row");
+}
+
+/// Rows of removed servers are dropped beyond a number, and a server that had said that it leaves got
+/// requests when its row came back.
+#[test]
+fn a_server_that_left_is_remembered_beside_many_removed_ones() {
+    let mut set = set();
+    set.on_leaving("x", at(0));
+    for (version, n) in (20..).zip(0..5_000) {
+        let id = format!("gone-{n}");
+        set.on_row(&id, entry(&id, false), version, at(10));
+    }
+    set.on_listing(Vec::new(), 6_000, at(20));
+    assert!(set.rows().count() < 5_000, "the others are dropped");
+    set.on_row("x", entry("x", false), 6_001, at(60_000));
+    assert!(!set.is_usable("x", at(60_000)));
 }
 
 /// A server that had said that it leaves lost its row for a moment much later, as one that cannot reach
--- a/crates/trials/tests/server_pauses.rs
+++ b/crates/trials/tests/server_pauses.rs
@@ -3,6 +3,7 @@
 use hyper::StatusCode;
 use runtime::Executor;
 use standins::{PlatformServer, ServerBehaviour, ServerKind, StandinServer};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use trials::{CallerAnswer, DirectRig};
 
@@ -189,6 +190,30 @@
     let servers = start_servers(rig, &case).await;
     let preferred = preferred_server(rig, &case, &servers).await;
     preferred.standin().leave();
+    wait_for_leaving(rig, &case).await;
+    let before = preferred.standin().arrivals().len();
+    let answers = send_for(rig, &case, "left", Duration::from_secs(1)).await;
+    assert_eq!(preferred.standin().arrivals().len(), before);
+    let others = answers
+        .iter()
+        .filter(|answer| answer.status != StatusCode::OK);
+    assert_eq!(others.count(), 0, "the other server takes all of them");
+}
+
+/// As [`leaving_server`], where the server refuses requests and says so only then.
+async fn leaving_in_a_refusal(rig: &DirectRig, case: Case) {
+    let servers = start_servers(rig, &case).await;
+    let preferred = preferred_server(rig, &case, &servers).await;
+    preferred.standin().set_behaviour(ServerBehaviour::Full);
+    preferred.standin().leave();
+    wait_for_leaving(rig, &case).await;
+    let before = preferred.standin().arrivals().len();
+    send_for(rig, &case, "left", Duration::from_secs(1)).await;
+    assert_eq!(preferred.standin().arrivals().len(), before);
+}
+
+/// Sends requests until the gateway has heard that a server leaves.
+async fn wait_for_leaving(rig: &DirectRig, case: &Case) {
     let left = async || {
         rig.call("notice", case.path, KEY).await;
         rig.gateway
@@ -200,13 +225,54 @@
         "{}",
         rig.gateway.process.log_tail()
     );
+}
+
+/// A stream that breaks off is not resumed at an engine that has said that it leaves, though the row of
+/// that engine is written anew meanwhile.
+async fn resumption_after_leaving(rig: &DirectRig) {
+    let servers = start_servers(rig, &ENGINES).await;
+    let preferred = preferred_server(rig, &ENGINES, &servers).await;
+    preferred.standin().leave();
+    wait_for_leaving(rig, &ENGINES).await;
     let before = preferred.standin().arrivals().len();
-    let answers = send_for(rig, &case, "left", Duration::from_secs(1)).await;
+    for (server, name) in servers.iter().zip(["server-1", "server-2"]) {
+        rig.register(name, ENGINES.service, server.local_addr(), "ready");
+        let behaviour = ServerBehaviour::BreakAfter(4);
+        server.standin().set_behaviour(behaviour);
+    }
+    let answer = rig.call("broken", ENGINES.path, KEY).await;
+    assert_eq!(answer.body, None, "the stream does not look complete");
     assert_eq!(preferred.standin().arrivals().len(), before);
-    let others = answers
+}
+
+/// An engine that says that it leaves when memory is reserved there helps with no further prompt.
+async fn helper_that_leaves(rig: &mut DirectRig) {
+    let servers = start_servers(rig, &ENGINES).await;
+    rig.prompt = 45_000;
+    rig.call("helped", ENGINES.path, KEY).await;
+    let orders = |server: &StandinServer<PlatformServer>| server.standin().received_orders();
+    let helper = servers
         .iter()
-        .filter(|answer| answer.status != StatusCode::OK);
-    assert_eq!(others.count(), 0, "the other server takes all of them");
+        .find(|server| !orders(server).is_empty())
+        .unwrap();
+    helper.standin().leave();
+    rig.call("heard", ENGINES.path, KEY).await;
+    let heard = async || {
+        rig.gateway
+            .process
+            .has_logged("servers: leaving, by its own response")
+    };
+    assert!(rig.wait_until(heard).await);
+    let reserved = || {
+        let orders = orders(helper).into_iter();
+        let reserved = orders.filter(|order| order["Operation"] == *"reserve");
+        reserved
+            .map(|order| order["Id"].to_string())
+            .collect::<BTreeSet<_>>()
+    };
+    let before = (reserved(), helper.standin().arrivals().len());
+    rig.call("after", ENGINES.path, KEY).await;
+    assert_eq!((reserved(), helper.standin().arrivals().len()), before);
 }
 
 /// The other server of two breaks a stream off while one is in a pause: it is not resumed there.
@@ -235,10 +301,10 @@
 }
 
 /// Runs a test with a gateway.
-fn with_rig(test: impl AsyncFnOnce(&DirectRig)) {
+fn with_rig(test: impl AsyncFnOnce(&mut DirectRig)) {
     Executor::run(2, |executor| async move {
-        let rig = DirectRig::start(&executor).unwrap();
-        test(&rig).await;
+        let mut rig = DirectRig::start(&executor).unwrap();
+        test(&mut rig).await;
     });
 }
 
@@ -253,19 +319,27 @@
 
 cases! {
     an_engine_that_asks_for_a_pause_gets_nothing_meanwhile =>
-        async |rig: &DirectRig| pause_is_kept(rig, ENGINES).await;
+        async |rig: &mut DirectRig| pause_is_kept(rig, ENGINES).await;
     a_plain_server_that_asks_for_a_pause_gets_nothing_meanwhile =>
-        async |rig: &DirectRig| pause_is_kept(rig, REGISTRY).await;
+        async |rig: &mut DirectRig| pause_is_kept(rig, REGISTRY).await;
     prompts_are_refused_at_once_while_all_engines_pause =>
-        async |rig: &DirectRig| all_servers_pause(rig, ENGINES).await;
+        async |rig: &mut DirectRig| all_servers_pause(rig, ENGINES).await;
     calls_are_refused_at_once_while_all_servers_pause =>
-        async |rig: &DirectRig| all_servers_pause(rig, REGISTRY).await;
+        async |rig: &mut DirectRig| all_servers_pause(rig, REGISTRY).await;
     a_pause_without_sense_is_ignored =>
-        async |rig: &DirectRig| senseless_pause(rig, REGISTRY).await;
+        async |rig: &mut DirectRig| senseless_pause(rig, REGISTRY).await;
     an_engine_that_says_it_leaves_gets_nothing_new =>
-        async |rig: &DirectRig| leaving_server(rig, ENGINES).await;
+        async |rig: &mut DirectRig| leaving_server(rig, ENGINES).await;
     a_plain_server_that_says_it_leaves_gets_nothing_new =>
-        async |rig: &DirectRig| leaving_server(rig, REGISTRY).await;
+        async |rig: &mut DirectRig| leaving_server(rig, REGISTRY).await;
+    an_engine_that_says_it_leaves_in_a_refusal_gets_nothing_new =>
+        async |rig: &mut DirectRig| leaving_in_a_refusal(rig, ENGINES).await;
+    a_plain_server_that_says_it_leaves_in_a_refusal_gets_nothing_new =>
+        async |rig: &mut DirectRig| leaving_in_a_refusal(rig, REGISTRY).await;
+    a_stream_is_not_resumed_at_an_engine_that_left =>
+        async |rig: &mut DirectRig| resumption_after_leaving(rig).await;
+    an_engine_that_left_helps_with_no_prompt =>
+        async |rig: &mut DirectRig| helper_that_leaves(rig).await;
     a_stream_is_not_resumed_at_an_engine_that_pauses =>
-        async |rig: &DirectRig| resumption_in_a_pause(rig).await;
+        async |rig: &mut DirectRig| resumption_in_a_pause(rig).await;
 }
