Gateways that have just started can repeat requests again

Change: the constant accrues in the first window, from the share of one second on. Processes that follow each other at one gateway get 0.3 of it together, beside 0.55 that the first of them may have spent; five starts within a window use up the rest.

--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -157,8 +157,14 @@
 /// Fraction of the limit for first sends that is used. The repeats in a window count against the first
 /// sends of that window, or of the one before, while each process may spend on both of them.
 const EARNED_FRACTION: f64 = 0.5;
-/// Fraction of the constant that is used; the rest covers gateways that have joined unnoticed.
-const CONSTANT_FRACTION: f64 = 0.9;
+/// Fraction of the constant that processes use which are older than the window.
+const CONSTANT_FRACTION: f64 = 0.55;
+/// Fraction of the constant that accrues to a process in its first window. Those that follow each other
+/// at one gateway within a window get this much together, beside what the first of them may have spent.
+const STARTING_FRACTION: f64 = 0.3;
+/// Time that a process is credited with when it starts, so that a gateway without others can repeat at
+/// once. Five starts within a window use up what the two fractions leave of the constant.
+const STARTING_CREDIT: Duration = Duration::from_secs(1);
 
 impl RepeatBudget {
     /// Creates a budget without any sends, for a window of the given length and a process that was
@@ -195,12 +201,16 @@
         is_allowed
     }
 
-    /// Share of the constant; none in the first window of the process, for which the one before it may
-    /// have spent it.
+    /// Share of the constant. It accrues in the first window of the process, for which the one before
+    /// it may have spent a whole share.
     fn constant_share(&self, now: Duration, limits: RepeatLimits, gateways: usize) -> f64 {
-        if now < self.started + limits.window {
-            return 0.0;
-        }
-        CONSTANT_FRACTION * limits.extra / gateways.max(1) as f64
+        let age = now.saturating_sub(self.started);
+        let fraction = if age < limits.window {
+            let accrued = (age + STARTING_CREDIT).as_secs_f64() / limits.window.as_secs_f64();
+            STARTING_FRACTION * accrued
+        } else {
+            CONSTANT_FRACTION
+        };
+        fraction * limits.extra / gateways.max(1) as f64
     }
 }
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -54,7 +54,7 @@
 /// What happens to the gateways while repeats press.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Upset {
-    /// All are killed at the same moment, three times in a row.
+    /// All are killed at the same moment, five times in a row.
     AllKilled,
     /// One after the other is stopped, and its callers go to the others.
     StoppedInTurn,
@@ -76,7 +76,7 @@
 /// Servers begin to fail requests at the same moment of each period, and the upset follows.
 const PERIOD_MILLIS: u64 = 25_000;
 const FAILURES_BEGIN: u64 = 10_000;
-const KILLS: [u64; 3] = [11_000, 13_500, 16_000];
+const KILLS: [u64; 5] = [10_500, 12_000, 13_500, 15_000, 16_500];
 
 fn new_budget(started: u64) -> RepeatBudget {
     RepeatBudget::new(LIMITS.window, at(started))
@@ -208,6 +208,12 @@
     repeats_went_beyond_the_bound_when_callers_moved_between_103_gateways: 103, Upset::CallersMove;
 }
 
+/// A gateway that had just started, without others, could not repeat any request.
+#[test]
+fn a_gateway_that_starts_alone_can_repeat_at_once() {
+    assert!(new_budget(0).try_spend(at(0), LIMITS, 1));
+}
+
 /// Shares of each of `gateways` gateways. Each one does not know of a random part of the others.
 fn shares_of(gateways: usize, unknown: f64, rng: &mut SmallRng) -> Vec<SendShares> {
     let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
