What is no event is not passed on in the middle of a stream

What callers saw elsewhere: the text of an error, at times its whole head, in the middle of a stream that had broken off and gone on at the next server, or the stream ended as if it were complete.

Cause: once a stream had begun, bytes up to a blank line were passed on whether they had an id or not, so that the text of an error or the head of another answer in the body counted as an event.

Change: events without an id are held back until one with an id follows, also in the middle of a stream; only comments go at once. A line that is no field of an event breaks the stream off. What precedes it is passed on first.

Evidence: what_is_no_event_is_not_passed_on failed before for all five texts.

--- a/crates/direct/src/event_splitter.rs
+++ b/crates/direct/src/event_splitter.rs
@@ -18,6 +18,10 @@
         NoId {
             display("no event with an id in {MAX_EVENT_BYTES} bytes")
         }
+        /// A line is no field of an event, such as the text of an error.
+        Malformed {
+            display("a line that is no field of an event")
+        }
         /// An event id is not greater than the one before.
         OutOfOrder(last: u64, found: u64) {
             display("event {found} came after event {last}")
@@ -30,9 +34,11 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
-    /// Bytes at the start of `buf` that hold no end of an event.
+    /// Bytes at the start of `buf` in which the ends of events were searched.
     searched: usize,
-    /// Bytes of events since the last one with an id.
+    /// Bytes of complete events at the start of `buf`, all of which are well-formed.
+    complete: usize,
+    /// Bytes of events since the last one with an id that were passed on.
     bytes_without_id: usize,
     last_id: Option<u64>,
 }
@@ -56,55 +62,111 @@
         !self.buf.is_empty()
     }
 
-    /// Adds received bytes and returns the events that they complete, if any. Events before the first one
-    /// with an id are held back until that one is complete, as bytes that are no answer may look like
-    /// them.
+    /// Adds received bytes and returns the events that they complete, if any. Events without an id are
+    /// held back until one with an id follows, as what a server writes in place of events has none.
+    /// Comments go at once where they follow such an event.
     ///
-    /// Fails where an event is too large or its id is not greater than the one before.
+    /// Fails where an event is too large or malformed, or its id is not greater than the one before.
     pub fn push(&mut self, data: &[u8]) -> Result<Option<Bytes>, EventError> {
         self.buf.extend_from_slice(data);
-        let end = events_end(&self.buf, self.searched);
-        let has_id = self.last_id.is_some() || event_ids(&self.buf[..end]).next().is_some();
-        if end == 0 || !has_id {
-            self.searched = self.buf.len();
-            if self.buf.len() > MAX_EVENT_BYTES {
-                return Err(EventError::TooLarge);
+        let ready = self.check_events()?;
+        if ready == 0 {
+            return match self.buf.len() > MAX_EVENT_BYTES {
+                true if self.complete > 0 => Err(EventError::NoId),
+                true => Err(EventError::TooLarge),
+                false => Ok(None),
+            };
+        }
+        let events = self.buf.split_to(ready).freeze();
+        self.searched -= ready;
+        self.complete -= ready;
+        Ok(Some(events))
+    }
+
+    /// Checks the events that are complete now; returns the number of bytes that can be passed on. An
+    /// error behind them is found again by the next call.
+    fn check_events(&mut self) -> Result<usize, EventError> {
+        let mut ready = 0;
+        while let Some(end) = event_end(&self.buf, self.searched.max(self.complete)) {
+            let nothing_held = ready == self.complete;
+            match self.check_event(end, nothing_held) {
+                Ok(true) => ready = end,
+                Ok(false) => {}
+                Err(err) if ready == 0 => return Err(err),
+                Err(_) => {
+                    self.searched = self.complete;
+                    return Ok(ready);
+                }
             }
-            return Ok(None);
+            self.complete = end;
+            self.searched = end;
         }
-        let events = self.buf.split_to(end).freeze();
         self.searched = self.buf.len();
-        self.bytes_without_id += events.len();
-        for id in event_ids(&events) {
-            if self.last_id.is_some_and(|last| id <= last) {
-                return Err(EventError::OutOfOrder(self.last_id.unwrap_or_default(), id));
+        Ok(ready)
+    }
+
+    /// Checks the event that ends at `end`; returns whether it can be passed on.
+    fn check_event(&mut self, end: usize, nothing_held: bool) -> Result<bool, EventError> {
+        let event = &self.buf[self.complete..end];
+        if !lines(event).all(is_field) {
+            return Err(EventError::Malformed);
+        }
+        let mut last_id = self.last_id;
+        let mut has_id = false;
+        for id in event_ids(event) {
+            if let Some(last) = last_id.filter(|last| id <= *last) {
+                return Err(EventError::OutOfOrder(last, id));
             }
-            self.last_id = Some(id);
-            self.bytes_without_id = 0;
+            last_id = Some(id);
+            has_id = true;
         }
-        if self.bytes_without_id > MAX_EVENT_BYTES {
+        let mut comments = lines(event);
+        let is_comment =
+            nothing_held && self.last_id.is_some() && comments.all(|line| line.starts_with(b":"));
+        if is_comment && self.bytes_without_id + event.len() > MAX_EVENT_BYTES {
             return Err(EventError::NoId);
         }
-        Ok(Some(events))
+        if has_id {
+            self.bytes_without_id = 0;
+        } else if is_comment {
+            self.bytes_without_id += event.len();
+        }
+        self.last_id = last_id;
+        Ok(has_id || is_comment)
     }
 }
 
-/// Offset after the last blank line, which ends an event; 0 if there is none. The first `searched` bytes
-/// hold no such line.
-fn events_end(buf: &[u8], searched: usize) -> usize {
-    let mut end = 0;
-    for index in searched.max(1)..buf.len() {
-        let blank =
-            buf[index] == b'\n' && (buf[index - 1] == b'\n' || buf[..index].ends_with(b"\n\r"));
-        if blank {
-            end = index + 1;
-        }
+/// Offset after the first blank line that ends at `start` or later. `buf[..start]` holds no other one
+/// that ends an event.
+fn event_end(buf: &[u8], start: usize) -> Option<usize> {
+    let is_blank = |index: usize| {
+        buf[index] == b'\n' && (buf[index - 1] == b'\n' || buf[..index].ends_with(b"\n\r"))
+    };
+    let end = (start.max(1)..buf.len()).find(|index| is_blank(*index));
+    end.map(|index| index + 1)
+}
+
+/// Lines without their ends; blank ones are left out.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.filter(|line| !line.is_empty())
+}
+
+/// Whether a line is a field or a comment. Fields that are not known here may stand beside others.
+fn is_field(line: &[u8]) -> bool {
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().unwrap_or_default();
+    match parts.next() {
+        Some(_) => name
+            .iter()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(byte)),
+        None => [&b"data"[..], b"event", b"id", b"retry"].contains(&name),
     }
-    end
 }
 
 fn event_ids(events: &[u8]) -> impl Iterator<Item = u64> {
-    events.split(|byte| *byte == b'\n').filter_map(|line| {
+    lines(events).filter_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/crates/direct/tests/event_splitter.rs
+++ b/crates/direct/tests/event_splitter.rs
@@ -87,3 +87,43 @@
     let events = splitter.push(b": comment\n\n").unwrap().unwrap();
     assert_eq!(&*events, b": comment\n\n");
 }
+
+/// The text of an error or the head of another answer in place of an event was passed on.
+#[test]
+fn what_is_no_event_is_not_passed_on() {
+    let texts = [
+        "out of memory\n\n",
+        "overloaded\n\n",
+        "{\"error\":\"full\"}\n\n",
+        "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 4\r\n\r\nfull",
+        "out of memory\nid: 5\ndata: a\n\n",
+    ];
+    for text in texts {
+        let mut splitter = EventSplitter::after(Some(4));
+        assert_eq!(
+            splitter.push(text.as_bytes()),
+            Err(EventError::Malformed),
+            "{text}"
+        );
+        assert_eq!(splitter.last_event(), Some(4));
+        let mut splitter = EventSplitter::after(Some(3));
+        let events = splitter.push(format!("{}{text}", event(4)).as_bytes());
+        assert_eq!(events.unwrap().unwrap(), event(4), "{text}");
+        assert!(splitter.has_partial());
+        assert_eq!(splitter.push(b"\n"), Err(EventError::Malformed), "{text}");
+    }
+    let mut splitter = EventSplitter::after(Some(4));
+    assert_eq!(splitter.push(b"data: out of memory\n\n").unwrap(), None);
+    assert!(
+        splitter.has_partial(),
+        "an event without an id ends nothing"
+    );
+}
+
+/// Fields that the gateway does not know, such as the version of an engine's weights, are passed on.
+#[test]
+fn events_may_have_further_fields() {
+    let text = "x-weight-versions: 3\nid: 5\nevent: token\ndata\nretry: 10\n\n";
+    let mut splitter = EventSplitter::after(Some(4));
+    assert_eq!(splitter.push(text.as_bytes()).unwrap().unwrap(), text);
+}
