Streams go on only with an answer of the same kind

Cause: any answer with a success status went on with a stream that had broken off: the body of one of another type was passed on, and one without a body ended the stream as if it were complete.

Change: status and content type of the answer that goes on have to be those that the caller has been told. Other answers are left out as failed tries, with a log line.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -10,9 +10,12 @@
 use adapter::response_headers;
 use bytes::Bytes;
 use futures_lite::future::or;
-use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 use policy::{BackendId, RouteKind};
 use runtime::{Body, timeout};
+use slog::info;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,7 +122,13 @@
     *response.status_mut() = stream.response.head.status;
     *response.headers_mut() = response_headers(&stream.response.head);
     let executor = call.shared.executor.clone();
-    let relay = Relay { call, tx, tried };
+    let kind = AnswerKind::of(&stream.response.head);
+    let relay = Relay {
+        call,
+        tx,
+        tried,
+        kind,
+    };
     executor.detach(relay.run(stream, events));
     response
 }
@@ -128,6 +137,24 @@
     call: Arc<Call>,
     tx: StreamBuffer,
     tried: Vec<BackendId>,
+    /// What the caller has been told of its answer.
+    kind: AnswerKind,
+}
+
+/// What the head of an answer says of its body. Only an answer of the same kind goes on with a stream.
+#[derive(Debug, PartialEq, Eq)]
+struct AnswerKind {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl AnswerKind {
+    fn of(head: &Parts) -> Self {
+        Self {
+            status: head.status,
+            content_type: head.headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
 }
 
 /// How a relayed stream ended.
@@ -269,10 +296,14 @@
             let opened = EngineStream::open(&self.call, &mut self.tried, Some(last_event));
             match unless_caller_left(&self.tx, opened).await {
                 None => return Err(RelayEnd::CallerLeft),
-                Some(Ok(stream)) if stream.response.head.status.is_success() => {
-                    return Ok(Box::new(stream));
+                Some(Ok(stream)) => {
+                    let kind = AnswerKind::of(&stream.response.head);
+                    if kind == self.kind {
+                        return Ok(Box::new(stream));
+                    }
+                    info!(self.call.shared.log, "stream: not resumed, the answer is of another kind";
+                        "req" => &*self.call.head.id, "answer" => ?kind);
                 }
-                Some(Ok(_)) => {}
                 Some(Err(OpenError::NoEngines(_))) => {
                     return Err(RelayEnd::Broken("no engine to go on"));
                 }
