A refusal of an earlier request is not believed for the next one

What callers saw elsewhere: 'not run, try again' for requests that a server had run or was running, or such a request ran at a second server, where a faulty server wrote an earlier refusal once more on a kept connection.

Cause: the agent sent callers' requests over pooled connections, and took whatever came first for the answer.

Change: the agent sends each request of a caller on a connection of its own; calls that may be repeated stay on pooled ones.

Left: orders to engines are still sent over pooled connections.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -95,10 +95,7 @@
         log: Logger,
     ) -> Result<Self, StartError> {
         let metrics = Arc::new(Metrics::new()?);
-        let backend = Arc::new(Backend::new(
-            settings.backend,
-            HttpClient::new(executor.clone()),
-        ));
+        let backend = Arc::new(Backend::new(settings.backend, executor.clone()));
         let mut cfg = SchedulerConfig::for_server(&settings.server);
         cfg.queue_limit = settings.queue_limit;
         let scheduler = Scheduler::new(cfg);
--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -1,18 +1,18 @@
 //! HTTP client of the backend server.
 
 use bytes::Bytes;
-use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::Request;
 use policy::{EngineReport, format_grant};
 use proto::{AttemptId, GrantId, Offer};
 use quick_error::quick_error;
-use runtime::{Body, HttpClient, HttpError};
+use runtime::{Body, Executor, HttpClient, HttpError, SingleExchange, SingleResponse};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 quick_error! {
@@ -62,24 +62,33 @@
 #[derive(Debug)]
 pub struct Backend {
     address: SocketAddr,
+    executor: Executor,
+    /// Client for calls other than requests of callers.
     client: HttpClient,
 }
 
 impl Backend {
     /// Creates a client of the backend server at `address`.
-    pub fn new(address: SocketAddr, client: HttpClient) -> Self {
-        Self { address, client }
+    pub fn new(address: SocketAddr, executor: Executor) -> Self {
+        Self {
+            address,
+            client: HttpClient::new(executor.clone()),
+            executor,
+        }
     }
 
     /// Sends a request and returns the response once its head has arrived. `grant` names memory that
     /// the engine has reserved for the request.
+    ///
+    /// The connection carries no other request: what a server writes late, such as an earlier refusal
+    /// once more, would be taken for the response to this one.
     pub async fn send_request(
         &self,
         offer: &Offer,
         priority: u8,
         grant: Option<GrantId>,
         body: Bytes,
-    ) -> Result<Response<Incoming>, BackendError> {
+    ) -> Result<SingleResponse, BackendError> {
         let mut req = Request::builder()
             .method(&*offer.method)
             .uri(&*offer.path)
@@ -99,7 +108,8 @@
         }
         let req = req.body(Body::full(body));
         let req = req.map_err(|err| BackendError::Request(self.address, err))?;
-        Ok(self.client.send(self.address, req).await?)
+        let exchange = SingleExchange::connect(&self.executor, self.address, CONNECT_TIMEOUT);
+        Ok(exchange.await?.send(req).await?)
     }
 
     /// Has the engine apply an action to an attempt: `cancel`, `suspend` or `resume`.
--- a/crates/agent/src/backend_run.rs
+++ b/crates/agent/src/backend_run.rs
@@ -8,11 +8,9 @@
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::{BodyExt, Collected, Limited};
-use hyper::Response;
-use hyper::body::Incoming;
 use policy::SchedulerEvent;
 use proto::{AnswerChecksum, EventKind, Execution, GrantId, Outcome, RefusalReason};
-use runtime::LinkError;
+use runtime::{LinkError, SingleResponse};
 use serde::Deserialize;
 use std::future::Future;
 use std::pin::{Pin, pin};
@@ -137,9 +135,9 @@
         }
     }
 
-    async fn forward_response(&mut self, response: Response<Incoming>) -> Result<(), EarlyEnd> {
-        let status = response.status().as_u16();
-        let content_type = response.headers().get("content-type");
+    async fn forward_response(&mut self, mut response: SingleResponse) -> Result<(), EarlyEnd> {
+        let status = response.head.status.as_u16();
+        let content_type = response.head.headers.get("content-type");
         let content_type: Option<Box<str>> = content_type
             .and_then(|value| value.to_str().ok())
             .map(Into::into);
@@ -152,9 +150,9 @@
                 content_type,
             })
             .await?;
-        let mut body = response.into_body();
         loop {
-            let frame = self.wait_with_heartbeats(pin!(body.frame())).await?;
+            let frame = response.body.frame();
+            let frame = self.wait_with_heartbeats(pin!(frame)).await?;
             match frame {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -220,8 +218,8 @@
         Ok(())
     }
 
-    async fn handle_rejection(&mut self, response: Response<Incoming>) -> Result<(), EarlyEnd> {
-        let body = Limited::new(response.into_body(), MAX_REJECTION_BYTES).collect();
+    async fn handle_rejection(&mut self, mut response: SingleResponse) -> Result<(), EarlyEnd> {
+        let body = Limited::new(&mut response.body, MAX_REJECTION_BYTES).collect();
         let body = self.wait_with_heartbeats(pin!(body)).await?;
         let bytes = body.map(Collected::to_bytes).unwrap_or_default();
         let rejection = serde_json::from_slice::<RejectionBody>(&bytes);
@@ -268,9 +266,9 @@
     }
 }
 
-fn is_rejection(response: &Response<Incoming>) -> bool {
+fn is_rejection(response: &SingleResponse) -> bool {
     matches!(
-        response.status().as_u16(),
+        response.head.status.as_u16(),
         STATUS_UNAVAILABLE | STATUS_TOO_MANY_REQUESTS
     )
 }
--- a/crates/agent/src/claimed_run.rs
+++ b/crates/agent/src/claimed_run.rs
@@ -11,11 +11,9 @@
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::{BodyExt, Limited};
-use hyper::Response;
-use hyper::body::Incoming;
 use policy::{ClaimEvent, CompleteAnswer};
 use proto::{AttemptId, Execution, Offer, Outcome, RefusalReason};
-use runtime::{LinkError, timeout};
+use runtime::{LinkError, SingleResponse, timeout};
 use serde::Deserialize;
 use std::time::Duration;
 
@@ -162,13 +160,13 @@
     }
 }
 
-async fn collect_response(response: Response<Incoming>) -> CallResult {
-    let status = response.status().as_u16();
-    let content_type = response.headers().get("content-type");
+async fn collect_response(mut response: SingleResponse) -> CallResult {
+    let status = response.head.status.as_u16();
+    let content_type = response.head.headers.get("content-type");
     let content_type = content_type
         .and_then(|value| value.to_str().ok())
         .map(Into::into);
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
+    let body = Limited::new(&mut response.body, MAX_RESPONSE_BYTES).collect();
     let body = match body.await {
         Ok(body) => body.to_bytes(),
         Err(err) => {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -33,6 +33,7 @@
 mod status;
 
 pub use agent::Agent;
+pub use backend::{Backend, BackendError};
 pub use claims::{ClaimDriver, ClaimVerdict};
 pub use cli::{command, main};
 pub use settings::AgentSettings;
