One odd entry of the host list no longer hides the others

What operators saw elsewhere: one odd entry among those of the servers (nested deeply, a number too large, a port out of range), and the machines that read the list no longer followed it.

Cause: the list was decoded as a whole. Change: each entry is decoded by itself; the others are counted and logged.

--- a/crates/node/src/control_store.rs
+++ b/crates/node/src/control_store.rs
@@ -71,8 +71,12 @@
         loop {
             self.metrics.host_list_reads.inc();
             match self.parts.platform.hosts().await {
-                Ok(hosts) => {
-                    let records = hosts.iter().map(host_record).collect();
+                Ok(listing) => {
+                    if listing.skipped > 0 {
+                        warn!(self.parts.log, "members: hosts cannot be decoded, the others are used";
+                            "hosts" => listing.skipped);
+                    }
+                    let records = listing.hosts.iter().map(host_record).collect();
                     self.update_membership(MembershipEvent::Listed(records));
                 }
                 Err(err) => warn!(self.parts.log, "members: poll failed"; "err" => %err),
--- a/crates/platform/src/host_list.rs
+++ b/crates/platform/src/host_list.rs
@@ -40,8 +40,17 @@
     pub state: HostState,
 }
 
+/// The host list as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostListing {
+    /// Entries that could be decoded.
+    pub hosts: Vec<HostEntry>,
+    /// Number of the other entries, such as those of another writer.
+    pub skipped: usize,
+}
+
 /// Access to the host list.
 pub trait HostList: Send + Sync + 'static {
     /// Reads the whole list; it may be outdated.
-    fn hosts(&self) -> impl Future<Output = Result<Vec<HostEntry>, PlatformError>> + Send;
+    fn hosts(&self) -> impl Future<Output = Result<HostListing, PlatformError>> + Send;
 }
--- a/crates/platform/src/http_platform.rs
+++ b/crates/platform/src/http_platform.rs
@@ -1,13 +1,14 @@
 //! HTTP client of the platform.
 
 use crate::error::{PlatformError, PlatformOperation};
-use crate::host_list::{HostEntry, HostList};
+use crate::host_list::{HostEntry, HostList, HostListing};
 use crate::object_store::ObjectStore;
 use crate::table::{CommitError, Row, RowVersion, TableService, Transaction};
 use bytes::Bytes;
 use runtime::{Body, HttpClient, HttpError};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -81,7 +82,8 @@
 
 #[derive(Deserialize)]
 struct Hosts {
-    hosts: Vec<HostEntry>,
+    /// Entries, each decoded by itself, so that an odd one does not hide the others.
+    hosts: Vec<Box<RawValue>>,
 }
 
 struct Response {
@@ -283,7 +285,7 @@
 }
 
 impl HostList for HttpPlatform {
-    async fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+    async fn hosts(&self) -> Result<HostListing, PlatformError> {
         let response = self
             .call(
                 PlatformOperation::Hosts,
@@ -293,6 +295,12 @@
                 Bytes::new(),
             )
             .await?;
-        Ok(response.json::<Hosts>()?.hosts)
+        let entries = response.json::<Hosts>()?.hosts;
+        let decoded = entries
+            .iter()
+            .filter_map(|entry| serde_json::from_str(entry.get()).ok());
+        let hosts: Vec<HostEntry> = decoded.collect();
+        let skipped = entries.len() - hosts.len();
+        Ok(HostListing { hosts, skipped })
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,7 +8,7 @@
 mod table;
 
 pub use error::{PlatformError, PlatformOperation};
-pub use host_list::{HostEntry, HostList, HostRole, HostState};
+pub use host_list::{HostEntry, HostList, HostListing, HostRole, HostState};
 pub use http_platform::{HttpPlatform, PlatformConfig, PlatformCounters};
 pub use object_store::ObjectStore;
 pub use table::{CommitError, Row, RowCondition, RowVersion, RowWrite, TableService, Transaction};
