One odd row of the store no longer hides the others

Cause: a page of rows was decoded as a whole, so that a row whose content is no text, or which is nested, lacks a key or has a version out of range made each poll fail, and the gateway kept its old list.

Change: each row is decoded by itself.

--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -153,6 +153,7 @@
         let listing = self.store.list(H::TABLE).await?;
         let version = listing.version;
         self.shared.metrics.store_call("list", "ok");
+        self.log_skipped(listing.skipped, version);
         self.handler.on_listing(&self.shared, listing);
         Ok(version)
     }
@@ -163,6 +164,7 @@
         // An older version than the one polled for would make the next poll go back.
         let version = changes.version.max(since);
         let changed = !changes.rows.is_empty();
+        self.log_skipped(changes.skipped, version);
         self.handler.on_changes(&self.shared, changes);
         if changed {
             self.shared.fleet.urgent().notify();
@@ -170,6 +172,13 @@
         Ok(version)
     }
 
+    fn log_skipped(&self, skipped: usize, version: u64) {
+        if skipped > 0 {
+            warn!(self.shared.log, "store: rows cannot be decoded, the others are used";
+                "table" => ?H::TABLE, "rows" => skipped, "version" => version);
+        }
+    }
+
     fn on_contact(&mut self) {
         let now = self.shared.clock.now();
         self.shared.record_store_contact(now);
