Soak: servers that leave, rows that disappear, services that refuse

Servers now say in their answers that they leave while rows of servers disappear and come back, and all servers of a service refuse requests for a while beside kills, stops and freezes of gateways. Checked from what servers got: nothing later than two seconds after a gateway has passed on that a server leaves, and repeats within their bound in each window of ten seconds.

--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -99,7 +99,8 @@
     received_orders: Vec<Value>,
     abandoned_streams: u64,
     request_limit: Option<f64>,
-    arrivals: Vec<Instant>,
+    /// Ids and times of requests that arrived.
+    arrivals: Vec<(Box<str>, Instant)>,
     pause: Option<Box<str>>,
     is_leaving: bool,
     event_interval: Duration,
@@ -183,6 +184,12 @@
 
     /// Times at which requests arrived, including those that it did not run; orders are left out.
     pub fn arrivals(&self) -> Vec<Instant> {
+        let state = self.lock();
+        state.arrivals.iter().map(|(_, at)| *at).collect()
+    }
+
+    /// As [`Self::arrivals`], with the ids of the requests.
+    pub fn received_requests(&self) -> Vec<(Box<str>, Instant)> {
         self.lock().arrivals.clone()
     }
 
@@ -212,7 +219,8 @@
             prompt_parts: text("x-prompt-prefix"),
         };
         let mut state = self.lock();
-        state.arrivals.push(Instant::now());
+        let arrival = (request.request_id.clone(), Instant::now());
+        state.arrivals.push(arrival);
         let behaviour = state.behaviour;
         if let ServerBehaviour::NameAtFault(_) = behaviour {
             state.behaviour = ServerBehaviour::Normal;
--- a/crates/standins/src/standin_server.rs
+++ b/crates/standins/src/standin_server.rs
@@ -151,6 +151,11 @@
     pub fn standin(&self) -> &S {
         &self.standin
     }
+
+    /// The stand-in, for a task that goes on beside the server.
+    pub fn share_standin(&self) -> Arc<S> {
+        self.standin.clone()
+    }
 }
 
 impl<S> Drop for StandinServer<S> {
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -45,6 +45,8 @@
     /// Whether the `x-not-executed` header is there: the gateway vouches that the request did not
     /// run.
     pub not_run: bool,
+    /// Whether the backend server says that it leaves.
+    pub is_leaving: bool,
     /// The body; absent if it was interrupted or no response came.
     pub body: Option<Bytes>,
 }
@@ -56,6 +58,7 @@
         seal: None,
         retry_after: None,
         not_run: false,
+        is_leaving: false,
         body: None,
     };
 }
@@ -183,6 +186,7 @@
             seal: text("x-response-seal"),
             retry_after: text("retry-after"),
             not_run: text("x-not-executed").is_some(),
+            is_leaving: text("server-leaving").is_some(),
             body: response
                 .body
                 .collect()
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -12,6 +12,14 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Content of the store's row of a backend server.
+pub(crate) fn registration(domain: &str, service: &str, address: SocketAddr, state: &str) -> Value {
+    json!({
+        "Service": service, "Address": address, "Zone": domain, "Version": "v1", "Slots": 4,
+        "State": state, "ColdRemainingMs": 0, "Sequence": 1
+    })
+}
+
 /// A direct gateway and the stand-in of its store; more gateways and backend servers can be added.
 #[derive(Debug)]
 pub struct DirectRig {
@@ -93,10 +101,7 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let row = json!({
-            "Service": service, "Address": address, "Zone": domain, "Version": "v1", "Slots": 4,
-            "State": state, "ColdRemainingMs": 0, "Sequence": 1
-        });
+        let row = registration(domain, service, address, state);
         self.store.standin().put("servers", name, &row);
     }
 
--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -1,16 +1,19 @@
 //! A soak test of direct gateways: runs real processes under random faults and checks that the
 //! guarantees given to callers hold.
 
-use crate::direct_gateway::{CallerAnswer, DirectGateway};
-use crate::direct_rig::DirectRig;
+use crate::direct_gateway::DirectGateway;
+use crate::direct_rig::{DirectRig, registration};
 use crate::error::TrialError;
 use crate::fault_proxy::{FaultProxy, LinkFault};
+use crate::soak_checks::{
+    CompletedCall, excess_repeats, is_complete, requests_after_leaving, violation_of,
+};
 use async_io::Timer;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng as _, SeedableRng as _};
 use runtime::Executor;
-use standins::{PlatformServer, ServerKind, StandinServer};
+use standins::{PlatformServer, ServerBehaviour, ServerKind, StandinServer};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -18,9 +21,7 @@
 const TEAM_KEY: Option<&str> = Some("key-1");
 const PATHS: [&str; 3] = ["/stream/x", "/once/x", "/lookup/x"];
 /// Time limit that callers send with each request.
-const TIME_LIMIT: Duration = Duration::from_secs(8);
-/// What a frozen process and a busy machine may add to the time limit.
-const TIME_LIMIT_SLACK: Duration = Duration::from_secs(6);
+pub(crate) const TIME_LIMIT: Duration = Duration::from_secs(8);
 /// Time after the last fault within which every gateway must serve again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 const CALL_INTERVAL: Duration = Duration::from_millis(60);
@@ -48,6 +49,12 @@
     ServerLink(usize, LinkFault, Duration),
     ForgetHistory,
     ReplaceDeclarations,
+    /// The server says in all its answers that it leaves; at most one of each service does.
+    Leave(usize),
+    /// The row of the server disappears and comes back.
+    LoseRow(usize, Duration),
+    /// All servers of the service of this one refuse requests.
+    RefuseAll(usize, Duration),
 }
 
 /// Result of a soak.
@@ -63,14 +70,6 @@
     pub violations: Vec<String>,
 }
 
-#[derive(Debug)]
-struct CompletedCall {
-    id: String,
-    path: &'static str,
-    response: CallerAnswer,
-    took: Duration,
-}
-
 #[derive(Debug)]
 struct ProxiedGateway {
     gateway: DirectGateway,
@@ -79,8 +78,11 @@
 
 #[derive(Debug)]
 struct Server {
+    name: String,
+    service: &'static str,
     standin: StandinServer<PlatformServer>,
     link: FaultProxy,
+    has_left: bool,
 }
 
 /// State of a running soak.
@@ -91,6 +93,8 @@
     servers: Vec<Server>,
     completed: Arc<Mutex<Vec<CompletedCall>>>,
     declarations_version: u64,
+    /// Times at which each gateway was killed, stopped, frozen or thawed.
+    upsets: Vec<Vec<Instant>>,
 }
 
 /// Runs a soak to its end. Fails if a process or a stand-in cannot be started or signalled; broken
@@ -164,7 +168,13 @@
                 let standin = rig.add_server(&name, service, kind)?;
                 let link = proxy(standin.local_addr())?;
                 rig.register(&name, service, link.address(), "ready");
-                servers.push(Server { standin, link });
+                servers.push(Server {
+                    name,
+                    service,
+                    standin,
+                    link,
+                    has_left: false,
+                });
             }
         }
         Ok(Self {
@@ -173,6 +183,7 @@
             servers,
             completed: Arc::default(),
             declarations_version: 1,
+            upsets: vec![Vec::new(); plan.gateways],
         })
     }
 
@@ -194,7 +205,7 @@
                     while Instant::now() < stop {
                         sent += 1;
                         let id = format!("soak{path}{n}-{sent}");
-                        let call = call(proxied.clone(), completed.clone(), id, path);
+                        let call = call(proxied.clone(), completed.clone(), id, path, n);
                         open.push(spawner.spawn(call));
                         Timer::after(CALL_INTERVAL).await;
                     }
@@ -218,18 +229,24 @@
             LinkFault::Cut,
         ];
         let link_fault = link_faults.choose(rng).copied().unwrap_or_default();
-        match rng.random_range(0..20) {
+        match rng.random_range(0..24) {
             0..=1 => Fault::Kill(gateway),
             2 => Fault::Terminate(gateway),
             3..=5 => Fault::Freeze(gateway, duration),
             6..=10 => Fault::StoreLink(gateway, link_fault, duration),
             11..=17 => Fault::ServerLink(server, link_fault, duration),
             18 => Fault::ForgetHistory,
-            _ => Fault::ReplaceDeclarations,
+            19 => Fault::ReplaceDeclarations,
+            20 => Fault::Leave(server),
+            21..=22 => Fault::LoseRow(server, duration),
+            _ => Fault::RefuseAll(server, duration),
         }
     }
 
     async fn inject(&mut self, executor: &Executor, fault: Fault) -> Result<(), TrialError> {
+        if let Fault::Kill(n) | Fault::Terminate(n) | Fault::Freeze(n, _) = fault {
+            self.upsets[n].push(Instant::now());
+        }
         match fault {
             Fault::Kill(n) => {
                 let mut proxied = self.gateways[n].lock().await;
@@ -266,10 +283,46 @@
                 self.rig
                     .write_declarations(self.declarations_version, &["key-1"]);
             }
+            Fault::Leave(n) => self.leave(n),
+            Fault::LoseRow(n, duration) => self.lose_row(executor, n, duration),
+            Fault::RefuseAll(n, duration) => self.refuse_all(executor, n, duration),
         }
         Ok(())
     }
 
+    fn leave(&mut self, n: usize) {
+        let service = self.servers[n].service;
+        let mut others = self.servers.iter();
+        if self.servers.len() > 2 && !others.any(|other| other.service == service && other.has_left)
+        {
+            self.servers[n].standin.standin().leave();
+            self.servers[n].has_left = true;
+        }
+    }
+
+    fn lose_row(&self, executor: &Executor, n: usize, duration: Duration) {
+        let server = &self.servers[n];
+        let row = registration("a", server.service, server.link.address(), "ready");
+        let (store, name) = (self.rig.store.share_standin(), server.name.clone());
+        store.remove("servers", &name);
+        executor.detach(async move {
+            Timer::after(duration).await;
+            store.put("servers", &name, &row);
+        });
+    }
+
+    fn refuse_all(&self, executor: &Executor, n: usize, duration: Duration) {
+        let service = self.servers[n].service;
+        for server in self.servers.iter().filter(|other| other.service == service) {
+            let standin = server.standin.share_standin();
+            standin.set_behaviour(ServerBehaviour::Full);
+            executor.detach(async move {
+                Timer::after(duration).await;
+                standin.set_behaviour(ServerBehaviour::Normal);
+            });
+        }
+    }
+
     /// Waits until every gateway serves every kind of request. The error names a gateway that does
     /// not within the recovery timeout.
     async fn wait_until_all_serve(&self) -> Result<(), String> {
@@ -325,6 +378,21 @@
                 figures.violations.push(format!("{}: {violation}", call.id));
             }
         }
+        for server in self.servers.iter().filter(|server| server.has_left) {
+            let received = server.standin.standin().received_requests();
+            let late = requests_after_leaving(&server.name, &received, &completed, &self.upsets);
+            figures.violations.extend(late);
+        }
+        for service in ["engines", "registry"] {
+            let servers = self.servers.iter().filter(|other| other.service == service);
+            let received = servers.flat_map(|other| other.standin.standin().received_requests());
+            let sent = completed
+                .iter()
+                .filter(|call| (call.path == "/stream/x") == (service == "engines"));
+            let sent = sent.map(|call| (&*call.id, call.sent_at)).collect();
+            let excess = excess_repeats(service, &mut received.collect::<Vec<_>>(), &sent);
+            figures.violations.extend(excess);
+        }
     }
 }
 
@@ -333,14 +401,17 @@
     completed: Arc<Mutex<Vec<CompletedCall>>>,
     id: String,
     path: &'static str,
+    gateway: usize,
 ) {
     let caller = proxied.lock().await.gateway.caller();
-    let start = Instant::now();
+    let sent_at = Instant::now();
     let response = caller.call(&id, path, TEAM_KEY, 1_000).await;
-    let took = start.elapsed();
+    let took = sent_at.elapsed();
     let call = CompletedCall {
         id,
         path,
+        gateway,
+        sent_at,
         response,
         took,
     };
@@ -355,31 +426,3 @@
         proxy.set(LinkFault::None);
     });
 }
-
-fn is_complete(call: &CompletedCall) -> bool {
-    call.response.status.is_success() && call.response.body.is_some()
-}
-
-/// Describes the guarantee that a request broke, if any.
-fn violation_of(call: &CompletedCall, ran: usize) -> Option<String> {
-    let response = &call.response;
-    if call.took > TIME_LIMIT + TIME_LIMIT_SLACK {
-        return Some(format!("it ended after {:?}", call.took));
-    }
-    if response.not_run && ran > 0 {
-        return Some(format!("called not run, {ran} servers ran it"));
-    }
-    if call.path == "/once/x" && ran > 1 {
-        return Some(format!("{ran} servers ran what may not be repeated"));
-    }
-    let body = response.body.as_ref().filter(|_| is_complete(call))?;
-    let text = String::from_utf8_lossy(body);
-    let expected: String = match call.path {
-        "/stream/x" => (0..=12)
-            .map(|id| format!("id: {id}\ndata: text {id}\n\n"))
-            .collect(),
-        _ => return (!text.ends_with(&call.id)).then(|| format!("another's answer: {text}")),
-    };
-    let complete = *text == *expected && response.seal.is_some();
-    (!complete).then(|| format!("it looks whole and is not: {text}"))
-}
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -61,6 +61,7 @@
 mod sim_trace;
 mod sized_declarations;
 mod slope;
+mod soak_checks;
 mod temp_dir;
 mod wait_until;
 
