Bound of cold servers holds when all gateways restart within a second

A process that starts anew has its whole share of the bound, though its predecessor's sends of the same second still count; processes are back half a second after a kill. Limits that servers state and pauses excuse a gateway that restarted.

Change: in the first 1.25 s of a process a fifth of the bound is shared out. While the other gateways are not known, 384 are reckoned with instead of 192, as deployments have up to 340.

--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -55,7 +55,7 @@
             urgent: Signal::default(),
             state: Mutex::new(State {
                 load: FleetLoad::default(),
-                sends: SendLimiter::of_starting(&settings.name),
+                sends: SendLimiter::of_starting(&settings.name, Duration::ZERO),
                 health: HashMap::new(),
                 failures: ServerFailures::default(),
                 pauses: ServerPauses::default(),
--- a/crates/policy/src/send_limiter.rs
+++ b/crates/policy/src/send_limiter.rs
@@ -8,6 +8,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+/// Part of the bound for servers that may be cold that a process uses in its first second.
+const STARTING_FRACTION: f64 = 0.2;
 /// Number of servers above which those without recent sends are dropped.
 const MAX_TRACKED_SERVERS: usize = 4_096;
 
@@ -19,6 +21,7 @@
 /// alone would be exceeded as many times as there are gateways.
 #[derive(Debug)]
 pub struct SendLimiter {
+    started: Duration,
     shares: SendShares,
     limits: RequestLimits,
     servers: HashMap<ServerKey, ServerSends>,
@@ -81,9 +84,10 @@
 }
 
 impl SendLimiter {
-    /// A limiter of the gateway `own`, which has just started and does not know the others.
-    pub fn of_starting(own: &str) -> Self {
+    /// A limiter of the gateway `own`, which has started at `started` and does not know the others.
+    pub fn of_starting(own: &str, started: Duration) -> Self {
         Self {
+            started,
             shares: SendShares::of_starting(own),
             limits: RequestLimits::default(),
             servers: HashMap::new(),
@@ -198,6 +202,7 @@
                 .retain(|_, sends| sends.reserved > 0 || !sends.sent.is_idle(now));
         }
         let rate = self.limits.rate(server);
+        let cold_bound = cold_bound.map(|bound| bound * self.cold_fraction(now));
         let sends = self.servers.entry(server).or_default();
         if sends
             .cold_share
@@ -217,6 +222,18 @@
     }
 }
 
+impl SendLimiter {
+    /// Part of the bound for servers that may be cold that counts now. The process before this one may
+    /// have sent its whole share within the second that ends soon after the start.
+    fn cold_fraction(&self, now: Duration) -> f64 {
+        if now < self.started + counted_span(Duration::from_secs(1)) {
+            STARTING_FRACTION
+        } else {
+            1.0
+        }
+    }
+}
+
 impl ServerSends {
     fn has_room(&mut self, now: Duration) -> bool {
         let (sent, reserved) = (&mut self.sent, self.reserved);
--- a/crates/policy/src/send_shares.rs
+++ b/crates/policy/src/send_shares.rs
@@ -8,8 +8,8 @@
 /// differ for a moment.
 const GIVEN_FRACTION: f64 = 0.75;
 
-/// Number of gateways to reckon with while the others are not known yet.
-const ASSUMED_GATEWAYS: usize = 192;
+/// Number of gateways to reckon with while the others are not known yet. More than a deployment has.
+const ASSUMED_GATEWAYS: usize = 384;
 
 /// Divides the bound on requests per second to a server among the gateways, without messages.
 ///
--- a/crates/policy/tests/limits_without_messages.rs
+++ b/crates/policy/tests/limits_without_messages.rs
@@ -1,6 +1,9 @@
 //! Limits that hold over all gateways without any messages between them.
 
-use policy::{RepeatBudget, RepeatLimits, SendRateCap, SendShares, SlidingWindow, cold_send_bound};
+use policy::{
+    RepeatBudget, RepeatLimits, SendLimiter, SendRateCap, SendShares, SlidingWindow,
+    cold_send_bound,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use std::time::Duration;
@@ -275,6 +278,68 @@
     a_cold_server_before_340_gateways: 340, 14.0;
 }
 
+/// All gateways send as much as they may to a server that is cold unnoticed; they are killed and start
+/// anew within the second in which the sends count.
+fn cold_server_outlasts_a_restart(gateways: usize, cold_rate: f64) {
+    const KILL: u64 = 6_000;
+    const LISTED: u64 = 50;
+    const PRESSED: u64 = 200;
+    let bound = cold_send_bound(cold_rate, 1.5, 5.0);
+    let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
+    for seed in 0..4 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let server = format!("server-{seed}");
+        let mut arrivals = Vec::new();
+        for name in &names {
+            let restart = KILL + RESTART_MILLIS;
+            let lives = [
+                (0, KILL - PRESSED, KILL - PRESSED, KILL),
+                (restart, restart + LISTED, restart, KILL + 4_000),
+            ];
+            for (start, listed, press, end) in lives {
+                let mut limiter = new_limiter(name, start);
+                for millis in press..end {
+                    if millis == listed {
+                        let peers = names.iter().filter(|peer| *peer != name);
+                        limiter.set_shares(SendShares::new(name, peers.map(|peer| &**peer)));
+                    }
+                    if limiter.start_send(&server, bound, at(millis)) {
+                        arrivals.push(millis + rng.random_range(0..200));
+                    }
+                }
+            }
+        }
+        for start in (0..KILL + 3_000).step_by(20) {
+            let second = start..start + 1_000;
+            let arrived = arrivals.iter().filter(|at| second.contains(*at)).count();
+            assert!(
+                bound.is_some_and(|bound| arrived as f64 <= bound),
+                "seed {seed}, second from {start}: {arrived} over {bound:?}"
+            );
+        }
+    }
+}
+
+fn new_limiter(name: &str, started: u64) -> SendLimiter {
+    SendLimiter::of_starting(name, at(started))
+}
+
+macro_rules! cold_servers_outlast_restarts {
+    ($($name:ident: $gateways:expr, $cold_rate:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            cold_server_outlasts_a_restart($gateways, $cold_rate);
+        }
+    )*};
+}
+
+cold_servers_outlast_restarts! {
+    a_cold_server_got_too_much_when_3_gateways_restarted: 3, 36.0;
+    a_cold_server_got_too_much_when_11_gateways_restarted: 11, 26.0;
+    a_cold_server_got_too_much_when_103_gateways_restarted: 103, 14.0;
+    a_cold_server_got_too_much_when_340_gateways_restarted: 340, 14.0;
+}
+
 /// Gateways come and go, and for a moment each one misses another tenth of them. The shares still
 /// add up to no more than the bound, no server is left without gateways, and each gateway reaches
 /// enough servers.
--- a/crates/policy/tests/request_limits.rs
+++ b/crates/policy/tests/request_limits.rs
@@ -41,7 +41,7 @@
 fn limiters(gateways: usize, known: Known, rng: &mut SmallRng) -> Vec<SendLimiter> {
     let names: Vec<_> = (0..gateways).map(|n| format!("gateway-{n}")).collect();
     let limiter = |(own, name): (usize, &String)| {
-        let mut limiter = SendLimiter::of_starting(name);
+        let mut limiter = SendLimiter::of_starting(name, Duration::ZERO);
         let peers = names.iter().enumerate().filter(|(peer, _)| *peer != own);
         let peers = peers.filter(|(peer, _)| match known {
             Known::All | Known::Starting => true,
@@ -205,7 +205,7 @@
 /// end it; that of a later request does, as after a restart of the server under its old id.
 #[test]
 fn only_a_later_response_raises_or_ends_a_limit() {
-    let mut limiter = SendLimiter::of_starting("gateway-1");
+    let mut limiter = SendLimiter::of_starting("gateway-1", Duration::ZERO);
     let key = server_key(SERVER);
     let limits = limiter.limits_mut();
     assert!(limits.on_response(key, Some(2.0), at(100), at(1_000)));
@@ -223,7 +223,7 @@
 /// The cold bound holds beside the limit, and a limit of one server is none of another.
 #[test]
 fn a_limit_leaves_other_servers_and_the_cold_bound_alone() {
-    let mut limiter = SendLimiter::of_starting("gateway-1");
+    let mut limiter = SendLimiter::of_starting("gateway-1", Duration::ZERO);
     limiter.set_shares(SendShares::new("gateway-1", std::iter::empty()));
     let limits = limiter.limits_mut();
     limits.on_response(server_key(SERVER), Some(100.0), at(0), at(0));
@@ -337,7 +337,7 @@
 /// A burst of requests for one server is decided before the first of them is sent.
 #[test]
 fn a_burst_that_is_not_sent_yet_counts() {
-    let mut limiter = SendLimiter::of_starting("gateway-1");
+    let mut limiter = SendLimiter::of_starting("gateway-1", Duration::ZERO);
     limiter.set_shares(SendShares::new("gateway-1", std::iter::empty()));
     let limits = limiter.limits_mut();
     limits.on_response(server_key(SERVER), Some(4.0), at(0), at(0));
@@ -359,7 +359,7 @@
     const SERVERS: [&str; 2] = ["server-1", "server-2"];
     for seed in 0..20 {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let mut limiter = SendLimiter::of_starting("gateway-1");
+        let mut limiter = SendLimiter::of_starting("gateway-1", Duration::ZERO);
         limiter.set_shares(SendShares::new("gateway-1", ["gateway-2"].into_iter()));
         let no_limit = limiter.send_times(SERVERS.into_iter(), None, at(0), at(1_000));
         assert_eq!(no_limit, None);
