--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -60,7 +60,17 @@
 
     /// Starts another gateway, which uses the store at address `store`.
     pub fn add_gateway(&self, name: &str, store: SocketAddr) -> Result<DirectGateway, TrialError> {
-        DirectGateway::start(&self.executor, &self.directory, name, store, &[])
+        self.add_gateway_with_bounds(name, store, &[])
+    }
+
+    /// As [`Self::add_gateway`], with values of the settings file's `Bounds` section.
+    pub fn add_gateway_with_bounds(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        bounds: &[(&str, f64)],
+    ) -> Result<DirectGateway, TrialError> {
+        DirectGateway::start(&self.executor, &self.directory, name, store, bounds)
     }
 
     /// Starts a stand-in of a backend server and registers it as ready.
--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -6,7 +6,7 @@
 use crate::error::TrialError;
 use crate::fault_proxy::{FaultProxy, LinkFault};
 use crate::soak_checks::{
-    CompletedCall, excess_repeats, is_complete, requests_after_leaving, violation_of,
+    CompletedCall, REPEAT_EXTRA, excess_repeats, is_complete, requests_after_leaving, violation_of,
 };
 use async_io::Timer;
 use rand::rngs::SmallRng;
@@ -25,6 +25,8 @@
 /// Time after the last fault within which every gateway must serve again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 const CALL_INTERVAL: Duration = Duration::from_millis(60);
+/// Time for which servers refuse requests around a kill of all gateways.
+const REFUSAL_TIME: Duration = Duration::from_secs(3);
 
 /// Size and duration of a soak.
 #[derive(Debug, Clone, Copy)]
@@ -55,6 +57,8 @@
     LoseRow(usize, Duration),
     /// All servers of the service of this one refuse requests.
     RefuseAll(usize, Duration),
+    /// All gateways are killed while all servers refuse requests.
+    KillAll,
 }
 
 /// Result of a soak.
@@ -151,7 +155,8 @@
         for n in 0..plan.gateways {
             let store_link = proxy(rig.store.local_addr())?;
             let name = format!("soaked-{n}");
-            let gateway = rig.add_gateway(&name, store_link.address())?;
+            let bounds = [("RetryBudgetExtra", REPEAT_EXTRA)];
+            let gateway = rig.add_gateway_with_bounds(&name, store_link.address(), &bounds)?;
             let proxied = ProxiedGateway {
                 gateway,
                 store_link,
@@ -229,7 +234,7 @@
             LinkFault::Cut,
         ];
         let link_fault = link_faults.choose(rng).copied().unwrap_or_default();
-        match rng.random_range(0..24) {
+        match rng.random_range(0..25) {
             0..=1 => Fault::Kill(gateway),
             2 => Fault::Terminate(gateway),
             3..=5 => Fault::Freeze(gateway, duration),
@@ -239,7 +244,8 @@
             19 => Fault::ReplaceDeclarations,
             20 => Fault::Leave(server),
             21..=22 => Fault::LoseRow(server, duration),
-            _ => Fault::RefuseAll(server, duration),
+            23 => Fault::RefuseAll(server, duration),
+            _ => Fault::KillAll,
         }
     }
 
@@ -286,6 +292,18 @@
             Fault::Leave(n) => self.leave(n),
             Fault::LoseRow(n, duration) => self.lose_row(executor, n, duration),
             Fault::RefuseAll(n, duration) => self.refuse_all(executor, n, duration),
+            Fault::KillAll => {
+                for n in 0..self.servers.len() {
+                    self.refuse_all(executor, n, REFUSAL_TIME);
+                }
+                Timer::after(REFUSAL_TIME / 3).await;
+                for n in 0..self.gateways.len() {
+                    self.upsets[n].push(Instant::now());
+                    let mut proxied = self.gateways[n].lock().await;
+                    proxied.gateway.process.kill();
+                    proxied.gateway.restart()?;
+                }
+            }
         }
         Ok(())
     }
--- a/crates/trials/src/soak_checks.rs
+++ b/crates/trials/src/soak_checks.rs
@@ -13,7 +13,8 @@
 const DELIVERY_SLACK: Duration = Duration::from_secs(1);
 const REPEAT_WINDOW: Duration = Duration::from_secs(10);
 const REPEAT_RATIO: f64 = 0.2;
-const REPEAT_EXTRA: f64 = 100.0;
+/// Small beside the requests of a soak, so that the repeats press.
+pub(crate) const REPEAT_EXTRA: f64 = 20.0;
 const WINDOW_STEP: Duration = Duration::from_millis(100);
 
 /// A caller's request that has ended.
