--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -165,7 +165,7 @@
             shared.fleet.on_result(helper, AttemptResult::Silent, now);
             // Nothing was sent to the engine that was to decode, so that it can be chosen again.
             tried.push(helper.clone());
-        } else if reserved.is_err() {
+        } else if !matches!(&reserved, Ok(_) | Err(ReserveError::Left(_))) {
             tried.push(assignment.server.id.clone());
         }
         let (reservations, helpers) = reserved?;
