Statuses that promise 'not run' leave the gateway only where that is known

The gateway relayed the status, callers took it for the promise 'not run', and sent the call again.

Cause: relayed responses did not go through the check that the gateway's own replies go through.

Change: all complete responses of servers, of plain services and of engines, take one path. For a call that may run only once, 503, 429, 408 and 421 are replaced by a 502 of the gateway's own without the server's seal; calls that may run again get the server's response unchanged.

--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -7,9 +7,10 @@
     BLOCKED_REASON, GuardedRun, admit, await_turn, blocked_retry_after, server_in_turn,
 };
 use crate::job::Job;
+use crate::local_reply::LocalReply;
 use crate::prompt_queue::PAUSED_REASON;
 use crate::send_permit::SendPermit;
-use adapter::response_headers;
+use adapter::{promises_not_run, response_headers};
 use bytes::Bytes;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
@@ -199,10 +200,25 @@
     } else {
         "server's answer"
     };
-    call.record_end(
-        outcome,
-        &format!("status {} of {}", head.status.as_u16(), server.id),
-    );
+    let detail = format!("status {} of {}", head.status.as_u16(), server.id);
+    relay_complete(call, head, body, outcome, &detail)
+}
+
+/// Ends the call with a complete response of a server that has not vouched that it did not run the request.
+///
+/// Callers take some statuses for the promise that the request has not run and may be sent again. For a
+/// call that must not run twice they are replaced by a reply of the gateway's own that promises nothing.
+pub fn relay_complete(
+    call: &Call,
+    head: &Parts,
+    body: Bytes,
+    outcome: &str,
+    detail: &str,
+) -> Response<Body> {
+    if !call.admitted.route.kind.is_idempotent() && promises_not_run(head.status) {
+        return call.end_with_reply(LocalReply::Failed, detail);
+    }
+    call.record_end(outcome, detail);
     caller_response(head, body)
 }
 
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,7 +5,7 @@
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after};
 use crate::engine_stream::{EngineStream, OpenError, StreamItem};
-use crate::plain::caller_response;
+use crate::plain::{caller_response, relay_complete};
 use crate::stream_buffers::{READS_TOO_SLOWLY, StreamBuffer};
 use adapter::response_headers;
 use bytes::Bytes;
@@ -23,13 +23,16 @@
 /// left.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Outcome of calls that end with a response which is not a stream.
+const ANSWERED: &str = "server's answer";
+
 /// Result of a call at one engine, up to its first event.
 enum StartOutcome {
     Stream(Box<EngineStream>, Bytes),
     /// The engine ended the stream without an event.
     Empty(Box<EngineStream>),
     /// A response that is not a stream, such as an error.
-    Complete(Response<Body>),
+    Complete(Parts, Bytes),
     Failed,
 }
 
@@ -46,13 +49,12 @@
                     call.record_end("served", "no event");
                     return caller_response(&stream.response.head, Bytes::new());
                 }
-                StartOutcome::Complete(response) if response.status().is_server_error() => {
-                    error_response = Some(response);
+                StartOutcome::Complete(head, body) if head.status.is_server_error() => {
+                    error_response = Some((head, body));
                     None
                 }
-                StartOutcome::Complete(response) => {
-                    call.record_end("server's answer", last_server(&tried));
-                    return response;
+                StartOutcome::Complete(head, body) => {
+                    return relay_complete(&call, &head, body, ANSWERED, last_server(&tried));
                 }
                 StartOutcome::Failed => None,
             },
@@ -76,10 +78,7 @@
             None => continue,
         };
         return match error_response {
-            Some(response) => {
-                call.record_end("server's answer", detail);
-                response
-            }
+            Some((head, body)) => relay_complete(&call, &head, body, ANSWERED, detail),
             None => call.end_without_response(retry_after, detail),
         };
     }
@@ -103,7 +102,7 @@
 async fn read_complete(call: &Call, mut stream: EngineStream) -> StartOutcome {
     let body = read_body(&call.shared, &mut stream.response.body);
     match timeout(call.remaining(), body).await {
-        Ok(Ok(body)) => StartOutcome::Complete(caller_response(&stream.response.head, body)),
+        Ok(Ok(body)) => StartOutcome::Complete(stream.response.head.clone(), body),
         _ => StartOutcome::Failed,
     }
 }
