A prompt of an absurd size is refused instead of closing its connection

Cause: the sum of the times to prefill such prompts overflows. Such a prompt is refused at once as one that no engine can read in time.

--- a/crates/trials/tests/odd_entries.rs
+++ b/crates/trials/tests/odd_entries.rs
@@ -1,4 +1,5 @@
-//! Entries of another writer among those of the servers, before a direct gateway as a process.
+//! Entries of another writer among those of the servers, and prompts of an absurd size, before a direct
+//! gateway as a process.
 
 use runtime::Executor;
 use serde_json::{Value, json};
@@ -91,3 +92,29 @@
 fn an_odd_entry_of_a_plain_server_is_passed_over() {
     odd_entries_are_passed_over("registry", "/lookup/x", ServerKind::Plain);
 }
+
+/// A prompt of an absurd size closed its connection without an answer.
+#[test]
+fn a_prompt_of_an_absurd_size_is_answered() {
+    Executor::run(2, |executor| async move {
+        let mut rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        let _engine = rig
+            .add_server("engine-1", "engines", ServerKind::Engine)
+            .unwrap();
+        let mut sent = 0;
+        let served = rig.wait_until(async || {
+            sent += 1;
+            let answer = rig.call(&format!("call-{sent}"), "/stream/x", KEY).await;
+            answer.status.is_success()
+        });
+        assert!(served.await, "{}", rig.gateway.process.log_tail());
+        for prompt in [1_000_000_000_000_000, u64::MAX] {
+            rig.prompt = prompt;
+            let answer = rig
+                .call(&format!("absurd-{prompt}"), "/stream/x", KEY)
+                .await;
+            assert_eq!(answer.status.as_u16(), 503, "{prompt}: {answer:?}");
+        }
+    });
+}
