Streams whose engine states no content type go on at another engine again

Cause: an answer that goes on with a stream had to state the same content type.

Change: an answer with the same status goes on if it is a stream of events, or states the type that the caller has been told.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -23,6 +23,8 @@
 /// left.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Content type of a stream of events, which parameters may follow.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Outcome of calls that end with a response which is not a stream.
 const ANSWERED: &str = "server's answer";
 
@@ -140,8 +142,8 @@
     kind: AnswerKind,
 }
 
-/// What the head of an answer says of its body. Only an answer of the same kind goes on with a stream.
-#[derive(Debug, PartialEq, Eq)]
+/// What the head of an answer says of its body.
+#[derive(Debug)]
 struct AnswerKind {
     status: StatusCode,
     content_type: Option<HeaderValue>,
@@ -154,6 +156,13 @@
             content_type: head.headers.get(CONTENT_TYPE).cloned(),
         }
     }
+
+    /// Whether an answer of this kind goes on with a stream whose caller was told of the kind `first`.
+    fn goes_on_with(&self, first: &Self) -> bool {
+        let content_type = self.content_type.as_ref();
+        let is_stream = content_type.is_some_and(|name| name.as_bytes().starts_with(EVENT_STREAM));
+        self.status == first.status && (is_stream || self.content_type == first.content_type)
+    }
 }
 
 /// How a relayed stream ended.
@@ -297,7 +306,7 @@
                 None => return Err(RelayEnd::CallerLeft),
                 Some(Ok(stream)) => {
                     let kind = AnswerKind::of(&stream.response.head);
-                    if kind == self.kind {
+                    if kind.goes_on_with(&self.kind) {
                         return Ok(Box::new(stream));
                     }
                     info!(self.call.shared.log, "stream: not resumed, the answer is of another kind";
