Requests that a serve gateway has read get a reply before its drain ends

What callers saw: at the end of a drain requests that had been sent got 502 with the text of a closed link, those whose body was half read a closed connection, streams broke off without an error event, and requests that came in the drain were sent although they could not end in it.

Cause: the drain was a time limit around the server's connections that nothing inside knew of; the replies that did come were a side effect of closing the links to agents. It is the class of the cut requests of direct gateways.

Change: `Drain::within` has the times of a drain without a SIGKILL, and `Draining`, now of `runtime`, holds them for `serve` too. Shortly before the end each request without a response gets 503 if its body was not sent, else 502, by a record that outlives the work on it; streams end with an error event; operators' calls get 502. The deadline of requests that are read in a drain ends with it, so that agents refuse at once what does not fit. The links stay open until connections have ended.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::{Request, Response};
-use policy::{CallerIdentity, suggest_retry_after_limit};
+use policy::{CallerIdentity, Drain, suggest_retry_after_limit};
 use runtime::{Body, ByteReservation, RequestBody, Responder, timeout};
 use slog::info;
 use std::net::SocketAddr;
@@ -47,7 +47,8 @@
         };
         let mut call = Call::new(self.shared.clone(), head, parts, admitted, arrived);
         let (draining, clock) = (&self.shared.draining, &self.shared.clock);
-        let read = draining.before_last_reply(clock, read_body(&mut call, body));
+        let last_reply = |times: Drain| times.last_reply;
+        let read = draining.before(clock, last_reply, read_body(&mut call, body));
         match read.await {
             Some(Ok(())) => {}
             Some(Err(err)) => return call.end_with_reply(err.reply(), err.detail()),
@@ -55,7 +56,7 @@
         }
         let call = Arc::new(call);
         // What is dropped at the last reply records whether the request may have run.
-        let response = draining.before_last_reply(clock, run(call.clone())).await;
+        let response = draining.before(clock, last_reply, run(call.clone())).await;
         response.unwrap_or_else(|| call.end_in_drain())
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -22,7 +22,6 @@
 mod content_sync;
 mod crash_guard;
 mod declarations_row;
-mod draining;
 mod engine_stream;
 mod evacuations;
 mod event_splitter;
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -128,7 +128,8 @@
         executor.spawn(callers.serve(executor.clone(), frontend, None, shared.draining.signal()));
     let mut signals = signals;
     handle_signals(&mut signals, &options.settings_path, &shared).await;
-    let drain = shared.draining.start(&shared.clock, settings.bounds.grace);
+    let times = Drain::new(shared.clock.now(), settings.bounds.grace);
+    let drain = shared.draining.start(times);
     let waiting = shared.prompt_queue.check(&shared);
     info!(log, "process: draining"; "open" => shared.open_calls.count(), "waiting" => waiting);
     let left = drain.end.saturating_sub(shared.clock.now());
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,7 +1,6 @@
 //! State that all tasks of a direct gateway share.
 
 use crate::crash_guard::SharedCrashGuard;
-use crate::draining::Draining;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::open_calls::OpenCalls;
@@ -12,8 +11,8 @@
 use crate::stream_buffers::StreamBuffers;
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
-use policy::{CallTimes, RunningChecks, StoreFallback, is_store_reached};
-use runtime::{ByteBudget, Clock, Executor, HttpClient};
+use policy::{CallTimes, Drain, RunningChecks, StoreFallback, is_store_reached};
+use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -61,7 +60,7 @@
     /// Calls that have not ended.
     pub open_calls: OpenCalls,
     /// The drain of the process.
-    pub draining: Draining,
+    pub draining: Draining<Drain>,
     call_times: Mutex<CallTimes>,
     server_checks: Mutex<RunningChecks<CheckWaiter>>,
     /// When the store last answered for the operators' and the servers' table; 0 for never.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -14,7 +14,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use policy::{BackendId, DRAIN_RETRY_AFTER, DRAINING_REASON, RouteKind};
+use policy::{BackendId, DRAIN_RETRY_AFTER, DRAINING_REASON, Drain, RouteKind};
 use runtime::{Body, timeout};
 use slog::info;
 use std::sync::Arc;
@@ -180,7 +180,10 @@
     async fn run(mut self, stream: Box<EngineStream>, events: Bytes) {
         let shared = self.call.shared.clone();
         let forwarded = self.forward(stream, events);
-        let end = shared.draining.before_streams_end(&shared.clock, forwarded);
+        let streams_end = |times: Drain| times.streams_end;
+        let end = shared
+            .draining
+            .before(&shared.clock, streams_end, forwarded);
         match end.await.unwrap_or(RelayEnd::Broken(DRAINING_REASON)) {
             RelayEnd::Complete => self.call.record_end("served", ""),
             RelayEnd::CallerLeft if self.tx.is_ended() => {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -130,7 +130,7 @@
         };
         let eager = request.repeatable && request.body.len() <= MAX_EAGER_BODY_BYTES;
         if eager {
-            attempt.send_body(&request.body).await?;
+            attempt.send_body(request).await?;
         }
         let head = attempt.receive_head(request).await?;
         Ok((attempt, head))
@@ -175,7 +175,7 @@
                     self.apply_hints(Some(&hints));
                     self.accepted = true;
                     if !self.body_sent {
-                        self.send_body(&request.body).await?;
+                        self.send_body(request).await?;
                     }
                 }
                 Outcome::Head {
@@ -269,13 +269,14 @@
         }
     }
 
-    async fn send_body(&mut self, body: &Bytes) -> Result<(), AttemptError> {
-        let mut rest = body.clone();
+    async fn send_body(&mut self, request: &CallerRequest) -> Result<(), AttemptError> {
+        let mut rest = request.body.clone();
         while !rest.is_empty() {
             let chunk = rest.split_to(rest.len().min(MAX_CHUNK_BYTES));
             self.send(RequestFrame::Body(chunk)).await?;
         }
         self.body_sent = true;
+        request.run.set(Execution::MayHaveRun);
         self.send(RequestFrame::BodyEnd).await
     }
 
--- a/crates/gateway/src/caller_api.rs
+++ b/crates/gateway/src/caller_api.rs
@@ -7,6 +7,7 @@
 use crate::gateway::{Gateway, InFlightGuard};
 use crate::operator_api::{self, OPERATOR_PATH};
 use crate::response;
+use crate::run_record::RunRecord;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use node::{json_response, metrics_response, text_response};
@@ -21,6 +22,9 @@
 /// Longest time that a request waits while the gateway's configuration may be out of date.
 const MAX_CONFIG_WAIT: Duration = Duration::from_secs(1);
 
+/// Reply to an operator whose call had not ended when the process did.
+const CUT_COMMAND_TEXT: &str = "the process shuts down, the command may have been carried out\n";
+
 /// Serves callers' HTTP requests.
 #[derive(Debug)]
 pub struct CallerApi {
@@ -47,11 +51,13 @@
             "/metrics" => metrics_response(&self.gateway.metrics.registry),
             "/v1/models" => self.models(),
             path if path.starts_with(OPERATOR_PATH) => {
-                operator_api::respond(&self.gateway, req).await
+                let responded = operator_api::respond(&self.gateway, req);
+                let response = self.gateway.before_last_reply(responded).await;
+                response.unwrap_or_else(|| text_response(502, CUT_COMMAND_TEXT))
             }
             _ => self.serve_request(req).await,
         };
-        if self.gateway.shutdown.is_started() {
+        if self.gateway.draining.is_started() {
             response
                 .headers_mut()
                 .insert("connection", HeaderValue::from_static("close"));
@@ -62,7 +68,7 @@
 
 impl CallerApi {
     fn health(&self) -> Response<Body> {
-        if self.gateway.shutdown.is_started() {
+        if self.gateway.draining.is_started() {
             return text_response(503, "draining\n");
         }
         let view = self.gateway.pools.view();
@@ -99,7 +105,11 @@
     async fn serve_request(&self, req: Request<RequestBody>) -> Response<Body> {
         let id: RequestId = rand::random();
         let in_flight = InFlightGuard::new(self.gateway.clone(), id);
-        let mut response = match self.handle_request(id, req, in_flight).await {
+        let run = RunRecord::default();
+        let handled = self.handle_request(id, req, in_flight, run.clone());
+        let handled = self.gateway.before_last_reply(handled).await;
+        let result = handled.unwrap_or_else(|| Err(CallerError::cut_by_shutdown(run.get())));
+        let mut response = match result {
             Ok(response) => response,
             Err(error) => {
                 let outcome = error.outcome();
@@ -124,6 +134,7 @@
         id: RequestId,
         req: Request<RequestBody>,
         in_flight: InFlightGuard,
+        run: RunRecord,
     ) -> Result<Response<Body>, CallerError> {
         if !self
             .gateway
@@ -136,7 +147,7 @@
                 MAX_CONFIG_WAIT,
             ));
         }
-        let request = CallerRequest::read(&self.gateway, id, req).await?;
+        let request = CallerRequest::read(&self.gateway, id, req, run).await?;
         self.gateway.active_requests.add(&request);
         self.gateway
             .record(EventKind::Received, &request, None, &*request.path);
--- a/crates/gateway/src/caller_error.rs
+++ b/crates/gateway/src/caller_error.rs
@@ -3,6 +3,7 @@
 use hyper::Response;
 use hyper::header::HeaderValue;
 use node::json_response;
+use policy::DRAIN_RETRY_AFTER;
 use proto::{Execution, RefusalReason, RequestId};
 use quick_error::quick_error;
 use runtime::Body;
@@ -97,6 +98,18 @@
         }
     }
 
+    /// The error of a request that has no response when the process ends.
+    pub fn cut_by_shutdown(execution: Execution) -> Self {
+        let refused = Self::Refused(RefusalReason::ShuttingDown, DRAIN_RETRY_AFTER);
+        match execution {
+            Execution::NotRun => refused,
+            Execution::MayHaveRun => {
+                let reason = refused.to_string().into();
+                Self::Failed(execution, reason, DRAIN_RETRY_AFTER)
+            }
+        }
+    }
+
     /// Marks the request as possibly run, for the case that an earlier attempt may have run
     /// although the last one did not.
     pub fn after_possible_execution(self) -> Self {
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -3,6 +3,7 @@
 use crate::caller_error::CallerError;
 use crate::completion_body::CompletionBody;
 use crate::gateway::Gateway;
+use crate::run_record::RunRecord;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
@@ -80,6 +81,8 @@
     pub arrived: Instant,
     /// When the response must be complete.
     pub deadline: Instant,
+    /// Whether it may have run.
+    pub run: RunRecord,
     _reservation: ByteReservation,
 }
 
@@ -95,9 +98,10 @@
         gateway: &Gateway,
         id: RequestId,
         req: Request<RequestBody>,
+        run: RunRecord,
     ) -> Result<Self, CallerError> {
         let (head, mut body) = req.into_parts();
-        let read = Self::read_parts(gateway, id, &head, &mut body).await;
+        let read = Self::read_parts(gateway, id, &head, &mut body, run).await;
         if read
             .as_ref()
             .is_err_and(|err| *err != CallerError::BodyTimeout)
@@ -113,6 +117,7 @@
         id: RequestId,
         req: &Parts,
         body: &mut RequestBody,
+        run: RunRecord,
     ) -> Result<Self, CallerError> {
         let arrived = Instant::now();
         let view = gateway.view.get();
@@ -146,6 +151,7 @@
             content_hash,
             arrived,
             deadline: arrived + limit,
+            run,
             body: payload.body,
             _reservation: payload.reservation,
         };
@@ -153,9 +159,19 @@
             Some(route) => request.set_route(route),
             None => request.set_model(&view, path == CHAT_PATH)?,
         }
+        request.end_before_shutdown(gateway);
         Ok(request)
     }
 
+    /// Limits its time to that of a drain that has started, so that agents refuse at once what cannot end
+    /// before the process does.
+    fn end_before_shutdown(&mut self, gateway: &Gateway) {
+        if let Some(drain) = gateway.draining.times() {
+            let left = drain.last_reply.saturating_sub(gateway.clock.now());
+            self.deadline = self.deadline.min(Instant::now() + left);
+        }
+    }
+
     /// Time until the deadline; zero once it has passed.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -61,6 +61,9 @@
                 }
                 Err(failure) if self.may_retry_after(&failure) => {
                     self.may_have_run |= failure.error.execution() == Execution::MayHaveRun;
+                    if !self.may_have_run {
+                        self.request.run.set(Execution::NotRun);
+                    }
                     previous = Some(failure);
                 }
                 Err(failure) if self.may_have_run => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,14 +13,16 @@
     ControlPlane, ControlPlaneParts, SharedClusterView, StartError, load_identity, reply_to_query,
 };
 use platform::HttpPlatform;
+use policy::Drain;
 use proto::{AttemptId, EventKind, RequestId, ServerId, StreamOpening};
 use runtime::{
-    ByteBudget, CallerTls, Executor, FrameReceiver, FrameSender, HttpClient, HttpLimits,
-    HttpServer, LinkConfig, LinkEndpoint, Peer, Role, ShutdownSignal, StreamHandler, Timeline,
-    TlsAcceptor, logger, termination_signal, timeout, watch_caller_tls,
+    ByteBudget, CallerTls, Clock, Draining, Executor, FrameReceiver, FrameSender, HttpClient,
+    HttpLimits, HttpServer, LinkConfig, LinkEndpoint, Peer, Role, ShutdownSignal, StreamHandler,
+    Timeline, TlsAcceptor, logger, termination_signal, timeout, watch_caller_tls,
 };
 use slog::{Logger, info, warn};
 use std::sync::Arc;
+use std::time::Duration;
 
 const SHORT_PROMPT_TOKENS: u64 = 8_000;
 const LONG_PROMPT_TOKENS: u64 = 100_000;
@@ -40,7 +42,8 @@
     pub(crate) metrics: Metrics,
     pub(crate) timeline: Arc<Timeline>,
     trace_recorder: Option<TraceRecorder>,
-    pub(crate) shutdown: ShutdownSignal,
+    pub(crate) clock: Clock,
+    pub(crate) draining: Draining<Drain>,
     pub(crate) log: Logger,
 }
 
@@ -55,10 +58,7 @@
         );
         let identity = load_identity(&settings.node, Role::Gateway)?;
         let listen = settings.node.listen;
-        let limits = HttpLimits {
-            max_connections: settings.max_connections,
-            ..HttpLimits::default()
-        };
+        let limits = http_limits(&settings);
         let http = HttpServer::bind(listen, limits, log.clone());
         let http = http.map_err(|err| StartError::Bind(listen, err))?;
         let listen = http.local_addr().unwrap_or(listen);
@@ -135,7 +135,8 @@
             metrics,
             timeline,
             trace_recorder,
-            shutdown: ShutdownSignal::default(),
+            clock: Clock::default(),
+            draining: Draining::default(),
             log,
         })
     }
@@ -177,23 +178,37 @@
         }
     }
 
-    /// Drains in three steps: the health check fails, so that load balancers stop sending requests;
+    /// Drains in four steps: the health check fails, so that load balancers stop sending requests;
     /// after the grace period, no new connections are accepted; then open requests finish, for at
-    /// most the drain timeout.
+    /// most the drain timeout; shortly before its end, those that are left get a reply. The links to
+    /// agents stay open until then.
     async fn drain(&self, stop_http: &ShutdownSignal, serving: impl Future<Output = ()>) {
         info!(self.log, "gateway: draining"; "in_flight" => self.metrics.in_flight.get());
         self.timeline
             .record(EventKind::Draining, None, None, None, "");
-        self.shutdown.start();
+        let drain = self.draining.start(self.drain_times());
         self.control.announce_leaving();
         Timer::after(self.settings.grace_period).await;
         stop_http.start();
-        if timeout(self.settings.drain_timeout, serving).await.is_err() {
+        let left = drain.end.saturating_sub(self.clock.now());
+        if timeout(left, serving).await.is_err() {
             let in_flight = self.metrics.in_flight.get();
             warn!(self.log, "gateway: drain timeout exceeded"; "left" => in_flight);
         }
     }
 
+    /// Runs `work` until the time at which requests without a response get one from the gateway, and
+    /// then drops it and returns `None`.
+    pub(crate) async fn before_last_reply<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let last_reply = |times: Drain| times.last_reply;
+        self.draining.before(&self.clock, last_reply, work).await
+    }
+
+    fn drain_times(&self) -> Drain {
+        let (grace, timeout) = (self.settings.grace_period, self.settings.drain_timeout);
+        Drain::within(self.clock.now(), grace, grace + timeout)
+    }
+
     pub(crate) fn record(
         &self,
         kind: EventKind,
@@ -233,6 +248,16 @@
     }
 }
 
+fn http_limits(settings: &GatewaySettings) -> HttpLimits {
+    let limits = HttpLimits::default();
+    let drain = Drain::within(Duration::ZERO, Duration::ZERO, settings.drain_timeout);
+    HttpLimits {
+        max_connections: settings.max_connections,
+        read_grace: limits.read_grace.min(drain.last_reply),
+        ..limits
+    }
+}
+
 /// Counts a request as in flight until dropped, and then removes it from the active requests.
 #[derive(Debug)]
 pub struct InFlightGuard {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod query_command;
 mod query_driver;
 mod response;
+mod run_record;
 mod serve_command;
 mod settings;
 mod team_limits;
--- a/crates/gateway/src/query_driver.rs
+++ b/crates/gateway/src/query_driver.rs
@@ -294,7 +294,7 @@
             Subject::Requests => self.active_requests.table(node),
             Subject::Refusals => refusals(&self.timeline),
             Subject::Hosts => {
-                let state = if self.shutdown.is_started() {
+                let state = if self.draining.is_started() {
                     "leaving"
                 } else {
                     "up"
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_lite::future::or;
 use hyper::Response;
+use policy::Drain;
 use proto::{EventKind, Execution};
 use runtime::{Body, BodySender};
 use slog::info;
@@ -105,12 +106,21 @@
     CallerLeft,
     /// The attempt that the response comes from failed.
     Attempt(AttemptError),
+    /// The process ends.
+    ShutDown,
 }
 
 impl StreamForwarder {
     async fn run(mut self, attempt: Attempt, first: Option<Bytes>) {
         let id = attempt.id();
-        match self.forward(attempt, first).await {
+        let gateway = self.gateway.clone();
+        let streams_end = |times: Drain| times.streams_end;
+        let forwarded = self.forward(attempt, first);
+        let forwarded = gateway
+            .draining
+            .before(&gateway.clock, streams_end, forwarded);
+        let result = forwarded.await.unwrap_or(Err(StreamInterruption::ShutDown));
+        match result {
             Ok(()) => {
                 self.gateway.count_finished();
                 self.gateway
@@ -125,7 +135,11 @@
                 self.gateway
                     .record(EventKind::Cancelled, &self.request, None, "the caller left");
             }
-            Err(StreamInterruption::Attempt(err)) => self.abort(err).await,
+            Err(StreamInterruption::Attempt(err)) => self.abort(midstream_error(err)).await,
+            Err(StreamInterruption::ShutDown) => {
+                self.abort(CallerError::cut_by_shutdown(Execution::MayHaveRun))
+                    .await;
+            }
         }
     }
 
@@ -177,8 +191,7 @@
     }
 
     /// Sends the error to the caller as the last event, and aborts the stream.
-    async fn abort(self, err: AttemptError) {
-        let error = midstream_error(err);
+    async fn abort(self, error: CallerError) {
         info!(self.gateway.log, "request: response aborted after it had started";
             "request" => format!("{:032x}", self.request.id), "err" => %error);
         self.gateway
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -74,14 +74,24 @@
 impl Drain {
     /// Times of a drain that starts at `start`, with SIGKILL after `grace`.
     pub fn new(start: Duration, grace: Duration) -> Self {
-        let margin = |max: Duration| max.min(grace / MARGIN_FRACTION);
-        let reply_margin = margin(MAX_REPLY_MARGIN);
-        let end = grace - margin(MAX_KILL_MARGIN);
+        let kill_margin = MAX_KILL_MARGIN.min(grace / MARGIN_FRACTION);
+        let accept_end = start + MAX_ACCEPT_TIME.min(grace / 2);
+        Self::with_margin(accept_end, start + grace - kill_margin, grace)
+    }
+
+    /// Times of a drain that starts at `start`, accepts for `accept` and ends after `time` in all.
+    pub fn within(start: Duration, accept: Duration, time: Duration) -> Self {
+        Self::with_margin(start + accept.min(time), start + time, time)
+    }
+
+    /// Times of a drain that takes `time` in all.
+    fn with_margin(accept_end: Duration, end: Duration, time: Duration) -> Self {
+        let reply_margin = MAX_REPLY_MARGIN.min(time / MARGIN_FRACTION);
         Self {
-            accept_end: start + MAX_ACCEPT_TIME.min(grace / 2),
-            last_reply: start + end - reply_margin,
-            streams_end: start + end - reply_margin / STREAM_MARGIN_FRACTION,
-            end: start + end,
+            accept_end,
+            last_reply: end - reply_margin,
+            streams_end: end - reply_margin / STREAM_MARGIN_FRACTION,
+            end,
         }
     }
 
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -73,6 +73,15 @@
             assert!(drain.end < START + grace, "{drain:?}");
         }
     };
+    the_steps_of_a_drain_without_a_kill_come_in_order => {
+        for (accept, time) in [(0, 2_000), (1_000, 601_000), (3_000, 2_000), (0, 1)] {
+            let drain = Drain::within(START, ms(accept), ms(time));
+            let steps = [START, drain.last_reply, drain.streams_end, drain.end];
+            assert!(steps.is_sorted(), "{drain:?}");
+            assert_eq!(drain.accept_end, START + ms(accept.min(time)));
+            assert_eq!(drain.end, START + ms(time));
+        }
+    };
     accepting_lasts_until_the_load_balancer_has_seen_two_failed_probes => {
         assert!(drain().accept_end > START + ms(2_000));
     };
--- /dev/null
+++ b/crates/runtime/src/draining.rs
@@ -0,0 +1,66 @@
+//! The drain of a process: whether it has started, and until when its work has time.
+
+use crate::clock::Clock;
+use crate::shutdown::ShutdownSignal;
+use async_io::Timer;
+use futures_lite::future::or;
+use std::sync::OnceLock;
+use std::time::Duration;
+
+/// State of a drain with times `T`, which every accept, wait, send and response asks.
+#[derive(Debug)]
+pub struct Draining<T> {
+    signal: ShutdownSignal,
+    times: OnceLock<T>,
+}
+
+impl<T> Default for Draining<T> {
+    fn default() -> Self {
+        Self {
+            signal: ShutdownSignal::default(),
+            times: OnceLock::new(),
+        }
+    }
+}
+
+impl<T: Copy> Draining<T> {
+    /// Starts the drain with these times; further calls have no effect. Returns the times in force.
+    pub fn start(&self, times: T) -> T {
+        let times = *self.times.get_or_init(|| times);
+        self.signal.start();
+        times
+    }
+
+    /// Whether it has started.
+    pub fn is_started(&self) -> bool {
+        self.signal.is_started()
+    }
+
+    /// Its times; `None` before it has started.
+    pub fn times(&self) -> Option<T> {
+        self.times.get().copied()
+    }
+
+    /// Signal of its start.
+    pub fn signal(&self) -> ShutdownSignal {
+        self.signal.clone()
+    }
+
+    /// Runs `work` until the time that `end` selects, and then drops it and returns `None`.
+    pub async fn before<W>(
+        &self,
+        clock: &Clock,
+        end: impl FnOnce(T) -> Duration,
+        work: impl Future<Output = W>,
+    ) -> Option<W> {
+        let work = async { Some(work.await) };
+        let ended = async {
+            self.signal.started().await;
+            if let Some(times) = self.times() {
+                Timer::after(end(times).saturating_sub(clock.now())).await;
+            }
+            None
+        };
+        or(work, ended).await
+    }
+}
--- a/crates/trials/tests/end_to_end.rs
+++ b/crates/trials/tests/end_to_end.rs
@@ -325,7 +325,7 @@
     });
 }
 
-/// The reply is sent as the links to agents are closed, after the drain has ended.
+/// It is told shortly before the drain ends that it may have run.
 #[test]
 fn a_request_that_runs_until_the_end_of_a_gateways_drain_gets_a_reply() {
     Executor::run(THREADS, |executor| async move {
