Attempts that an agent has taken get a last frame before its links close

What callers saw: when an agent's drain ran out, streams broke off with "it has shut down" as the reason, which says that the agent had replied to all it had accepted.

Cause: the links were closed with the code of an orderly end, whatever was open; attempts did not know how long the agent still ran. Gateways take that code for "not run" where they have not yet heard that the attempt was accepted.

Change: at the last reply of the drain each open attempt ends with a frame: failed and may have run once it was dispatched or its span was begun, else refused. A frame whose send is dropped midway fails all later ones of its stream, so that a peer cannot take the last frame for the rest of it.

Evidence: `serve_drain requests_that_run_until_the_end_of_an_agents_drain_are_told_that_it_ends` failed on (the stream ended without an error) and passes.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -16,12 +16,12 @@
     ControlPlane, ControlPlaneParts, SharedClusterView, StartError, load_identity, reply_to_query,
 };
 use platform::HttpPlatform;
-use policy::{Scheduler, SchedulerConfig, SchedulerEvent};
+use policy::{Drain, Scheduler, SchedulerConfig, SchedulerEvent};
 use proto::{EventKind, Offer, StreamOpening};
 use runtime::{
-    ByteBudget, Executor, FrameReceiver, FrameSender, HttpClient, HttpLimits, HttpServer,
-    LinkConfig, LinkEndpoint, Peer, Role, ShutdownSignal, StreamHandler, Timeline, logger,
-    termination_signal, timeout,
+    ByteBudget, Clock, Draining, Executor, FrameReceiver, FrameSender, HttpClient, HttpLimits,
+    HttpServer, LinkConfig, LinkEndpoint, Peer, Role, ShutdownSignal, StreamHandler, Timeline,
+    logger, termination_signal, timeout,
 };
 use slog::{Logger, info, warn};
 use std::sync::Arc;
@@ -45,7 +45,8 @@
     pub(crate) body_budget: ByteBudget,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) timeline: Arc<Timeline>,
-    pub(crate) shutdown: ShutdownSignal,
+    pub(crate) clock: Clock,
+    pub(crate) draining: Draining<Drain>,
     pub(crate) log: Logger,
 }
 
@@ -148,7 +149,8 @@
             claims: Arc::new(claims),
             metrics,
             timeline,
-            shutdown: ShutdownSignal::default(),
+            clock: Clock::default(),
+            draining: Draining::default(),
             log,
         })
     }
@@ -174,7 +176,7 @@
             self.update_server_settings();
             if !engine_started && self.is_engine() {
                 engine_started = true;
-                self.engine.start(&self.settings, self.shutdown.clone());
+                self.engine.start(&self.settings, self.draining.signal());
                 let poll = poll_engine_load(
                     self.backend.clone(),
                     self.scheduler.clone(),
@@ -187,7 +189,7 @@
 
     pub(crate) fn update_server_settings(&self) {
         let view = self.view.get();
-        let shutting_down = self.shutdown.is_started();
+        let shutting_down = self.draining.is_started();
         let epoch = self.engine.lease.epoch().unwrap_or(0);
         let settings = server_settings(&view, &self.settings.server, epoch, shutting_down);
         self.metrics.config_version.set(view.version as i64);
@@ -208,7 +210,7 @@
         info!(self.log, "agent: draining"; "outstanding" => self.scheduler.outstanding());
         self.timeline
             .record(EventKind::Draining, None, None, None, "");
-        self.shutdown.start();
+        let drain = self.draining.start(self.drain_times());
         self.control.announce_leaving();
         self.update_server_settings();
         let drained = async {
@@ -218,11 +220,21 @@
                 Timer::after(DRAIN_POLL_INTERVAL).await;
             }
         };
-        if timeout(self.settings.drain_timeout, drained).await.is_err() {
+        let left = drain.end.saturating_sub(self.clock.now());
+        if timeout(left, drained).await.is_err() {
             warn!(self.log, "agent: drain took too long"; "left" => self.scheduler.outstanding());
         }
     }
 
+    fn drain_times(&self) -> Drain {
+        let settings = &self.settings;
+        Drain::within(
+            self.clock.now(),
+            settings.grace_period,
+            settings.drain_timeout,
+        )
+    }
+
     fn is_drained(&self) -> bool {
         self.scheduler.outstanding() == 0
             && self.claims.unsettled() == 0
@@ -262,6 +274,7 @@
                     offer: *offer,
                     tx,
                     rx,
+                    may_have_run: false,
                 };
                 attempt.run().await;
             }
--- a/crates/agent/src/attempt.rs
+++ b/crates/agent/src/attempt.rs
@@ -10,7 +10,7 @@
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use futures_lite::future::or;
-use policy::{Job, SchedulerEvent, rules_allow, serves};
+use policy::{DRAIN_RETRY_AFTER, Drain, Job, SchedulerEvent, rules_allow, serves};
 use proto::{
     AnswerFrame, EventKind, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
@@ -36,6 +36,8 @@
     pub(crate) offer: Offer,
     pub(crate) tx: FrameSender,
     pub(crate) rx: FrameReceiver,
+    /// Whether the backend server may have run it.
+    pub(crate) may_have_run: bool,
 }
 
 /// Counts an attempt as open until dropped. A drain waits for open attempts.
@@ -72,12 +74,21 @@
         agent.metrics.offered.inc();
         let closed = self.tx.stopped();
         let _open = OpenAttempt::new(agent.clone());
-        let served = async { Some(self.serve().await) };
+        let last_reply = |times: Drain| times.last_reply;
+        let served = agent
+            .draining
+            .before(&agent.clock, last_reply, self.serve());
+        let served = async { Some(served.await) };
         let cancelled = async {
             closed.await;
             None
         };
-        match or(served, cancelled).await {
+        let ended = match or(served, cancelled).await {
+            Some(Some(ended)) => Some(ended),
+            Some(None) => Some(self.end_in_drain().await),
+            None => None,
+        };
+        match ended {
             Some(Ok(())) => self.wait_for_delivery().await,
             Some(Err(err)) => {
                 debug!(agent.log, "attempt: link failed"; "attempt" => %attempt, "err" => %err);
@@ -89,6 +100,18 @@
         }
     }
 
+    /// Ends the attempt with a frame that says whether it may have run, as the process ends.
+    async fn end_in_drain(&mut self) -> Result<(), LinkError> {
+        if self.may_have_run {
+            let reason = "the agent shuts down";
+            self.fail(Execution::MayHaveRun, reason, DRAIN_RETRY_AFTER)
+                .await
+        } else {
+            self.refuse_for(RefusalReason::ShuttingDown, DRAIN_RETRY_AFTER)
+                .await
+        }
+    }
+
     /// Waits until the gateway has received the last frame, so that a shutdown does not cut it off.
     async fn wait_for_delivery(&mut self) {
         let _ = timeout(DELIVERY_TIMEOUT, self.tx.stopped()).await;
@@ -245,6 +268,7 @@
         priority: u8,
         body: Bytes,
     ) -> Result<(), LinkError> {
+        self.may_have_run = true;
         self.agent.metrics.dispatched.inc();
         if !self.offer.streamed {
             self.agent
--- a/crates/agent/src/query_source.rs
+++ b/crates/agent/src/query_source.rs
@@ -12,7 +12,7 @@
             Subject::Servers => self.server_row(),
             Subject::Refusals => refusals(&self.timeline),
             Subject::Hosts => {
-                let state = if self.shutdown.is_started() {
+                let state = if self.draining.is_started() {
                     "leaving"
                 } else {
                     "up"
--- a/crates/agent/src/span_run.rs
+++ b/crates/agent/src/span_run.rs
@@ -31,6 +31,7 @@
         self.agent
             .record(EventKind::Queued(id), &self.offer, "span");
         let span = self.agent.engine.spans.start(&self.offer, plan);
+        self.may_have_run = true;
         let mut body = BytesMut::new();
         let mut body_complete = false;
         let mut grant = None;
--- a/crates/agent/src/status.rs
+++ b/crates/agent/src/status.rs
@@ -17,7 +17,7 @@
 impl Responder for StatusResponder {
     async fn respond(&self, _peer: SocketAddr, req: Request<RequestBody>) -> Response<Body> {
         match req.uri().path() {
-            "/healthz" if self.agent.shutdown.is_started() => text_response(503, "draining\n"),
+            "/healthz" if self.agent.draining.is_started() => text_response(503, "draining\n"),
             "/healthz" if self.agent.view.get().version == 0 => {
                 text_response(503, "no configuration yet\n")
             }
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -423,5 +423,10 @@
     (tx, rx): (quinn::SendStream, quinn::RecvStream),
 ) -> (FrameSender, FrameReceiver) {
     let reader = FrameReader::default();
-    (FrameSender { peer, tx }, FrameReceiver { peer, rx, reader })
+    let tx = FrameSender {
+        peer,
+        tx,
+        has_partial: false,
+    };
+    (tx, FrameReceiver { peer, rx, reader })
 }
--- a/crates/runtime/src/link_stream.rs
+++ b/crates/runtime/src/link_stream.rs
@@ -20,6 +20,8 @@
 pub struct FrameSender {
     pub(crate) peer: SocketAddr,
     pub(crate) tx: SendStream,
+    /// Whether a frame may have been sent in part, as its send was dropped or failed.
+    pub(crate) has_partial: bool,
 }
 
 impl FrameSender {
@@ -29,10 +31,18 @@
         self.send_encoded(frame).await
     }
 
-    /// Sends bytes that are already encoded as a frame.
+    /// Sends bytes that are already encoded as a frame. Fails behind a send that was dropped, as the peer
+    /// would take the frame for the rest of the earlier one.
     pub async fn send_encoded(&mut self, frame: Vec<u8>) -> Result<(), LinkError> {
+        if self.has_partial {
+            let reason = "an earlier frame was cut short".into();
+            return Err(LinkError::Broken(self.peer, "send", reason));
+        }
+        self.has_partial = true;
         let sent = self.tx.write_chunk(frame.into()).await;
-        sent.map_err(|err| write_error(self.peer, &err))
+        sent.map_err(|err| write_error(self.peer, &err))?;
+        self.has_partial = false;
+        Ok(())
     }
 
     /// Ends this direction normally; frames already sent are still delivered.
--- a/crates/trials/tests/serve_drain.rs
+++ b/crates/trials/tests/serve_drain.rs
@@ -177,4 +177,15 @@
         assert_eq!(spawn_call(executor, &fleet, fits).await, End::Whole);
         assert!(fleet.terminate(&gateway, EXIT_LIMIT).await.unwrap());
     };
+    // The agent closed its links, and gateways took the open attempts for broken off.
+    requests_that_run_until_the_end_of_an_agents_drain_are_told_that_it_ends => async |executor: &Executor| {
+        let mut fleet = start_fleet(executor, [0, 600], [0, 2]).await;
+        let agent = name(&fleet, "agent");
+        let streamed = spawn_stream(executor, &fleet, 1);
+        wait_until_an_engine_runs_one(&fleet).await;
+        assert!(fleet.terminate(&agent, EXIT_LIMIT).await.unwrap());
+        let text = streamed.await;
+        assert!(text.contains("the agent shuts down"), "{text}");
+        assert!(!text.contains("[DONE]"), "{text}");
+    };
 }
