Frames that a peer sends without end do not hold the thread that receives them

What was seen: a link hands on what has arrived without a wait, so that the loop of a stream handled all of it in one poll, up to 1 MiB of frames.

Cause: the class of the hang by interim heads, one poll that works for as long as there is input. What HTTP reads is bounded by `BoundedIo`; what links read was bounded by nothing but the window of a stream.

Change: a receiver yields after 32 frames or 64 KiB.

--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -3,7 +3,7 @@
 
 use crate::executor::Executor;
 use crate::link_config::LinkConfig;
-use crate::link_stream::{FrameReceiver, FrameSender, SHUT_DOWN_CODE};
+use crate::link_stream::{FrameReceiver, FrameSender, ReceiveTurn, SHUT_DOWN_CODE};
 use crate::quic::QuicRuntime;
 use crate::tls::{Identity, Peer, Role, TlsError};
 use proto::{CodecError, FrameReader, StreamOpening};
@@ -428,5 +428,11 @@
         tx,
         has_partial: false,
     };
-    (tx, FrameReceiver { peer, rx, reader })
+    let rx = FrameReceiver {
+        peer,
+        rx,
+        reader,
+        turn: ReceiveTurn::default(),
+    };
+    (tx, rx)
 }
--- a/crates/runtime/src/link_stream.rs
+++ b/crates/runtime/src/link_stream.rs
@@ -1,6 +1,7 @@
 //! Sending and receiving typed frames on one QUIC stream.
 
 use crate::link::LinkError;
+use futures_lite::future::yield_now;
 use proto::{FrameReader, encode};
 use quinn::{ConnectionError, ReadError, RecvStream, SendStream, VarInt, WriteError};
 use serde::Serialize;
@@ -13,7 +14,11 @@
 const CANCELLED_CODE: VarInt = VarInt::from_u32(1);
 const FORBIDDEN_CODE: VarInt = VarInt::from_u32(4);
 const FORBIDDEN_REASON: &str = "the peer forbids such a stream to this role";
-const MAX_CHUNK_BYTES: usize = 256 << 10;
+const MAX_CHUNK_BYTES: usize = 64 << 10;
+/// Frames and bytes after which a receiver yields. What has arrived is received without a wait, and a
+/// peer may send faster than frames are handled.
+const TURN_FRAMES: usize = 32;
+const TURN_BYTES: usize = 64 << 10;
 
 /// The sending direction of a stream.
 #[derive(Debug)]
@@ -75,6 +80,24 @@
     pub(crate) peer: SocketAddr,
     pub(crate) rx: RecvStream,
     pub(crate) reader: FrameReader,
+    pub(crate) turn: ReceiveTurn,
+}
+
+/// What was received since other tasks last had a turn.
+#[derive(Debug, Default)]
+pub(crate) struct ReceiveTurn {
+    frames: usize,
+    bytes: usize,
+}
+
+impl ReceiveTurn {
+    /// Lets other tasks run if enough was received.
+    async fn yield_if_over(&mut self) {
+        if self.frames >= TURN_FRAMES || self.bytes >= TURN_BYTES {
+            yield_now().await;
+            *self = Self::default();
+        }
+    }
 }
 
 impl FrameReceiver {
@@ -82,14 +105,19 @@
     /// ends within a frame.
     pub async fn receive<T: DeserializeOwned>(&mut self) -> Result<Option<T>, LinkError> {
         loop {
+            self.turn.yield_if_over().await;
             let frame = self.reader.next_frame();
             if let Some(message) = frame.map_err(|err| LinkError::Codec(self.peer, err))? {
+                self.turn.frames += 1;
                 return Ok(Some(message));
             }
             let chunk = self.rx.read_chunk(MAX_CHUNK_BYTES, true).await;
             let chunk = chunk.map_err(|err| read_error(self.peer, &err))?;
             match chunk {
-                Some(chunk) => self.reader.push(&chunk.bytes),
+                Some(chunk) => {
+                    self.turn.bytes += chunk.bytes.len();
+                    self.reader.push(&chunk.bytes);
+                }
                 None if self.reader.has_partial() => {
                     return Err(LinkError::Broken(
                         self.peer,
