Request limits that peers report take bounded memory and work

What was seen: a frame of request limits may name some 50,000 servers. Each limit of a server that was not known was kept, whatever their number (20,000 in the new test), went through all that were kept, and updated a metric that counts them all: work that grows with the square of the frame, in one poll.

Only servers whose limit had ended were dropped, so that the bound of 4,096 servers did not hold.

Change: beyond 4,096 servers the half that was heard least lately is dropped; 4,096 limits of a frame are read, and the metric is updated once for each frame.

--- a/crates/direct/src/request_limit.rs
+++ b/crates/direct/src/request_limit.rs
@@ -8,6 +8,9 @@
 use slog::{info, warn};
 use std::time::Duration;
 
+/// Limits that are read from one frame.
+const MAX_FRAME_LIMITS: usize = 4_096;
+
 /// Records what the headers of a server's response state of its request limit. `sent_at` is when the
 /// request was sent.
 pub fn record(shared: &Shared, server: &str, headers: &HeaderMap, sent_at: Duration) {
@@ -46,21 +49,27 @@
     }
 
     fn on_frame(shared: &Shared, peer: &str, frame: RequestLimitFrame) {
-        for limit in &frame.limits {
-            record_from_peer(shared, peer, limit);
+        let limits = frame.limits.iter().take(MAX_FRAME_LIMITS);
+        let mut has_changed = false;
+        for limit in limits {
+            has_changed |= record_from_peer(shared, peer, limit);
+        }
+        if has_changed {
+            update_metric(shared);
         }
     }
 }
 
-/// Records what a peer has heard of a server's request limit.
-fn record_from_peer(shared: &Shared, peer: &str, limit: &RequestLimit) {
+/// Records what a peer has heard of a server's request limit; returns whether that has changed it.
+fn record_from_peer(shared: &Shared, peer: &str, limit: &RequestLimit) -> bool {
     let now = shared.clock.now();
-    if shared.fleet.on_peer_request_limit(limit, now) {
+    let has_changed = shared.fleet.on_peer_request_limit(limit, now);
+    if has_changed {
         let server = shared.store_cache.server_with_key(limit.server);
         info!(shared.log, "servers: request limit changed at a peer"; "server" => server.as_deref(),
             "per_s" => limit.rate, "peer" => peer, "age_ms" => limit.age.as_millis() as u64);
-        update_metric(shared);
     }
+    has_changed
 }
 
 fn update_metric(shared: &Shared) {
--- a/crates/policy/src/request_limits.rs
+++ b/crates/policy/src/request_limits.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Number of servers above which those that state no limit any more are dropped.
+/// Limit on the servers that are tracked.
 const MAX_TRACKED_SERVERS: usize = 4_096;
 
 /// Number of a change of the limits; later changes have higher numbers.
@@ -135,8 +135,8 @@
         now: Duration,
         is_first_hand: bool,
     ) -> bool {
-        if self.stated.len() >= MAX_TRACKED_SERVERS {
-            self.stated.retain(|_, stated| stated.rate.is_some());
+        if self.stated.len() >= MAX_TRACKED_SERVERS && !self.stated.contains_key(&server) {
+            self.make_room();
         }
         self.revision += 1;
         let stated = StatedLimit {
@@ -151,6 +151,25 @@
     }
 }
 
+impl RequestLimits {
+    /// Drops servers without a limit, and where that is not enough, half of the others: those that were
+    /// heard least lately.
+    fn make_room(&mut self) {
+        self.stated.retain(|_, stated| stated.rate.is_some());
+        if self.stated.len() < MAX_TRACKED_SERVERS {
+            return;
+        }
+        let mut times: Vec<_> = self
+            .stated
+            .values()
+            .map(|stated| stated.confirmed)
+            .collect();
+        let (_, median, _) = times.select_nth_unstable(MAX_TRACKED_SERVERS / 2);
+        let median = *median;
+        self.stated.retain(|_, stated| stated.confirmed > median);
+    }
+}
+
 /// Whether `rate` allows less than `than`; `None` is no limit.
 fn is_tighter(rate: Option<f64>, than: Option<f64>) -> bool {
     rate.unwrap_or(f64::INFINITY) < than.unwrap_or(f64::INFINITY)
--- a/crates/policy/tests/request_limits.rs
+++ b/crates/policy/tests/request_limits.rs
@@ -295,6 +295,26 @@
 
 /// Gateways pass on at each moment what they have heard; in the end all agree on what the server
 /// states, whichever gateways it answers.
+/// Each report of a further server was kept, and took as long as there were others.
+#[test]
+fn limits_of_servers_without_end_take_no_memory() {
+    let mut limits = RequestLimits::default();
+    for n in 0..20_000 {
+        let report = RequestLimit {
+            server: n,
+            ..report(Some(2.0), 20_000 - n)
+        };
+        limits.on_peer_report(&report, at(60_000));
+    }
+    assert!(
+        limits.limited_servers() <= 4_096,
+        "{}",
+        limits.limited_servers()
+    );
+    assert_eq!(limits.rate(19_999), Some(2.0), "the last one counts");
+    assert_eq!(limits.rate(0), None);
+}
+
 #[test]
 fn gateways_agree_on_a_limit_that_changes() {
     const GATEWAYS: usize = 12;
