Links to peers are closed within the drain

What was seen (by reading): a gateway that had answered everything closed its links for up to a second, whatever was left of its grace period. SIGKILL then takes the last lines of its log.

Cause: a limit that is not known to what it limits, as in the other faults of drains: the time of a close was that of a connect. Now it ends with the drain.

No test of its own: what is lost is a line of the log, in the half second before SIGKILL.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -150,7 +150,9 @@
     let timed_out = or(drained, more_signals).await.is_err();
     let peers = lock(&peers).take();
     if let Some(peers) = peers.filter(|_| !timed_out) {
-        peers.close().await;
+        let left = drain.end.saturating_sub(shared.clock.now());
+        // Peers notice links that are not closed in time.
+        let _ = timeout(left, peers.close()).await;
     }
     shutdown.start();
     info!(log, "process: ended"; "cut" => timed_out, "open" => shared.open_calls.count(),
