--- a/crates/direct/src/declarations_row.rs
+++ b/crates/direct/src/declarations_row.rs
@@ -6,6 +6,7 @@
 use quick_error::quick_error;
 use runtime::offload;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Declarations of more bytes than this take so long to decode that other tasks would wait.
 const MAX_INLINE_BYTES: usize = 128 << 10;
@@ -66,6 +67,8 @@
     pub script: Option<EditScript>,
     /// A message for each entry that is invalid and was left out.
     pub skipped: Vec<Box<str>>,
+    /// Time that decoding took, with the wait for a thread.
+    pub took: Duration,
 }
 
 impl DecodedDeclarations {
@@ -80,6 +83,7 @@
             stored: StoredDeclarations { body, digest },
             script,
             skipped,
+            took: Duration::ZERO,
         })
     }
 }
@@ -101,9 +105,14 @@
     body: Vec<u8>,
     old: Option<StoredDeclarations>,
 ) -> Result<DecodedDeclarations, DeclarationError> {
-    if body.len() > MAX_INLINE_BYTES {
+    let started = Instant::now();
+    let decoded = if body.len() > MAX_INLINE_BYTES {
         offload(move || DecodedDeclarations::decode(body, old)).await
     } else {
         DecodedDeclarations::decode(body, old)
-    }
+    };
+    decoded.map(|decoded| DecodedDeclarations {
+        took: started.elapsed(),
+        ..decoded
+    })
 }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -361,7 +361,8 @@
             return;
         }
         info!(self.log, "declarations: in force"; "version" => table.version, "before" => current,
-            "source" => source);
+            "source" => source, "bytes" => decoded.stored.body.len(),
+            "decoded_ms" => decoded.took.as_millis() as u64);
         state.route_table = Some(Arc::new(table));
         if let Some(script) = decoded.script {
             state.history.record(script, decoded.stored.body.len());
