Limits that no server can state are not taken from peers

What was seen: a peer, with a certificate of the deployment, reports a request limit that is negative or no number. The gateway sends nothing to that server any more, and hears of no other limit, as that comes with answers. What servers state themselves is checked by the adapter; what peers report was not.

Change: such reports are ignored.

A limit of next to nothing is kept, as before: that can be what a server states.

--- a/crates/policy/src/request_limits.rs
+++ b/crates/policy/src/request_limits.rs
@@ -72,6 +72,9 @@
 
     /// Records what a peer has heard.
     pub fn on_peer_report(&mut self, report: &RequestLimit, now: Duration) -> PeerReportEffect {
+        if report.rate.is_some_and(|rate| !is_valid(rate)) {
+            return PeerReportEffect::Unchanged;
+        }
         let confirmed = now.saturating_sub(report.age);
         match self.stated.get_mut(&report.server) {
             None if report.rate.is_none() => PeerReportEffect::Unchanged,
@@ -170,6 +173,11 @@
     }
 }
 
+/// Whether a server can state this limit. Another one would keep all requests from the server for good.
+fn is_valid(rate: f64) -> bool {
+    rate.is_finite() && rate >= 0.0
+}
+
 /// Whether `rate` allows less than `than`; `None` is no limit.
 fn is_tighter(rate: Option<f64>, than: Option<f64>) -> bool {
     rate.unwrap_or(f64::INFINITY) < than.unwrap_or(f64::INFINITY)
--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -168,6 +168,14 @@
         state.pending_polls.clear();
     }
 
+    /// Content of a row; `None` without one, or if it is not JSON.
+    pub fn value(&self, table: &str, key: &str) -> Option<Value> {
+        let state = self.lock();
+        let row = state.rows.get(&(table.into(), key.into()))?;
+        let value = STANDARD.decode(row.value.as_ref()?).ok()?;
+        serde_json::from_slice(&value).ok()
+    }
+
     /// Keys of the rows of a table, without removed ones.
     pub fn keys(&self, table: &str) -> Vec<Box<str>> {
         let state = self.lock();
