Gateways know until when their declarations were confirmed as the newest

Change: each complete answer of the store to a poll of the operators' table confirms the declarations in force, as of the time the poll was sent, or ended without changes. Load frames carry it on: each side tells its clock reading, and a confirmation is counted from the last reading of the receiver that the sender has got, so that time on the way and time in which either process stood still only makes it look older. The clock counts while the host is suspended.

No reply changes yet.

--- a/crates/direct/src/content_metrics.rs
+++ b/crates/direct/src/content_metrics.rs
@@ -9,6 +9,7 @@
     bytes: IntCounterVec,
     failed_fetches: IntCounterVec,
     behind: Gauge,
+    unconfirmed: Gauge,
 }
 
 impl ContentMetrics {
@@ -19,11 +20,11 @@
             registry.register(Box::new(vec.clone()))?;
             Ok::<_, prometheus::Error>(vec)
         };
-        let behind = Gauge::new(
-            "bergamothold_direct_behind_peers_seconds",
-            "Time since which peers have content of the store that this gateway does not have",
-        )?;
-        registry.register(Box::new(behind.clone()))?;
+        let gauge = |name: &str, help: &str| {
+            let gauge = Gauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
         Ok(Self {
             bytes: counter_vec(
                 "bergamothold_direct_content_bytes_total",
@@ -35,7 +36,14 @@
                 "Fetches of content from peers that failed, by reason",
                 "reason",
             )?,
-            behind,
+            behind: gauge(
+                "bergamothold_direct_behind_peers_seconds",
+                "Time since which peers have content of the store that this gateway does not have",
+            )?,
+            unconfirmed: gauge(
+                "bergamothold_direct_declarations_unconfirmed_seconds",
+                "Time for which nobody has confirmed that the declarations are the newest; infinite if nobody has",
+            )?,
         })
     }
 
@@ -53,4 +61,10 @@
     pub fn set_behind(&self, behind: Duration) {
         self.behind.set(behind.as_secs_f64());
     }
+
+    /// Sets for how long the declarations have not been confirmed; `None` if they never were.
+    pub fn set_unconfirmed(&self, age: Option<Duration>) {
+        let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        self.unconfirmed.set(seconds);
+    }
 }
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -113,7 +113,8 @@
         let reply = reply.unless_newer(&self.shared.store_cache, declarations);
         info!(self.shared.log, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
-            "has_key" => head.api_key.is_some(), "declarations" => declarations);
+            "has_key" => head.api_key.is_some(), "declarations" => declarations,
+            "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64));
         self.shared.metrics.request("none", reply.outcome());
         reply
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod blocked_rows;
 mod call;
 mod command;
+mod confirmation;
 mod content_metrics;
 mod content_stream;
 mod content_sync;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -333,6 +333,11 @@
         self.content.set_behind(behind);
     }
 
+    /// Sets for how long nobody has confirmed that the declarations are the newest; `None` if nobody has.
+    pub fn set_unconfirmed(&self, age: Option<Duration>) {
+        self.content.set_unconfirmed(age);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- a/crates/direct/src/peer_streams.rs
+++ b/crates/direct/src/peer_streams.rs
@@ -10,7 +10,7 @@
 use crate::waiting_news::WaitingNews;
 use async_channel::Receiver;
 use async_io::Timer;
-use proto::{LoadFrame, StreamOpening};
+use proto::{Confirmed, LoadFrame, StreamOpening};
 use runtime::{FrameReceiver, FrameSender, LinkEndpoint, Peer, Role, StreamHandler};
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -35,7 +35,7 @@
     ) {
         match opening {
             StreamOpening::Load => {
-                while let Ok(Some(frame)) = rx.receive::<LoadFrame>().await {
+                while let Ok(Some(frame)) = rx.receive::<Confirmed<LoadFrame>>().await {
                     self.0.on_frame(&peer.node, frame);
                 }
             }
@@ -82,7 +82,7 @@
 pub async fn send_load(
     shared: Arc<Shared>,
     link: Arc<LinkEndpoint>,
-    peer: SocketAddr,
+    (name, peer): (Box<str>, SocketAddr),
     frames: Receiver<Arc<LoadFrame>>,
 ) {
     let mut backoff = MIN_RECONNECT_BACKOFF;
@@ -92,7 +92,11 @@
                 info!(shared.log, "peers: link open"; "peer" => %peer);
                 backoff = MIN_RECONNECT_BACKOFF;
                 while let Ok(frame) = frames.recv().await {
-                    if let Err(err) = tx.send(&*frame).await {
+                    let frame = Confirmed {
+                        message: &*frame,
+                        report: shared.confirmation_report(&name),
+                    };
+                    if let Err(err) = tx.send(&frame).await {
                         info!(shared.log, "peers: link lost"; "peer" => %peer, "err" => %err);
                         break;
                     }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -21,7 +21,7 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use policy::{ContentReport, GatewayRoster, PeerGateway, should_watch_store};
-use proto::LoadFrame;
+use proto::{Confirmed, LoadFrame};
 use rand::random;
 use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role};
 use slog::info;
@@ -136,6 +136,7 @@
             self.update_gateway_count();
             self.renew_own_row();
             self.update_store_watch();
+            self.shared.log_confirmation();
             let paced_interval = Duration::from_secs(1) * peers / MAX_FRAMES_PER_SECOND;
             let interval = paced_interval.max(MIN_FRAME_INTERVAL);
             fleet.set_update_interval(interval);
@@ -286,6 +287,7 @@
             info!(self.shared.log, "peers: gateway gone"; "peer" => name);
             peers.remove(name);
             self.content.on_gone(name);
+            self.shared.on_confirming_peer_gone(name);
             return;
         };
         let found: GatewayRow = found;
@@ -320,7 +322,7 @@
         peers.insert(name.into(), peer);
         self.content.on_found(name, found.address);
         let (link, shared) = (self.link.clone(), self.shared.clone());
-        let load_stream = send_load(shared, link, found.address, rx);
+        let load_stream = send_load(shared, link, (name.into(), found.address), rx);
         self.shared.executor.detach(load_stream);
         self.send_news::<LimitNews>(found.address, limits_rx);
         self.send_news::<CrashNews>(found.address, crashes_rx);
@@ -335,8 +337,10 @@
     }
 
     /// Records a load frame of a peer.
-    pub fn on_frame(self: &Arc<Self>, peer: &str, frame: LoadFrame) {
+    pub fn on_frame(self: &Arc<Self>, peer: &str, frame: Confirmed<LoadFrame>) {
         let now = self.shared.clock.now();
+        self.shared.on_peer_confirmation(peer, &frame.report);
+        let frame = frame.message;
         let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
         self.lock_roster().on_heard(peer, now);
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -279,6 +279,7 @@
             .metrics
             .set_buffered_bytes(shared.body_budget.used(), held);
         shared.metrics.set_behind_peers(shared.behind_peers());
+        shared.metrics.set_unconfirmed(shared.unconfirmed_for());
         shared.metrics.set_failing_tables(shared.failing_tables());
         match shared.metrics.encode() {
             Ok(text) => Response::new(Body::full(text)),
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -11,7 +11,9 @@
 use crate::stream_buffers::StreamBuffers;
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
-use policy::{CallTimes, Drain, RunningChecks, StoreFallback, is_store_reached};
+use policy::{
+    CallTimes, ConfirmedDeclarations, Drain, RunningChecks, StoreFallback, is_store_reached,
+};
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -68,6 +70,9 @@
     servers_answered_ms: AtomicU64,
     failing_tables: AtomicUsize,
     relies_on_peers: AtomicBool,
+    confirmed: Mutex<ConfirmedDeclarations>,
+    /// Whether the last check found the declarations confirmed.
+    is_confirmed: AtomicBool,
     store_fallback: Mutex<StoreFallback>,
     /// Whether this gateway reads the store although it relies on peers.
     falls_back: AtomicBool,
@@ -106,6 +111,11 @@
             servers_answered_ms: AtomicU64::new(0),
             failing_tables: AtomicUsize::new(0),
             relies_on_peers: AtomicBool::new(false),
+            confirmed: Mutex::new(ConfirmedDeclarations::new(
+                rand::random(),
+                settings.bounds.declarations_apply,
+            )),
+            is_confirmed: AtomicBool::new(true),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
             settings,
@@ -201,6 +211,17 @@
         checks.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Decides for how long declarations may be the reason to turn requests away.
+    pub fn lock_confirmed(&self) -> MutexGuard<'_, ConfirmedDeclarations> {
+        let confirmed = self.confirmed.lock();
+        confirmed.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets whether the declarations are confirmed, and returns whether that has changed.
+    pub fn set_confirmed(&self, is_confirmed: bool) -> bool {
+        self.is_confirmed.swap(is_confirmed, Ordering::Relaxed) != is_confirmed
+    }
+
     /// Decides when this gateway reads the store although others watch it.
     pub fn lock_store_fallback(&self) -> MutexGuard<'_, StoreFallback> {
         let fallback = self.store_fallback.lock();
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -4,8 +4,9 @@
 use adapter::{Changes, Listing, ListingProgress, ReceivedBytes, Store, StoreError, StoreTable};
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::store_check_interval;
+use policy::{answered_until, store_check_interval};
 use rand::random;
+use runtime::Clock;
 use slog::{info, warn};
 use std::future::Future;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
 /// Interval at which a gateway that does not watch the store checks whether it has to. A small
 /// part of the second after which a silent peer is replaced.
 const UNWATCHED_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a gateway that does not watch the store asks it while peers do not confirm what it has.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval at which a response that arrives is reported as contact with the store.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
 /// Backoff after failed calls.
@@ -36,6 +39,19 @@
     /// Whether peers also send the content of this table.
     const SENT_BY_PEERS: bool = true;
 
+    /// How long the store may hold the next poll.
+    fn poll_wait(&self, _shared: &Shared) -> Duration {
+        Self::WAIT
+    }
+
+    /// Whether the store has to be asked although peers watch the table.
+    fn needs_check(&self, _shared: &Shared) -> bool {
+        false
+    }
+
+    /// Records that the store held nothing newer at this time of [`Clock::boot_time`].
+    fn on_confirmed(&self, _shared: &Shared, _at: Duration) {}
+
     /// Version up to which the table is cached, including what peers sent; 0 where peers do not
     /// send it.
     fn cached_version(&self, shared: &Shared) -> u64;
@@ -58,6 +74,18 @@
 impl TableHandler for OperatorTableHandler {
     const TABLE: StoreTable = StoreTable::Operators;
 
+    fn poll_wait(&self, shared: &Shared) -> Duration {
+        shared.operators_poll_wait(Self::WAIT)
+    }
+
+    fn needs_check(&self, shared: &Shared) -> bool {
+        shared.needs_confirmation()
+    }
+
+    fn on_confirmed(&self, shared: &Shared, at: Duration) {
+        shared.on_store_confirmed(at);
+    }
+
     fn cached_version(&self, shared: &Shared) -> u64 {
         shared.store_cache.versions().operators
     }
@@ -131,7 +159,14 @@
                 Some(version) if is_left_to_peers || watch.shared.is_catching_up() => {
                     watch.poll(version, Duration::ZERO).await
                 }
-                Some(version) => watch.poll(version, H::WAIT).await,
+                // The end of an outage shows at once.
+                Some(version) if watch.outage.is_some() => {
+                    watch.poll(version, Duration::ZERO).await
+                }
+                Some(version) => {
+                    let wait = watch.handler.poll_wait(&watch.shared);
+                    watch.poll(version, wait).await
+                }
             }
         };
         let result = or(call, reports).await;
@@ -194,7 +229,12 @@
     fn claim_check(&mut self) -> bool {
         let now = self.shared.clock.now();
         let gateways = self.shared.fleet.gateways();
-        let is_due = now >= self.last_check + store_check_interval(gateways, self.check_spread);
+        let interval = if self.handler.needs_check(&self.shared) {
+            CONFIRMATION_INTERVAL
+        } else {
+            store_check_interval(gateways, self.check_spread)
+        };
+        let is_due = now >= self.last_check + interval;
         if is_due {
             self.last_check = now;
             self.check_spread = random();
@@ -217,13 +257,20 @@
     }
 
     async fn poll(&self, since: u64, wait: Duration) -> Result<u64, StoreError> {
+        let sent = Clock::boot_time();
         let changes = self.store.changes(H::TABLE, since, wait).await?;
         self.shared.metrics.store_call("changes", "ok");
         // An older version than the one polled for would make the next poll go back.
         let version = changes.version.max(since);
         let changed = !changes.rows.is_empty();
         self.log_skipped(changes.skipped, version);
+        let confirmed = changes
+            .is_complete
+            .then(|| answered_until(sent, wait, Clock::boot_time(), changed));
         self.handler.on_changes(&self.shared, changes).await;
+        if let Some(at) = confirmed {
+            self.handler.on_confirmed(&self.shared, at);
+        }
         if changed {
             self.shared.fleet.urgent().notify();
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod concurrency_limit;
 mod config_gossip;
 mod config_rows;
+mod confirmed_declarations;
 mod content_history;
 mod content_sends;
 mod crash_evidence;
@@ -132,6 +133,7 @@
     CONFIG_HEAD_KEY, CONFIG_KEY, CommandRow, ConfigHead, ConfigRow, HISTORY_PREFIX, HistoryRow,
     command_key, history_key,
 };
+pub use confirmed_declarations::{ConfirmedDeclarations, answered_until};
 pub use content_history::ContentHistory;
 pub use content_sends::{MAX_CONTENT_SENDS, needs_send_slot};
 pub use crash_evidence::CrashEvidence;
--- /dev/null
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -0,0 +1,354 @@
+//! For how long declarations may be the reason to turn a request away.
+
+use policy::{ConfirmedDeclarations, answered_until};
+use proto::{ClockReading, Confirmation, ConfirmationReport};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+const BOUND: Duration = Duration::from_secs(2);
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn gateway(process: u64) -> ConfirmedDeclarations {
+    ConfirmedDeclarations::new(process, BOUND)
+}
+
+#[test]
+fn declarations_that_nobody_has_confirmed_turn_nothing_away() {
+    let mut confirmed = gateway(1);
+    assert!(!confirmed.may_refuse(4, at(0)));
+    assert_eq!(confirmed.age(4, at(0)), None);
+    assert!(confirmed.needs_check(4, at(0)));
+}
+
+#[test]
+fn the_store_confirms_for_as_long_as_a_change_may_take() {
+    let mut confirmed = gateway(1);
+    confirmed.on_store_answer(at(1_000));
+    assert!(confirmed.may_refuse(4, at(3_000)));
+    assert!(!confirmed.may_refuse(4, at(3_001)));
+    confirmed.on_store_answer(at(500));
+    assert!(confirmed.may_refuse(4, at(3_000)), "an older answer");
+}
+
+/// Readings of a clock of one gateway go to another and come back, as frames do.
+#[test]
+fn a_peer_confirms_with_the_time_on_the_way_added() {
+    let (mut a, mut b) = (gateway(1), gateway(2));
+    let hello = a.report("b", 4, at(100_000));
+    assert_eq!(hello.confirmation, None);
+    // The clock of `b` is 70 s behind, and the frame takes 30 ms.
+    b.on_report("a", &hello, 4, at(30_030));
+    b.on_store_answer(at(30_500));
+    let answer = b.report("a", 4, at(30_600));
+    a.on_report("b", &answer, 4, at(101_000));
+    assert_eq!(a.age(4, at(101_000)), Some(at(530)));
+    // Before the reading came, it was confirmed as well.
+    let mut c = gateway(3);
+    c.on_store_answer(at(20_000));
+    c.on_report("a", &hello, 4, at(30_030));
+    let answer = c.report("a", 4, at(30_040));
+    let mut a = gateway(1);
+    a.on_report("c", &answer, 4, at(101_000));
+    assert_eq!(a.age(4, at(101_000)), Some(at(11_031)));
+}
+
+#[test]
+fn what_a_peer_confirms_counts_once_it_is_in_force() {
+    let (mut a, mut b) = (gateway(1), gateway(2));
+    b.on_report("a", &a.report("b", 4, at(100)), 5, at(100));
+    b.on_store_answer(at(150));
+    let newer = b.report("a", 5, at(200));
+    a.on_report("b", &newer, 4, at(200));
+    assert!(!a.may_refuse(4, at(200)));
+    assert!(a.may_refuse(5, at(200)));
+}
+
+fn report(process: u64, reading: u64, offset_ms: i64) -> ConfirmationReport {
+    ConfirmationReport {
+        clock: ClockReading {
+            process: 9,
+            at: Duration::ZERO,
+        },
+        confirmation: Some(Confirmation {
+            declarations: 4,
+            reading: ClockReading {
+                process,
+                at: at(reading),
+            },
+            offset_ms,
+        }),
+    }
+}
+
+macro_rules! confirms {
+    ($($name:ident: $report:expr => $age:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut confirmed = gateway(1);
+                confirmed.on_report("b", &$report, 4, at(10_000));
+                assert_eq!(confirmed.age(4, at(10_000)), $age);
+            }
+        )*
+    };
+}
+
+confirms! {
+    a_reading_of_an_earlier_process_confirms_nothing: report(7, 9_990, 0) => None;
+    a_reading_from_the_future_confirms_nothing: report(1, 10_001, 0) => None;
+    a_confirmation_from_the_future_counts_as_of_now: report(1, 9_990, i64::MAX) => Some(at(0));
+    a_confirmation_from_before_the_clock_counts_as_of_its_start:
+        report(1, 9_990, i64::MIN) => Some(at(10_000));
+    a_confirmation_after_the_reading_is_that_much_younger: report(1, 9_000, 400) => Some(at(600));
+    a_peer_of_an_earlier_build_confirms_nothing: ConfirmationReport::default() => None;
+}
+
+#[test]
+fn an_answer_without_changes_confirms_until_the_poll_was_over() {
+    let wait = at(1_200);
+    let until = |now, has_changes| answered_until(at(1_000), wait, at(now), has_changes);
+    assert_eq!(until(2_250, false), at(2_200));
+    assert_eq!(until(2_250, true), at(1_000));
+    assert_eq!(until(1_100, false), at(1_000), "given before its time");
+}
+
+#[test]
+fn polls_end_before_their_declarations_are_too_old() {
+    let mut confirmed = gateway(1);
+    let longest = at(1_200);
+    assert_eq!(
+        confirmed.poll_wait(longest, 4, at(5_000), 0),
+        Duration::ZERO
+    );
+    confirmed.on_store_answer(at(5_000));
+    assert_eq!(confirmed.poll_wait(longest, 4, at(5_150), 0), longest);
+    assert!(confirmed.poll_wait(longest, 4, at(5_150), 999) >= at(900));
+    assert_eq!(confirmed.poll_wait(longest, 4, at(6_400), 0), at(400));
+    assert_eq!(
+        confirmed.poll_wait(longest, 4, at(6_750), 0),
+        Duration::ZERO
+    );
+}
+
+/// What happens to gateway `.0` in a replay.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    /// A poll is answered, as of this time, for a call sent at that one.
+    Answered(usize, Duration, Duration),
+    /// A poll is sent.
+    Poll(usize),
+    /// Frames go to all others.
+    Send(usize),
+    /// A frame of `.1` arrives, sent with this version.
+    Receive(usize, usize, u64, Box<WireReport>),
+    /// Content that a peer had arrives.
+    Fetched(usize, u64),
+}
+
+type WireReport = (u64, Duration, Option<(u64, u64, Duration, i64)>);
+
+fn to_wire(report: &ConfirmationReport) -> WireReport {
+    let confirmation = report.confirmation.as_ref();
+    let confirmation =
+        confirmation.map(|c| (c.declarations, c.reading.process, c.reading.at, c.offset_ms));
+    (report.clock.process, report.clock.at, confirmation)
+}
+
+fn from_wire(&(process, at, confirmation): &WireReport) -> ConfirmationReport {
+    ConfirmationReport {
+        clock: ClockReading { process, at },
+        confirmation: confirmation.map(|(declarations, process, at, offset_ms)| Confirmation {
+            declarations,
+            reading: ClockReading { process, at },
+            offset_ms,
+        }),
+    }
+}
+
+/// Gateways whose clocks differ, of which some watch a store that turns them away at times, with links that
+/// delay and lose frames, and processes that stand still.
+struct Replay {
+    rng: SmallRng,
+    gateways: Vec<(ConfirmedDeclarations, Duration, u64)>,
+    /// When each version was confirmed.
+    versions: Vec<Duration>,
+    /// Stretches in which a gateway stands still, or the store or all links serve nobody.
+    frozen: Vec<(Duration, Duration)>,
+    store_away: (Duration, Duration),
+    links_away: (Duration, Duration),
+    events: BinaryHeap<Reverse<(Duration, Step)>>,
+    refusals: usize,
+    doubts: usize,
+}
+
+const END: Duration = Duration::from_secs(40);
+
+impl Replay {
+    fn new(seed: u64, gateways: usize) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut stretch = || {
+            let from = at(rng.random_range(8_000..20_000));
+            (from, from + at(rng.random_range(0..12_000)))
+        };
+        let (store_away, links_away) = (stretch(), stretch());
+        let frozen = (0..gateways).map(|_| stretch()).collect();
+        let mut versions = vec![Duration::ZERO];
+        while versions[versions.len() - 1] < END {
+            let last = versions[versions.len() - 1];
+            versions.push(last + at(rng.random_range(200..6_000)));
+        }
+        let clocks = (0..gateways).map(|n| {
+            let offset = at(rng.random_range(0..1_000_000));
+            (gateway(n as u64), offset, 0)
+        });
+        let gateways: Vec<_> = clocks.collect();
+        let mut replay = Self {
+            gateways,
+            versions,
+            frozen,
+            store_away,
+            links_away,
+            events: BinaryHeap::new(),
+            refusals: 0,
+            doubts: 0,
+            rng,
+        };
+        for n in 0..replay.gateways.len() {
+            replay.push(Duration::ZERO, Step::Send(n));
+            if n < 3 {
+                replay.push(Duration::ZERO, Step::Poll(n));
+            }
+        }
+        replay
+    }
+
+    fn push(&mut self, time: Duration, step: Step) {
+        self.events.push(Reverse((time, step)));
+    }
+
+    fn newest(&self, time: Duration) -> u64 {
+        self.versions.partition_point(|made| *made <= time) as u64 - 1
+    }
+
+    fn random_ms(&mut self, most: u64) -> Duration {
+        at(self.rng.random_range(0..most))
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((time, step))) = self.events.pop() {
+            if time > END {
+                break;
+            }
+            let (Step::Answered(n, ..)
+            | Step::Poll(n)
+            | Step::Send(n)
+            | Step::Receive(n, ..)
+            | Step::Fetched(n, _)) = step;
+            let (from, until) = self.frozen[n];
+            if time >= from && time < until {
+                self.push(until, step);
+                continue;
+            }
+            self.apply(n, time, step);
+            self.check(n, time);
+        }
+    }
+
+    fn apply(&mut self, n: usize, time: Duration, step: Step) {
+        let now = time + self.gateways[n].1;
+        let own = self.gateways[n].2;
+        match step {
+            Step::Poll(_) => {
+                let is_away = time >= self.store_away.0 && time < self.store_away.1;
+                let (there, back) = (self.random_ms(200), self.random_ms(200));
+                if is_away {
+                    self.push(time + at(400), Step::Poll(n));
+                } else {
+                    let answer = Step::Answered(n, time, time + there);
+                    self.push(time + there + back, answer);
+                }
+            }
+            Step::Answered(_, sent, answered) => {
+                self.gateways[n].2 = own.max(self.newest(answered));
+                let sent = sent + self.gateways[n].1;
+                self.gateways[n].0.on_store_answer(sent);
+                self.push(time + at(600), Step::Poll(n));
+            }
+            Step::Send(_) => {
+                for peer in (0..self.gateways.len()).filter(|peer| *peer != n) {
+                    let report = self.gateways[n].0.report(&peer.to_string(), own, now);
+                    let is_lost = time >= self.links_away.0 && time < self.links_away.1;
+                    let is_slow = self.rng.random_ratio(1, 20);
+                    let delay = self.random_ms(if is_slow { 3_000 } else { 60 });
+                    if !is_lost {
+                        let frame = Step::Receive(peer, n, own, Box::new(to_wire(&report)));
+                        self.push(time + delay, frame);
+                    }
+                }
+                let pause = self.random_ms(500);
+                self.push(time + pause, Step::Send(n));
+            }
+            Step::Receive(_, peer, version, report) => {
+                let report = from_wire(&report);
+                let gateway = &mut self.gateways[n];
+                gateway
+                    .0
+                    .on_report(&peer.to_string(), &report, gateway.2, now);
+                if version > own {
+                    let delay = self.random_ms(300);
+                    self.push(time + delay, Step::Fetched(n, version));
+                }
+            }
+            Step::Fetched(_, version) => self.gateways[n].2 = own.max(version),
+        }
+    }
+
+    /// A refusal by declarations is sound if nothing newer was confirmed longer ago than the bound.
+    fn check(&mut self, n: usize, time: Duration) {
+        let due = self.newest(time.saturating_sub(BOUND));
+        let (confirmed, offset, own) = &mut self.gateways[n];
+        if confirmed.may_refuse(*own, time + *offset) {
+            self.refusals += 1;
+            assert!(
+                *own >= due,
+                "gateway {n} at {time:?} refuses by {own}, {due} is due"
+            );
+        } else if time > at(2_000) {
+            self.doubts += 1;
+        }
+    }
+}
+
+/// Confirmed routes were refused by gateways which nobody had told that their declarations were old.
+#[test]
+fn gateways_that_hear_of_nothing_refuse_nothing_by_old_declarations() {
+    for seed in 0..200 {
+        let mut replay = Replay::new(seed, 9);
+        replay.run();
+        assert!(replay.refusals > 1_000, "seed {seed}: {}", replay.refusals);
+    }
+}
+
+#[test]
+fn in_calm_all_gateways_refuse_what_declarations_do_not_allow() {
+    for seed in 0..50 {
+        let mut replay = Replay::new(seed, 9);
+        replay.frozen.fill((END, END));
+        replay.store_away = (END, END);
+        replay.links_away = (END, END);
+        replay.run();
+        let share = replay.doubts as f64 / replay.refusals as f64;
+        assert!(
+            share < 0.01,
+            "seed {seed}: {} of {}",
+            replay.doubts,
+            replay.refusals
+        );
+    }
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod codec;
+mod confirmation;
 mod control;
 mod crash;
 mod hints;
@@ -29,6 +30,7 @@
 mod waiting;
 
 pub use codec::{CodecError, FrameReader, MAX_FRAME_BYTES, PROTOCOL_VERSION, encode};
+pub use confirmation::{ClockReading, Confirmation, ConfirmationReport, Confirmed};
 pub use control::{
     ConfigChange, ConfigContent, ConfigMessage, ConfigSummary, ConfigWant, LendAnswer, LendRequest,
     NodeSighting, QueryAnswer, QueryRequest,
--- a/crates/proto/tests/gateway_frames.rs
+++ b/crates/proto/tests/gateway_frames.rs
@@ -1,8 +1,9 @@
 //! Sizes of the frames that gateways exchange all the time.
 
 use proto::{
-    BackendEntry, BackendRow, FrameReader, LoadFrame, ServerReport, ServerState, ServerUsage,
-    StoreSnapshot, StoreVersions, encode,
+    BackendEntry, BackendRow, ClockReading, Confirmation, ConfirmationReport, Confirmed,
+    FrameReader, LoadFrame, ServerReport, ServerState, ServerUsage, StoreSnapshot, StoreVersions,
+    encode,
 };
 use std::time::Duration;
 
@@ -121,3 +122,31 @@
         assert_eq!(encode(&report).unwrap(), before);
     }
 }
+
+#[test]
+fn reports_behind_load_are_read_and_passed_over_by_earlier_builds() {
+    let reading = ClockReading {
+        process: 7,
+        at: Duration::from_millis(1_234),
+    };
+    let sent = Confirmed {
+        message: load(),
+        report: ConfirmationReport {
+            clock: reading,
+            confirmation: Some(Confirmation {
+                declarations: 5,
+                reading,
+                offset_ms: -3,
+            }),
+        },
+    };
+    let mut reader = FrameReader::default();
+    reader.push(&encode(&sent).unwrap());
+    reader.push(&encode(&sent).unwrap());
+    reader.push(&encode(&load()).unwrap());
+    assert_eq!(reader.next_frame().unwrap(), Some(sent));
+    assert_eq!(reader.next_frame().unwrap(), Some(load()));
+    let earlier: Confirmed<LoadFrame> = reader.next_frame().unwrap().unwrap();
+    assert_eq!(earlier.message, load());
+    assert_eq!(earlier.report, ConfirmationReport::default());
+}
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,5 +1,6 @@
 //! Monotonic process time and wall-clock time.
 
+use rustix::time::{ClockId, clock_gettime};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock that starts at zero when it is created.
@@ -27,6 +28,16 @@
         self.start + at
     }
 
+    /// Time since the host started, with the time for which it was suspended, where the system counts that.
+    pub fn boot_time() -> Duration {
+        #[cfg(target_os = "linux")]
+        const CLOCK: ClockId = ClockId::Boottime;
+        #[cfg(not(target_os = "linux"))]
+        const CLOCK: ClockId = ClockId::Monotonic;
+        let time = clock_gettime(CLOCK);
+        Duration::try_from(time).unwrap_or_default()
+    }
+
     /// Wall-clock time since the Unix epoch; zero if the system clock is set before it.
     pub fn unix_time() -> Duration {
         SystemTime::now()
