Refusals by declarations need confirmed declarations

Cause: a refusal by declarations needed only that no newer version had been heard of, and a gateway that hears of nothing is the one that knows least. The class: absence of news was taken for news of absence. Ruled out by the new tests: a peer that reaches the store is enough (peers_confirm_declarations_to_a_gateway_that_the_store_turns_away passed before).

Change: 404, 401 and 413 need declarations that were confirmed as the newest within ConfigApplyMs; otherwise the reply is 503, not run, with a time to come back. What declarations allow is served on. A listing confirms too, and polls are kept under three quarters of the bound.

--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -110,7 +110,7 @@
     }
 
     fn reject(&self, head: &RequestHead, reply: LocalReply, declarations: u64) -> LocalReply {
-        let reply = reply.unless_newer(&self.shared.store_cache, declarations);
+        let reply = reply.unless_newer(&self.shared, declarations);
         info!(self.shared.log, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
             "has_key" => head.api_key.is_some(), "declarations" => declarations,
--- a/crates/direct/src/local_reply.rs
+++ b/crates/direct/src/local_reply.rs
@@ -1,6 +1,6 @@
 //! Responses that the gateway generates itself.
 
-use crate::store_cache::StoreCache;
+use crate::shared::Shared;
 use adapter::{LocalReplyHeaders, write_local_reply_headers};
 use hyper::{Response, StatusCode};
 use runtime::Body;
@@ -50,13 +50,15 @@
     }
 
     /// The reply to give, where this one is by declarations of the version `own`. Newer ones that are in
-    /// force or known to exist may allow what these do not.
-    pub fn unless_newer(self, cache: &StoreCache, own: u64) -> Self {
+    /// force, known to exist, or of which this gateway would not have heard, may allow what these do not.
+    pub fn unless_newer(self, shared: &Shared, own: u64) -> Self {
         if !self.is_by_declarations() {
             return self;
         }
+        let cache = &shared.store_cache;
         let in_force = cache.route_table().map_or(0, |table| table.version);
-        if in_force > own || cache.knows_newer_declarations(own) {
+        let is_outdated = in_force > own || cache.knows_newer_declarations(own);
+        if is_outdated || !shared.may_refuse_by_declarations() {
             Self::NotRun(DECLARATIONS_RETRY_AFTER)
         } else {
             self
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -247,12 +247,17 @@
     }
 
     async fn list(&mut self) -> Result<u64, StoreError> {
+        // A continued listing is complete only as of its first page.
+        let begun = self.listing.is_empty().then(Clock::boot_time);
         let listing = self.store.continue_listing(H::TABLE, &mut self.listing);
         let listing = listing.await?;
         let version = listing.version;
         self.shared.metrics.store_call("list", "ok");
         self.log_skipped(listing.skipped, version);
         self.handler.on_listing(&self.shared, listing).await;
+        if let Some(at) = begun {
+            self.handler.on_confirmed(&self.shared, at);
+        }
         Ok(version)
     }
 
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// A poll is kept shorter than this part of the bound allows, so that the next answer comes within it.
-const POLL_MARGIN: f64 = 0.9;
+const POLL_MARGIN: f64 = 0.75;
 /// Polls that would wait for less than this do not wait.
 const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
 /// Polls of different gateways, which a change ends at once, spread by up to this part of their length.
