Declarations of peers name the store's row that holds them

Cause: content of a peer says up to which version of the table it is complete, and that was taken for the version of the row with the declarations. Where the peer had read on, older declarations seemed newer than the refused row and cleared it. For the same reason a gateway that was decoding a row forgot it when a peer which refused that row sent older declarations.

Change: the head of a transfer names the row; a refused row is cleared only by the same or a later one. Heads of earlier builds end before it, and are read as before.

--- a/crates/direct/src/content_stream.rs
+++ b/crates/direct/src/content_stream.rs
@@ -125,6 +125,7 @@
         digest: stored.digest,
         form,
         bytes: bytes as u64,
+        row: Some(stored.row),
     };
     let scripts = req
         .declarations
@@ -236,12 +237,13 @@
             servers: rows,
             is_difference: head.is_difference,
         };
-        self.apply(servers).await?;
+        self.apply(servers, None).await?;
         let declarations = match &head.declarations {
             Some(declarations) => Some(self.declarations(rx, declarations, partial).await?),
             None => None,
         };
-        self.apply(StoreSnapshot {
+        let row = head.declarations.and_then(|declarations| declarations.row);
+        let operators = StoreSnapshot {
             versions: StoreVersions {
                 operators: head.versions.operators,
                 servers: 0,
@@ -250,8 +252,8 @@
             evacuated: head.evacuated,
             servers: Vec::new(),
             is_difference: true,
-        })
-        .await
+        };
+        self.apply(operators, row).await
     }
 
     async fn declarations(
@@ -340,13 +342,13 @@
         let snapshot = snapshot.ok_or(FetchError::Ended("snapshot"))?;
         warn!(self.shared.log, "content: received in one frame, the peer is of an earlier build";
             "peer" => self.peer);
-        self.apply(snapshot).await
+        self.apply(snapshot, None).await
     }
 
-    async fn apply(&self, snapshot: StoreSnapshot) -> Result<(), FetchError> {
+    async fn apply(&self, snapshot: StoreSnapshot, row: Option<u64>) -> Result<(), FetchError> {
         let now = self.shared.clock.now();
         let cache = &self.shared.store_cache;
-        cache.merge_from_peer(self.peer, snapshot, now).await?;
+        cache.merge_from_peer(self.peer, snapshot, row, now).await?;
         self.shared.update_declarations_metric();
         Ok(())
     }
--- a/crates/direct/src/declarations_row.rs
+++ b/crates/direct/src/declarations_row.rs
@@ -54,6 +54,8 @@
     pub body: Arc<Vec<u8>>,
     /// Digest of the bytes.
     pub digest: ContentDigest,
+    /// Version of the store's row that holds them, or a later one; 0 until they are in force.
+    pub row: u64,
 }
 
 /// Declarations that can be put in force.
@@ -80,7 +82,11 @@
         let body = Arc::new(body);
         Ok(Self {
             table,
-            stored: StoredDeclarations { body, digest },
+            stored: StoredDeclarations {
+                body,
+                digest,
+                row: 0,
+            },
             script,
             skipped,
             took: Duration::ZERO,
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -30,8 +30,6 @@
     route_table: Option<Arc<RouteTable>>,
     declarations: Option<StoredDeclarations>,
     history: ContentHistory,
-    /// Version of the operators' table at which they were written, or a later one.
-    declarations_version: u64,
     /// The newest declarations, where they were refused.
     refused: Option<RefusedRow>,
     newer: NewerDeclarations,
@@ -214,8 +212,8 @@
     /// newer than that.
     pub fn export(&self, peer: &StoreVersions) -> StoreSnapshot {
         let state = self.lock();
-        let declarations_newer = state.declarations_version > peer.operators;
-        let declarations = state.declarations.as_ref().filter(|_| declarations_newer);
+        let declarations = state.declarations.as_ref();
+        let declarations = declarations.filter(|stored| stored.row > peer.operators);
         let declarations = declarations.map(|stored| stored.body.to_vec());
         let mut snapshot = state.export_rows(peer);
         snapshot.declarations = declarations;
@@ -231,12 +229,14 @@
         (state.export_rows(peer), state.declarations.clone())
     }
 
-    /// Applies the content that a peer exported, for the tables that are newer there. Declarations that
-    /// cannot be decoded fail the whole, so that its version does not hide them.
+    /// Applies the content that a peer exported, for the tables that are newer there; its declarations are
+    /// those of the store's row of the version `row`, if that is known. Declarations that cannot be decoded
+    /// fail the whole, so that its version does not hide them.
     pub async fn merge_from_peer(
         &self,
         peer: &str,
         mut snapshot: StoreSnapshot,
+        row: Option<u64>,
         now: Duration,
     ) -> Result<(), DeclarationError> {
         let declarations = match snapshot.declarations.take() {
@@ -245,20 +245,21 @@
         };
         let mut state = self.lock();
         let versions = snapshot.versions;
+        let row = row.unwrap_or(versions.operators);
         info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
             "operators" => versions.operators, "own_operators" => state.versions.operators,
             "servers" => versions.servers, "own_servers" => state.versions.servers,
             "rows" => snapshot.servers.len(), "is_difference" => snapshot.is_difference);
         if versions.operators > state.versions.operators {
             if let Some(decoded) = declarations {
-                self.put_in_force(&mut state, decoded, versions.operators, peer);
+                self.put_in_force(&mut state, decoded, row, peer);
             }
             state.set_evacuations(&snapshot.evacuated, versions.operators);
             state.advance_operators(versions.operators);
         } else if let Some(refused) = state.refused.take() {
             // Those that peers have in force are older than the refused ones.
             if let Some(decoded) = declarations {
-                self.put_in_force(&mut state, decoded, versions.operators, peer);
+                self.put_in_force(&mut state, decoded, row, peer);
             }
             state.refused = Some(refused);
         }
@@ -367,10 +368,12 @@
         if let Some(script) = decoded.script {
             state.history.record(script, decoded.stored.body.len());
         }
-        state.declarations = Some(decoded.stored);
-        state.declarations_version = version;
+        state.declarations = Some(StoredDeclarations {
+            row: version,
+            ..decoded.stored
+        });
         state.newer.on_in_force(version);
-        state.refused = None;
+        state.refused.take_if(|refused| refused.version <= version);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -402,8 +405,12 @@
             .refused
             .as_ref()
             .is_some_and(|row| row.version >= version);
-        let in_force = self.declarations_version;
-        is_refused || self.route_table.is_some() && in_force >= version
+        is_refused || self.route_table.is_some() && self.declarations_row() >= version
+    }
+
+    /// Version of the row with the declarations in force, or a later one; 0 for none.
+    fn declarations_row(&self) -> u64 {
+        self.declarations.as_ref().map_or(0, |stored| stored.row)
     }
 
     /// Refuses declarations in a newer row which are older than those in force.
@@ -414,7 +421,7 @@
     ) -> Result<(), DeclarationsRefusal> {
         let lowered = decoded.table.version;
         match &self.route_table {
-            Some(table) if lowered < table.version && version > self.declarations_version => {
+            Some(table) if lowered < table.version && version > self.declarations_row() => {
                 Err(DeclarationsRefusal::Lowered(lowered, table.version))
             }
             _ => Ok(()),
--- a/crates/proto/src/store_content.rs
+++ b/crates/proto/src/store_content.rs
@@ -3,7 +3,7 @@
 
 use crate::codec::CodecError;
 use crate::load::{BackendRow, StoreVersions};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
 /// Digest of the bytes of declarations.
@@ -79,6 +79,13 @@
     pub form: DeclarationsForm,
     /// Number of bytes that follow.
     pub bytes: u64,
+    /// Version of the store's row that holds them. Frames of earlier builds end before it.
+    #[serde(deserialize_with = "none_if_absent")]
+    pub row: Option<u64>,
+}
+
+fn none_if_absent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Form in which declarations are sent.
