Soak: a store that turns gateways away while it serves the operator

Callers of confirmed routes get 404, and of confirmed keys 401, at gateways that hear neither from the store nor of it from others: a refusal needs only that no newer version was heard of.

The mix `turned-away` shows it. Each gateway has its own way to the store. For 3 to 10 s at a time the store turns all, all but one, half or a third of the gateways away (503, 429, closed connections, no response, response lost after the call was done), any of them or those that read most of it, and lets all in again at once. Meanwhile routes and keys come and go, gateways are frozen, killed and started late, and links between gateways are cut both ways, one way and delayed.

Checked from what clients see: no refusal of a part confirmed for longer than the apply bound by a gateway whose process ran undisturbed, whatever its links; each 503 says when to come back and has not run; in calm, confirmed parts are served and unknown ones get 404 and 401; what a gateway has served since its start goes on while it is disturbed; the newest is served within the apply bound after the return. Removed parts that run out of touch are counted, those that run in touch are reported.

The changes and probes of the mix `growth` move to `soak_changes` as they are, and it keeps its checks.

--- a/crates/trials/examples/direct-soak.rs
+++ b/crates/trials/examples/direct-soak.rs
@@ -6,11 +6,21 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use trials::{
-    FleetSize, GrowthPlan, SoakFigures, SoakPlan, StopPlan, TrialError, run_growth_soak, run_soak,
-    run_stop_soak,
+    FleetSize, GrowthPlan, LinkFault, SoakFigures, SoakPlan, StopPlan, TrialError, TurnedAway,
+    TurnedAwayPlan, run_growth_soak, run_soak, run_stop_soak, run_turned_away_soak,
 };
 
-const MIXES: [&str; 4] = ["faults", "calm", "growth", "all"];
+const MIXES: [&str; 5] = ["faults", "calm", "growth", "turned-away", "all"];
+const SHARES: [&str; 5] = ["any", "all", "all-but-one", "half", "third"];
+const REFUSALS: [&str; 6] = [
+    "any",
+    "503",
+    "429",
+    "closed",
+    "no-response",
+    "lost-response",
+];
+const LINKS: [&str; 3] = ["sound", "cut", "one-way"];
 
 fn flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
@@ -20,6 +30,15 @@
         .help(help)
 }
 
+fn choice<const N: usize>(
+    name: &'static str,
+    values: [&'static str; N],
+    help: &'static str,
+) -> Arg {
+    let arg = Arg::new(name).long(name).default_value(values[0]);
+    arg.value_parser(values).help(help)
+}
+
 fn command() -> Command {
     let mix = Arg::new("mix").long("mix").default_value("faults");
     Command::new("direct-soak")
@@ -54,32 +73,52 @@
         .arg(flag(
             "kilobytes-from",
             "100",
-            "Declarations at first, mix growth",
+            "Declarations at first, mixes growth and turned-away",
         ))
         .arg(flag(
             "kilobytes-to",
             "1500",
-            "Declarations at last, mix growth",
+            "Declarations at last, mixes growth and turned-away",
         ))
         .arg(flag(
             "shortest-ms",
             "200",
-            "Shortest time between changes, mix growth",
+            "Shortest time between changes, mixes growth and turned-away",
         ))
         .arg(flag(
             "apply-ms",
             "2000",
-            "Time within which a change is in force, mix growth",
+            "Time within which a change is in force, mixes growth and turned-away",
         ))
         .arg(flag(
             "longest-ms",
             "1500",
-            "Longest time between changes, mix growth",
+            "Longest time between changes, mixes growth and turned-away",
         ))
         .arg(flag(
             "calm-growth",
             "0",
-            "1 for no other faults, mix growth",
+            "1 for no other faults, mixes growth and turned-away",
+        ))
+        .arg(choice(
+            "share",
+            SHARES,
+            "Gateways that the store turns away, mix turned-away",
+        ))
+        .arg(choice(
+            "refusal",
+            REFUSALS,
+            "How it does so, mix turned-away",
+        ))
+        .arg(choice(
+            "links",
+            LINKS,
+            "All links between gateways, mix turned-away",
+        ))
+        .arg(flag(
+            "link-delay-ms",
+            "0",
+            "Delay of sound links each way, mix turned-away",
         ))
         .arg(flag(
             "stops",
@@ -92,6 +131,49 @@
     matches.get_one(name).copied().unwrap_or_default()
 }
 
+fn growth_plan(seed: u64, size: FleetSize, time: Duration, matches: &ArgMatches) -> GrowthPlan {
+    let bytes = |name| value(matches, name) as usize * 1_000;
+    let interval = |name| Duration::from_millis(value(matches, name));
+    GrowthPlan {
+        seed,
+        size,
+        time,
+        bytes: (bytes("kilobytes-from"), bytes("kilobytes-to")),
+        intervals: (interval("shortest-ms"), interval("longest-ms")),
+        apply_bound: interval("apply-ms"),
+        faults: value(matches, "calm-growth") == 0,
+    }
+}
+
+fn turned_away_plan(changes: GrowthPlan, matches: &ArgMatches) -> TurnedAwayPlan {
+    let text = |name| matches.get_one::<String>(name).map_or("", String::as_str);
+    let delay = Duration::from_millis(value(matches, "link-delay-ms"));
+    TurnedAwayPlan {
+        changes,
+        share: match text("share") {
+            "all" => Some(TurnedAway::All),
+            "all-but-one" => Some(TurnedAway::AllButOne),
+            "half" => Some(TurnedAway::Half),
+            "third" => Some(TurnedAway::Third),
+            _ => None,
+        },
+        refusal: match text("refusal") {
+            "503" => Some(LinkFault::Status(503)),
+            "429" => Some(LinkFault::Status(429)),
+            "closed" => Some(LinkFault::Cut),
+            "no-response" => Some(LinkFault::Silent),
+            "lost-response" => Some(LinkFault::LostReplies),
+            _ => None,
+        },
+        links: match text("links") {
+            "cut" => LinkFault::Silent,
+            "one-way" => LinkFault::NoReplies,
+            _ if delay.is_zero() => LinkFault::None,
+            _ => LinkFault::Delayed(delay),
+        },
+    }
+}
+
 fn run(mix: &str, seed: u64, matches: &ArgMatches) -> Result<SoakFigures, TrialError> {
     let number = |name| value(matches, name) as usize;
     let time = Duration::from_secs(value(matches, "seconds"));
@@ -116,19 +198,13 @@
                 run_stop_soak(&executor, plan).await
             }
             "growth" => {
-                let bytes = |name| number(name) * 1_000;
-                let interval = |name| Duration::from_millis(value(matches, name));
-                let plan = GrowthPlan {
-                    seed,
-                    size,
-                    time,
-                    bytes: (bytes("kilobytes-from"), bytes("kilobytes-to")),
-                    intervals: (interval("shortest-ms"), interval("longest-ms")),
-                    apply_bound: interval("apply-ms"),
-                    faults: number("calm-growth") == 0,
-                };
+                let plan = growth_plan(seed, size, time, matches);
                 run_growth_soak(&executor, plan).await
             }
+            "turned-away" => {
+                let changes = growth_plan(seed, size, time, matches);
+                run_turned_away_soak(&executor, turned_away_plan(changes, matches)).await
+            }
             _ => {
                 let plan = SoakPlan {
                     seed,
@@ -166,6 +242,9 @@
                         figures.faults,
                         figures.violations.len()
                     );
+                    for note in &figures.notes {
+                        println!("  note: {note}");
+                    }
                     for violation in &figures.violations {
                         println!("  {violation}");
                     }
--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -69,6 +69,8 @@
     pub reservations: usize,
     /// Faults that were injected.
     pub faults: usize,
+    /// Counts of what is seen and breaks no guarantee.
+    pub notes: Vec<String>,
     /// Descriptions of broken guarantees.
     pub violations: Vec<String>,
 }
--- a/crates/trials/src/fault_proxy.rs
+++ b/crates/trials/src/fault_proxy.rs
@@ -5,7 +5,7 @@
 use futures_lite::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use runtime::Executor;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -13,6 +13,8 @@
 const BUFFER_BYTES: usize = 16 << 10;
 /// Interval at which a blocked connection checks whether the fault has changed.
 const FAULT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for the rest of a request that has got its response.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A fault of all connections of a proxy.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -28,6 +30,10 @@
     NoReplies,
     /// Open connections are closed, and new ones are closed on arrival.
     Cut,
+    /// Data is forwarded to the target, and connections are closed once it replies.
+    LostReplies,
+    /// Open and new connections get an HTTP response with this status, and are closed.
+    Status(u16),
     /// Connections stay open, but no data is forwarded, and new ones are refused. This fault stays.
     Dark,
 }
@@ -54,7 +60,7 @@
             let accept = async || {
                 let accepted = async { listener.accept().await.ok() };
                 let dark = async {
-                    serving.wait_for(LinkFault::Dark).await;
+                    serving.wait_for(|fault| fault == LinkFault::Dark).await;
                     None
                 };
                 or(accepted, dark).await
@@ -90,22 +96,35 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn wait_for(&self, fault: LinkFault) {
-        while self.fault() != fault {
+    async fn wait_for(&self, is_awaited: impl Fn(LinkFault) -> bool) -> LinkFault {
+        loop {
+            let fault = self.fault();
+            if is_awaited(fault) {
+                return fault;
+            }
             Timer::after(FAULT_POLL_INTERVAL).await;
         }
     }
 
     async fn forward(&self, caller: Async<TcpStream>, target: SocketAddr) -> io::Result<()> {
-        if self.fault() == LinkFault::Cut {
-            return Ok(());
+        match self.fault() {
+            LinkFault::Cut => return Ok(()),
+            LinkFault::Status(status) => {
+                // A client takes no response before it has sent its request.
+                (&caller).read(&mut [0; BUFFER_BYTES]).await?;
+                return respond(&caller, status).await;
+            }
+            _ => {}
         }
         let server = Async::<TcpStream>::connect(target).await?;
         let requests = self.forward_one_way(&caller, &server, false);
         let replies = self.forward_one_way(&server, &caller, true);
         let cut = async {
-            self.wait_for(LinkFault::Cut).await;
-            Ok(())
+            let is_end = |fault| matches!(fault, LinkFault::Cut | LinkFault::Status(_));
+            match self.wait_for(is_end).await {
+                LinkFault::Status(status) => respond(&caller, status).await,
+                _ => Ok(()),
+            }
         };
         or(or(requests, replies), cut).await
     }
@@ -126,6 +145,7 @@
                 match self.fault() {
                     LinkFault::Silent | LinkFault::Dark => {}
                     LinkFault::NoReplies if is_reply => {}
+                    LinkFault::LostReplies if is_reply => return Ok(()),
                     LinkFault::Delayed(delay) => {
                         Timer::after(delay).await;
                         break;
@@ -142,3 +162,22 @@
         }
     }
 }
+
+/// Responds with `status` and an empty body, and reads what the caller still sends, as closing a connection
+/// with unread data resets it, and the response may be lost.
+async fn respond(mut caller: &Async<TcpStream>, status: u16) -> io::Result<()> {
+    let head =
+        format!("HTTP/1.1 {status} Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+    caller.write_all(head.as_bytes()).await?;
+    caller.get_ref().shutdown(Shutdown::Write)?;
+    let drain = async {
+        let mut buf = vec![0; BUFFER_BYTES];
+        while caller.read(&mut buf).await? > 0 {}
+        Ok(())
+    };
+    let left = async {
+        Timer::after(DRAIN_TIMEOUT).await;
+        Ok(())
+    };
+    or(drain, left).await
+}
--- a/crates/trials/src/soak_fleet.rs
+++ b/crates/trials/src/soak_fleet.rs
@@ -314,6 +314,13 @@
         }
     }
 
+    /// Sets a fault of the links that other gateways have opened to it.
+    pub(crate) fn set_links(&self, fault: LinkFault) {
+        if let Some(link) = &self.peer_link {
+            link.set(fault);
+        }
+    }
+
     /// Whether its readiness endpoint reports that it accepts requests.
     pub(crate) async fn is_ready(&self) -> bool {
         const MAX_PAGE_BYTES: usize = 1 << 20;
--- a/crates/trials/src/soak_growth.rs
+++ b/crates/trials/src/soak_growth.rs
@@ -4,18 +4,18 @@
 use crate::direct_soak::{SoakFigures, keep_logs_of_failure};
 use crate::error::TrialError;
 use crate::fault_proxy::LinkFault;
-use crate::soak_client::{Client, ClientCall, ClientRequest, Ending};
-use crate::soak_declarations::{IDLE_ROUTE_BYTES, SOAK_KEY, SoakDeclarations};
+use crate::soak_changes::{History, PROBE_TIME_LIMIT, SharedHistory, change, lock, send_probes};
+use crate::soak_client::{Client, Ending};
+use crate::soak_declarations::{IDLE_ROUTE_BYTES, SoakDeclarations};
 use crate::soak_fleet::{FleetSize, PeerLinks, SoakFleet, SoakGateway, gateway_violations};
 use crate::soak_log::log_line;
 use crate::soak_losses::lost_request;
-use crate::soak_probes::{Part, Probe, is_in_touch, outdated_answer};
+use crate::soak_probes::{Probe, is_in_touch, outdated_answer};
 use crate::soak_rules::{SERVED_IN_CALM, STABLE_WINDOW, held_past_limit, too_few_served};
 use async_io::Timer;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 use runtime::Executor;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 const START_TIMEOUT: Duration = Duration::from_secs(30);
@@ -23,13 +23,8 @@
 pub const APPLY_BOUND: Duration = Duration::from_secs(2);
 /// `RecoveryS`: a process that has run for this long, with its store in reach, accepts requests.
 pub const RECOVERY_BOUND: Duration = Duration::from_secs(12);
-/// Versions for which a route or a key stays. Its probes end well before it is removed.
-const LIFETIME_VERSIONS: usize = 24;
-const PROBE_TIME_LIMIT: Duration = Duration::from_secs(2);
 const PROBE_RUN_TIME: Duration = Duration::from_millis(5);
 const READINESS_POLL_INTERVAL: Duration = Duration::from_secs(1);
-/// Requests for what every version has are this many in a hundred.
-const STANDING_PROBES: u32 = 25;
 const MAX_EXAMPLES: usize = 6;
 
 /// Size and duration of a soak of changes of declarations.
@@ -51,15 +46,6 @@
     pub faults: bool,
 }
 
-#[derive(Debug, Default)]
-struct History {
-    parts: Vec<Part>,
-    probes: Vec<(Probe, ClientCall)>,
-    unready: Vec<(usize, Instant)>,
-}
-
-type SharedHistory = Arc<Mutex<History>>;
-
 /// Runs a soak of changes to its end. Fails if a process or a stand-in cannot be started or signalled;
 /// broken guarantees are part of the result.
 pub async fn run_growth_soak(
@@ -113,7 +99,7 @@
             client,
             history,
             rng,
-            plan.apply_bound,
+            (plan.apply_bound, 0),
             probes_end,
         )));
     }
@@ -136,7 +122,7 @@
             end,
         ))
     });
-    change(plan, fleet, declarations, &history, end).await;
+    change(plan, fleet.store.standin(), declarations, &history, end).await;
     for task in tasks {
         task.await;
     }
@@ -148,112 +134,6 @@
     Ok(figures)
 }
 
-/// Writes versions until `end`: each adds a route and a key, removes the oldest ones, and grows by its
-/// part of the planned growth.
-async fn change(
-    plan: GrowthPlan,
-    fleet: &SoakFleet,
-    mut declarations: SoakDeclarations,
-    history: &SharedHistory,
-    end: Instant,
-) {
-    let mut rng = SmallRng::seed_from_u64(plan.seed.wrapping_mul(31));
-    let (from, to) = plan.bytes;
-    let mut number = 0;
-    while Instant::now() < end {
-        let passed = 1.0 - (end - Instant::now()).as_secs_f64() / plan.time.as_secs_f64();
-        // The growth leaves a quarter of the time for changes of the largest size.
-        let share = (passed * 4.0 / 3.0).min(1.0);
-        let bytes = from as f64 + (to as f64 - from as f64) * share;
-        declarations.idle_routes = bytes as usize / IDLE_ROUTE_BYTES;
-        declarations.version += rng.random_range(1..4);
-        declarations.routes.push(format!("new-{number}"));
-        declarations.keys.push(format!("new-key-{number}"));
-        let removes = declarations.routes.len() > LIFETIME_VERSIONS;
-        if removes {
-            declarations.routes.remove(0);
-            declarations.keys.remove(0);
-        }
-        let value = declarations.to_json();
-        let written_at = Instant::now();
-        fleet.store.standin().put("op", "config", &value);
-        let confirmed_at = Instant::now();
-        record_version(history, number, removes, written_at, confirmed_at);
-        number += 1;
-        Timer::after(rng.random_range(plan.intervals.0..=plan.intervals.1)).await;
-    }
-}
-
-/// Records a version that adds the part with this number and may remove the one of a lifetime before.
-fn record_version(
-    history: &SharedHistory,
-    number: usize,
-    removes: bool,
-    written_at: Instant,
-    confirmed_at: Instant,
-) {
-    let mut history = lock(history);
-    history.parts.push(Part {
-        number,
-        added_at: confirmed_at,
-        removed: None,
-    });
-    if removes {
-        history.parts[number - LIFETIME_VERSIONS].removed = Some((written_at, confirmed_at));
-    }
-}
-
-/// Sends one gateway requests for routes and keys that were added or removed more than the bound ago,
-/// each soon after that, and for what every version has.
-async fn send_probes(
-    mut client: Client,
-    history: SharedHistory,
-    mut rng: SmallRng,
-    bound: Duration,
-    end: Instant,
-) {
-    let mut count = 0;
-    while Instant::now() < end {
-        count += 1;
-        let probe = {
-            let history = lock(&history);
-            let due = Instant::now().checked_sub(bound);
-            let due = due.unwrap_or_else(Instant::now);
-            let parts = &history.parts;
-            let added = parts.iter().rev().find(|part| part.added_at < due);
-            let is_removed = |part: &&Part| part.removed.is_some_and(|(_, at)| at < due);
-            let removed = parts.iter().rev().find(is_removed);
-            let part = if rng.random_bool(0.6) { added } else { removed };
-            match part {
-                Some(part) if !rng.random_ratio(STANDING_PROBES, 100) => {
-                    if rng.random_bool(0.6) {
-                        Probe::Route(part.number)
-                    } else {
-                        Probe::Key(part.number)
-                    }
-                }
-                _ => Probe::Standing,
-            }
-        };
-        let (path, key) = match probe {
-            Probe::Route(number) => (format!("/new-{number}/x"), SOAK_KEY.to_owned()),
-            Probe::Key(number) => ("/lookup/x".to_owned(), format!("new-key-{number}")),
-            Probe::Standing => ("/lookup/x".to_owned(), SOAK_KEY.to_owned()),
-        };
-        let request = ClientRequest {
-            id: format!("probe-{:?}-{count}", client.gateway()),
-            path,
-            key,
-            prompt: 10,
-            last_event_id: None,
-            time_limit: PROBE_TIME_LIMIT,
-        };
-        let call = client.call(request).await;
-        lock(&history).probes.push((probe, call));
-        Timer::after(Duration::from_millis(rng.random_range(40..160))).await;
-    }
-}
-
 async fn watch_readiness(gateway: SoakGateway, n: usize, history: SharedHistory, end: Instant) {
     while Instant::now() < end {
         let asked_at = Instant::now();
@@ -389,7 +269,3 @@
         }
     }
 }
-
-fn lock(history: &SharedHistory) -> std::sync::MutexGuard<'_, History> {
-    history.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/trials/src/soak_probes.rs
+++ b/crates/trials/src/soak_probes.rs
@@ -17,7 +17,7 @@
 }
 
 /// What a probe asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Probe {
     /// The route of the part with this number.
     Route(usize),
@@ -25,6 +25,10 @@
     Key(usize),
     /// What every version has.
     Standing,
+    /// A route that no version has.
+    UnknownRoute,
+    /// The standing route, with a key that no version has.
+    UnknownKey,
 }
 
 impl Probe {
@@ -33,6 +37,7 @@
     pub(crate) fn is_due(self, call: &ClientCall, parts: &[Part]) -> bool {
         match self {
             Self::Standing => true,
+            Self::UnknownRoute | Self::UnknownKey => false,
             Self::Route(number) | Self::Key(number) => parts[number]
                 .removed
                 .is_none_or(|(writing_at, _)| call.ended_at < writing_at),
@@ -41,7 +46,7 @@
 }
 
 /// Which change an answer disregards.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Disregarded {
     /// A part that was added.
     Added,
@@ -70,7 +75,7 @@
                 format!("{status:?} for what all versions allow"),
             ));
         }
-        Probe::Standing => return None,
+        Probe::Standing | Probe::UnknownRoute | Probe::UnknownKey => return None,
         Probe::Route(number) => (number, "route"),
         Probe::Key(number) => (number, "key"),
     };
--- a/crates/trials/src/udp_proxy.rs
+++ b/crates/trials/src/udp_proxy.rs
@@ -21,6 +21,8 @@
     address: SocketAddr,
     target: SocketAddr,
     fault: Arc<Mutex<LinkFault>>,
+    /// Faults of single senders, in place of the one of all.
+    sender_faults: Arc<Mutex<HashMap<SocketAddr, LinkFault>>>,
     senders: Arc<Mutex<HashMap<SocketAddr, Arc<Async<UdpSocket>>>>>,
     to_target: Arc<AtomicU64>,
     from_target: Arc<AtomicU64>,
@@ -34,6 +36,7 @@
             address: socket.get_ref().local_addr()?,
             target,
             fault: Arc::default(),
+            sender_faults: Arc::default(),
             senders: Arc::default(),
             to_target: Arc::default(),
             from_target: Arc::default(),
@@ -46,7 +49,7 @@
                     continue;
                 };
                 let sent = serving.to_target.clone();
-                let fault = serving.fault();
+                let fault = serving.fault(sender);
                 if !matches!(
                     fault,
                     LinkFault::None | LinkFault::NoReplies | LinkFault::Delayed(_)
@@ -81,8 +84,21 @@
         (load(&self.to_target), load(&self.from_target))
     }
 
-    fn fault(&self) -> LinkFault {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Sets the fault of one sender; `None` where it has that of all.
+    pub fn set_for(&self, sender: SocketAddr, fault: Option<LinkFault>) {
+        let faults = self.sender_faults.lock();
+        let mut faults = faults.unwrap_or_else(PoisonError::into_inner);
+        match fault {
+            Some(fault) => faults.insert(sender, fault),
+            None => faults.remove(&sender),
+        };
+    }
+
+    fn fault(&self, sender: SocketAddr) -> LinkFault {
+        let faults = self.sender_faults.lock();
+        let faults = faults.unwrap_or_else(PoisonError::into_inner);
+        let of_all = || *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.get(&sender).copied().unwrap_or_else(of_all)
     }
 
     /// Runs `send` at once, or later beside other datagrams where the link is delayed.
@@ -147,7 +163,7 @@
                 Some(Err(_)) => continue,
                 None => return,
             };
-            let fault = self.fault();
+            let fault = self.fault(sender);
             if !matches!(fault, LinkFault::None | LinkFault::Delayed(_)) {
                 continue;
             }
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -3,8 +3,9 @@
 use runtime::Executor;
 use std::time::Duration;
 use trials::{
-    APPLY_BOUND, FleetSize, GrowthPlan, RECOVERY_BOUND, SoakFigures, SoakPlan, StopPlan,
-    TrialError, run_growth_soak, run_soak, run_stop_soak,
+    APPLY_BOUND, FleetSize, GrowthPlan, LinkFault, RECOVERY_BOUND, SoakFigures, SoakPlan, StopPlan,
+    TrialError, TurnedAway, TurnedAwayPlan, run_growth_soak, run_soak, run_stop_soak,
+    run_turned_away_soak,
 };
 
 fn check(seed: u64, figures: Result<SoakFigures, TrialError>) {
@@ -119,6 +120,32 @@
     });
 }
 
+/// A store that closes the connections of all gateways, and serves the operator.
+fn check_turned_away(seed: u64) {
+    let plan = TurnedAwayPlan {
+        changes: GrowthPlan {
+            seed,
+            size: FleetSize {
+                gateways: 5,
+                engines: 0,
+                plain: 2,
+            },
+            time: Duration::from_secs(14),
+            bytes: (20_000, 40_000),
+            intervals: (Duration::from_millis(330), Duration::from_millis(1_500)),
+            apply_bound: APPLY_BOUND,
+            faults: false,
+        },
+        share: Some(TurnedAway::All),
+        refusal: Some(LinkFault::Cut),
+        links: LinkFault::None,
+    };
+    let run = |executor: Executor| async move { run_turned_away_soak(&executor, plan).await };
+    let figures = Executor::run(2, run);
+    assert!(figures.as_ref().is_ok_and(|figures| figures.faults > 0));
+    check(seed, figures);
+}
+
 macro_rules! soaks {
     ($($(#[$doc:meta])* $name:ident => $run:expr;)*) => {
         $(
@@ -140,4 +167,6 @@
     /// Gateways that leave the store to others got no declarations of more than 1 MiB.
     changes_beyond_a_mebibyte_never_arrived => check_large_changes(1);
     changes_are_in_force_under_faults => check_small_changes(2);
+    /// Gateways that heard neither from the store nor of it from others answered 404 and 401.
+    confirmed_routes_were_refused_while_the_store_turned_gateways_away => check_turned_away(1);
 }
