--- a/crates/trials/tests/unconfirmed_declarations.rs
+++ b/crates/trials/tests/unconfirmed_declarations.rs
@@ -53,7 +53,7 @@
             gateways,
             ways,
         };
-        trial.put(3, &["/old/"], &["key-1"]);
+        trial.put(3, &["/old/", "/dropped/"], &["key-1", "dropped-key"]);
         trial
     }
 
@@ -139,6 +139,27 @@
     });
 }
 
+/// What older declarations allow is served for as long as nobody brings newer ones, also what these have
+/// dropped, as `StrictRevocation` is false; after that no longer.
+#[test]
+fn dropped_routes_and_keys_are_served_until_the_store_lets_the_gateway_in() {
+    with_gateways(1, async |trial| {
+        trial.turn_away(0..1, LinkFault::Cut).await;
+        trial.put(4, &["/old/", "/new/"], &["key-1"]);
+        trial
+            .wait_for(0, "/new/x", StatusCode::SERVICE_UNAVAILABLE)
+            .await;
+        let route = trial.ask(0, "/dropped/x", "key-1").await;
+        assert_eq!(route.status, StatusCode::OK);
+        let key = trial.ask(0, "/old/x", "dropped-key").await;
+        assert_eq!(key.status, StatusCode::OK);
+        trial.let_in();
+        trial.wait_for(0, "/dropped/x", StatusCode::NOT_FOUND).await;
+        let key = trial.ask(0, "/old/x", "dropped-key").await;
+        assert_ne!(key.status, StatusCode::OK);
+    });
+}
+
 /// Confirmed routes got 404 at all gateways while the store turned them all away.
 fn confirmed_routes_are_not_refused_while_the_store_turns_all_away(fault: LinkFault) {
     with_gateways(3, async |trial| {
