Bound the memory of endless answers over all servers, with a share for each

Cause: one body was bounded, the sum was not. 64 KiB of each body did not count, nor what a growing buffer allocates, nor a body that had been read and not yet been written to its caller, nor the read buffers of connections, up to 64 KiB each and twice while a part of a body was on its way. At the limit whoever asked next was refused, not who held the memory.

Change: a body is read into pieces that are reserved before they are allocated, never copied to grow, and count until they have been written to the caller; only the first 4 KiB need no reservation. All of it is a part of the memory for buffered bodies, which is a fifth of `Limits.MemoryMb` of the settings (160 where absent) and at most 32 MiB, as before. At the limit the largest body of the server whose bodies use most is given up at once (policy `answer_shares`), as an answer that may have run. A stated length over the limit of one body is refused before it is read. Connections to servers read at most 8 KiB at a time, so that the library's buffers stay at their first size.

Policy `answer_shares`: a server within its share loses nothing to those that send without end.

--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/engine_stream.rs
@@ -16,6 +16,7 @@
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
 use slog::info;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The first event may take this many times its forecast, plus `FIRST_EVENT_SLACK`. The slack
@@ -208,6 +209,11 @@
         })
     }
 
+    /// Address of the engine.
+    pub fn server_address(&self) -> SocketAddr {
+        self.assignment.server.address
+    }
+
     /// Id of the last complete event; `None` before the first one.
     pub fn last_event(&self) -> Option<u64> {
         self.splitter.last_event()
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 mod answer_body;
+mod answer_memory;
 mod assignment_pass;
 mod attempt;
 mod blocked_rows;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -13,7 +13,6 @@
 use crate::server_probe::{detect_crashed_server, may_run_again};
 use adapter::{promises_not_run, response_headers};
 use async_io::Timer;
-use bytes::Bytes;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
 use policy::{
@@ -38,7 +37,7 @@
 struct ErrorResponse {
     server: BackendEntry,
     head: Parts,
-    body: Bytes,
+    body: Body,
 }
 
 /// Runs a call: tries servers until one gives a response that is no server error.
@@ -154,7 +153,7 @@
     server: &BackendEntry,
     permit: &mut SendPermit,
     tried: &mut Vec<BackendId>,
-) -> Result<(Parts, Bytes), AttemptError> {
+) -> Result<(Parts, Body), AttemptError> {
     let wait = attempt_timeout(call);
     let started = call.shared.clock.now();
     let run = GuardedRun::start(call, server);
@@ -168,7 +167,7 @@
     }
     let SingleResponse { head, body, .. } = &mut sent?;
     let left = wait.saturating_sub(taken());
-    let body = read_body(&call.shared, body);
+    let body = read_body(&call.shared, server.address, body);
     let failed = |reason: Box<str>| {
         let now = call.shared.clock.now();
         call.shared
@@ -214,7 +213,7 @@
     )
 }
 
-fn finish(call: &Call, server: &BackendEntry, head: &Parts, body: Bytes) -> Response<Body> {
+fn finish(call: &Call, server: &BackendEntry, head: &Parts, body: Body) -> Response<Body> {
     let took = call.shared.clock.now().saturating_sub(call.arrived);
     call.shared.metrics.first_byte(call.kind(), took);
     let outcome = if head.status == StatusCode::OK {
@@ -233,7 +232,7 @@
 pub fn relay_complete(
     call: &Call,
     head: &Parts,
-    body: Bytes,
+    body: Body,
     outcome: &str,
     detail: &str,
 ) -> Response<Body> {
@@ -245,8 +244,8 @@
 }
 
 /// Builds the response to the caller from that of a server.
-pub fn caller_response(head: &Parts, body: Bytes) -> Response<Body> {
-    let mut response = Response::new(Body::full(body));
+pub fn caller_response(head: &Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = response_headers(head);
     response
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that all tasks of a direct gateway share.
 
+use crate::answer_memory::AnswerMemory;
 use crate::crash_guard::SharedCrashGuard;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
@@ -11,18 +12,18 @@
 use crate::stream_buffers::StreamBuffers;
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
-use policy::{CallTimes, Drain, RunningChecks, StoreFallback, is_store_reached};
+use policy::{
+    CallTimes, Drain, RunningChecks, StoreFallback, answer_bytes, buffer_bytes, is_store_reached,
+};
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Limit on the bytes of all bodies that are buffered. A body that grows may take twice its size for a
-/// moment, so that this stays under half of the smallest host's memory (160 MB).
-pub const BUFFERED_BYTES: u64 = 32 << 20;
-/// Part of it that callers which read slowly may use, so that they leave room for others' requests.
-const STREAM_BUFFER_BYTES: u64 = BUFFERED_BYTES / 2;
+/// Callers which read slowly may use this part of the memory for buffered bodies, so that they leave room
+/// for others' requests.
+const STREAM_BUFFER_FRACTION: u64 = 2;
 
 /// State of one process, shared by its tasks.
 #[derive(Debug)]
@@ -37,6 +38,8 @@
     pub store: Store,
     /// Memory for the bodies of requests and responses that are buffered.
     pub body_budget: ByteBudget,
+    /// Bodies of responses that are being read, which use a part of that memory.
+    pub answer_memory: AnswerMemory,
     /// Buffers of streams whose callers read slowly, which use a part of that memory.
     pub stream_buffers: StreamBuffers,
     /// Limit on the size of declarations.
@@ -83,13 +86,16 @@
         executor: Executor,
         log: Logger,
     ) -> Result<Self, prometheus::Error> {
-        let body_budget = ByteBudget::new(BUFFERED_BYTES);
+        let buffers = buffer_bytes(settings.memory_bytes);
+        let body_budget = ByteBudget::new(buffers);
+        let stream_buffers = body_budget.part(buffers / STREAM_BUFFER_FRACTION);
         let store = Store::new(HttpClient::new(executor.clone()), settings.store);
         Ok(Self {
             clock: Clock::default(),
             store: store.with_max_value_bytes(max_declarations_bytes),
             max_declarations_bytes,
-            stream_buffers: StreamBuffers::new(body_budget.part(STREAM_BUFFER_BYTES)),
+            stream_buffers: StreamBuffers::new(stream_buffers),
+            answer_memory: AnswerMemory::new(body_budget.part(answer_bytes(buffers))),
             body_budget,
             metrics: Metrics::new()?,
             store_cache: StoreCache::new(log.clone()),
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -35,7 +35,7 @@
     /// The engine ended the stream without an event.
     Empty(Box<EngineStream>),
     /// A response that is not a stream, such as an error.
-    Complete(Parts, Bytes),
+    Complete(Parts, Body),
     Failed,
 }
 
@@ -50,7 +50,7 @@
                 StartOutcome::Stream(stream, events) => return relay(call, stream, events, tried),
                 StartOutcome::Empty(stream) => {
                     call.record_end("served", "no event");
-                    return caller_response(&stream.response.head, Bytes::new());
+                    return caller_response(&stream.response.head, Body::full(Bytes::new()));
                 }
                 StartOutcome::Complete(head, body) if head.status.is_server_error() => {
                     error_response = Some((head, body));
@@ -106,7 +106,8 @@
 }
 
 async fn read_complete(call: &Call, mut stream: EngineStream) -> StartOutcome {
-    let body = read_body(&call.shared, &mut stream.response.body);
+    let server = stream.server_address();
+    let body = read_body(&call.shared, server, &mut stream.response.body);
     match timeout(call.remaining(), body).await {
         Ok(Ok(body)) => StartOutcome::Complete(stream.response.head.clone(), body),
         _ => StartOutcome::Failed,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod admission;
 mod admission_forecast;
 mod affinity;
+mod answer_shares;
 mod baseline;
 mod blocked_suspects;
 mod call_times;
@@ -113,6 +114,10 @@
 
 pub use active_config::ActiveConfig;
 pub use admission_forecast::{LateForecast, late_forecast};
+pub use answer_shares::{
+    FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
+    answer_to_give_up, buffer_bytes,
+};
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
 pub use call_times::CallTimes;
--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures_lite::Stream as _;
 use http_body::{Frame, SizeHint};
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -20,10 +21,17 @@
 #[derive(Debug)]
 enum Kind {
     Full(Option<Bytes>),
+    Pieces(Pieces),
     Stream(Stream),
     Buffered(BufferReader),
 }
 
+#[derive(Debug)]
+struct Pieces {
+    left: VecDeque<Bytes>,
+    bytes: u64,
+}
+
 /// Dropping `_reader_alive` tells the sender that the reader has gone.
 #[derive(Debug)]
 struct Stream {
@@ -50,6 +58,18 @@
         }
     }
 
+    /// As [`Body::full`], of content in pieces.
+    pub fn pieces(pieces: impl IntoIterator<Item = Bytes>) -> Self {
+        let left: VecDeque<_> = pieces.into_iter().collect();
+        if left.is_empty() {
+            return Self::full(Bytes::new());
+        }
+        let bytes = left.iter().map(|piece| piece.len() as u64).sum();
+        Self {
+            kind: Kind::Pieces(Pieces { left, bytes }),
+        }
+    }
+
     /// A body without content, which is at its end from the start.
     pub fn empty() -> Self {
         Self {
@@ -114,6 +134,11 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         match &mut self.kind {
             Kind::Full(data) => Poll::Ready(data.take().map(|data| Ok(Frame::data(data)))),
+            Kind::Pieces(pieces) => {
+                let piece = pieces.left.pop_front();
+                pieces.bytes -= piece.as_ref().map_or(0, |piece| piece.len() as u64);
+                Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
+            }
             Kind::Stream(stream) => {
                 let item = stream.chunks.as_mut().poll_next(cx);
                 item.map(|item| item.map(|data| data.map(Frame::data)))
@@ -123,12 +148,17 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.kind, Kind::Full(None))
+        match &self.kind {
+            Kind::Full(data) => data.is_none(),
+            Kind::Pieces(pieces) => pieces.left.is_empty(),
+            Kind::Stream(_) | Kind::Buffered(_) => false,
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.kind {
             Kind::Full(data) => SizeHint::with_exact(data.as_ref().map_or(0, |d| d.len() as u64)),
+            Kind::Pieces(pieces) => SizeHint::with_exact(pieces.bytes),
             Kind::Stream(_) | Kind::Buffered(_) => SizeHint::default(),
         }
     }
--- a/crates/runtime/src/bounded_io.rs
+++ b/crates/runtime/src/bounded_io.rs
@@ -15,6 +15,9 @@
 /// Limit on the bytes that are read before the head of a response is taken, interim heads included.
 /// Behind a head of the largest size, two buffers of the body may have been read by then.
 pub(crate) const MAX_BYTES_BEFORE_HEAD: usize = 3 * MAX_HEAD_BYTES;
+/// Limit on one read where memory is to be saved. The HTTP library doubles its buffer after each read that
+/// fills it, from this size up.
+const SMALL_READ_BYTES: usize = (8 << 10) - 1;
 const UNLIMITED: usize = usize::MAX;
 
 /// Limits what is read from a socket until the head of a response is there; clones share it.
@@ -63,6 +66,7 @@
 pub(crate) struct BoundedIo<T> {
     io: T,
     head_limit: HeadLimit,
+    max_read: usize,
     turn_bytes: usize,
     turn_reads: usize,
 }
@@ -72,11 +76,20 @@
         Self {
             io,
             head_limit,
+            max_read: usize::MAX,
             turn_bytes: 0,
             turn_reads: 0,
         }
     }
 
+    /// As [`BoundedIo::new`], with reads that keep the buffer of the HTTP library small.
+    pub(crate) fn with_small_reads(io: T, head_limit: HeadLimit) -> Self {
+        Self {
+            max_read: SMALL_READ_BYTES,
+            ..Self::new(io, head_limit)
+        }
+    }
+
     fn start_turn(&mut self) {
         self.turn_bytes = 0;
         self.turn_reads = 0;
@@ -94,7 +107,8 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let read = Pin::new(&mut self.io).poll_read(cx, buf);
+        let length = buf.len().min(self.max_read);
+        let read = Pin::new(&mut self.io).poll_read(cx, &mut buf[..length]);
         if read.is_pending() {
             self.start_turn();
         }
--- a/crates/runtime/src/single_exchange.rs
+++ b/crates/runtime/src/single_exchange.rs
@@ -88,7 +88,7 @@
         let _ = stream.get_ref().set_nodelay(true);
         configure(stream.get_ref()).map_err(|err| HttpError::Connect(peer, err))?;
         let head_limit = HeadLimit::new();
-        let io = FuturesIo::new(BoundedIo::new(stream, head_limit.clone()));
+        let io = FuturesIo::new(BoundedIo::with_small_reads(stream, head_limit.clone()));
         let handshake = client_connection().handshake(io).await;
         let (tx, connection) = handshake.map_err(|err| HttpError::Exchange(peer, err))?;
         let connection = executor.spawn(async move {
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -18,6 +18,8 @@
 pub(crate) const SEAL_HEADER: &str = "x-response-seal";
 /// Header of a response which vouches that the request was not run.
 pub(crate) const NOT_RUN_HEADER: &str = "x-not-executed";
+/// Memory of the host in the settings of gateways, that of the smallest hosts on which they run.
+pub const HOST_MEMORY_MB: u64 = 160;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time from SIGTERM to the end of a process, where a trial sets no other.
 const GRACE_S: f64 = 6.0;
@@ -127,7 +129,7 @@
             "NodeName: {name}\nIp: 127.0.0.1\nZone: {domain}\nBind:\n  \
              Frontend: \"{frontend_address}\"\n  Ready: \"{readiness_address}\"\n\
              InternalPortRange:\n  - {port}\n  - {port}\n\
-             Platform:\n  Address: \"{store}\"\nBounds:\n",
+             Limits:\n  MemoryMb: {HOST_MEMORY_MB}\nPlatform:\n  Address: \"{store}\"\nBounds:\n",
             port = peer_address.port()
         );
         let grace = [("GraceS", GRACE_S)];
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -160,6 +160,18 @@
         self.store.standin().put("op", "config", &content);
     }
 
+    /// As [`Self::write_declarations`], with one more plain service and a route to it, both of this name.
+    pub fn write_declarations_with(&self, version: u64, keys: &[&str], service: &str) {
+        let mut content = declarations(version, keys);
+        if let Some(routes) = content["Routes"].as_array_mut() {
+            routes.push(route(service, "safe", service, false));
+        }
+        if let Some(services) = content["Services"].as_array_mut() {
+            services.push(json!({ "Name": service, "ColdPerS": 0.0 }));
+        }
+        self.store.standin().put("op", "config", &content);
+    }
+
     /// As [`Self::write_declarations`], with `further` routes of the same service, some 190 bytes each.
     pub fn write_large_declarations(&self, version: u64, keys: &[&str], further: usize) {
         let mut content = declarations(version, keys);
