Refusals need all that is declared, and peers that refuse a row do not hide it

A gateway that refused a row also told peers that it had the table up to there, so that those which leave the store to others took the version without the row, and asked for it no more.

Change: while the newest declarations are refused (but for ones of a lower version), or an entry cannot be decoded, what is not in force gets 503. A gateway that refuses a row tells peers the version before it. The reason is in 'call: turned away' as 'doubt'. A ConfigApplyMs under a second counts as one, and gateways that the store turns away together repeat their calls less often the more they are (3 ms a gateway).

The version told to peers has no test of its own yet: it shows only with seven gateways or more that refuse different rows.

Changed tests: newer_declarations accepts nothing but 503 before 413; unconfirmed_declarations waits for the bound and then allows no 404 at all, and for what peers confirm until the own answer of the store is too old.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -271,7 +271,7 @@
 
     /// Ends the call with a response that the gateway generates.
     pub fn end_with_reply(&self, reply: LocalReply, detail: &str) -> Response<Body> {
-        let reply = reply.unless_newer(&self.shared, self.admitted.declarations);
+        let (reply, _) = reply.unless_in_doubt(&self.shared, self.admitted.declarations);
         if let LocalReply::NotRun(_) = reply {
             self.shared.metrics.refusal(detail);
         }
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -110,10 +110,10 @@
     }
 
     fn reject(&self, head: &RequestHead, reply: LocalReply, declarations: u64) -> LocalReply {
-        let reply = reply.unless_newer(&self.shared, declarations);
+        let (reply, doubt) = reply.unless_in_doubt(&self.shared, declarations);
         info!(self.shared.log, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
-            "has_key" => head.api_key.is_some(), "declarations" => declarations,
+            "has_key" => head.api_key.is_some(), "declarations" => declarations, "doubt" => doubt,
             "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64));
         self.shared.metrics.request("none", reply.outcome());
         reply
--- a/crates/direct/src/local_reply.rs
+++ b/crates/direct/src/local_reply.rs
@@ -49,20 +49,18 @@
         }
     }
 
-    /// The reply to give, where this one is by declarations of the version `own`. Newer ones that are in
-    /// force, known to exist, or of which this gateway would not have heard, may allow what these do not.
-    pub fn unless_newer(self, shared: &Shared, own: u64) -> Self {
-        if !self.is_by_declarations() {
-            return self;
-        }
-        let cache = &shared.store_cache;
-        let in_force = cache.route_table().map_or(0, |table| table.version);
-        let is_outdated = in_force > own || cache.knows_newer_declarations(own);
-        if is_outdated || !shared.may_refuse_by_declarations() {
-            Self::NotRun(DECLARATIONS_RETRY_AFTER)
-        } else {
-            self
-        }
+    /// The reply to give, where this one is by declarations of the version `own`, and the reason if it is not
+    /// this one: others than those may allow what they do not.
+    pub fn unless_in_doubt(self, shared: &Shared, own: u64) -> (Self, Option<&'static str>) {
+        let doubt = match self.is_by_declarations() {
+            true => declarations_doubt(shared, own),
+            false => None,
+        };
+        let reply = match doubt {
+            Some(_) => Self::NotRun(DECLARATIONS_RETRY_AFTER),
+            None => self,
+        };
+        (reply, doubt)
     }
 
     /// Outcome for logs and metrics, also sent as the response body.
@@ -94,3 +92,17 @@
         response
     }
 }
+
+/// Why declarations of the version `own` must not be the reason to turn a request away; `None` if they may.
+fn declarations_doubt(shared: &Shared, own: u64) -> Option<&'static str> {
+    let cache = &shared.store_cache;
+    if !shared.may_refuse_by_declarations() {
+        return Some("nobody confirms the declarations");
+    }
+    let in_force = cache.route_table().map_or(0, |table| table.version);
+    if in_force > own || cache.knows_newer_declarations(own) {
+        return Some("newer declarations are known");
+    }
+    let misses_entries = cache.misses_declared_entries();
+    misses_entries.then_some("not all that is declared is in force")
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -171,7 +171,7 @@
     fn send_load(&self) -> u32 {
         let frame = Arc::new(LoadFrame {
             servers: self.shared.fleet.local_load(self.shared.clock.now()),
-            versions: self.shared.store_cache.versions(),
+            versions: self.shared.store_cache.told_versions(),
             reaches_store: self.shared.is_watcher() && self.shared.reaches_store(),
             declarations: self
                 .shared
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -32,6 +32,8 @@
     history: ContentHistory,
     /// The newest declarations, where they were refused.
     refused: Option<RefusedRow>,
+    /// Whether some entries of those in force could not be decoded.
+    has_skipped: bool,
     newer: NewerDeclarations,
     evacuations: Evacuations,
     servers: ServerSet,
@@ -82,6 +84,22 @@
         self.lock().newer.are_known(version)
     }
 
+    /// Whether routes or keys may be declared that are not in force here: the newest declarations are refused,
+    /// or some of their entries cannot be decoded. Ones of a lower version add nothing.
+    pub fn misses_declared_entries(&self) -> bool {
+        let state = self.lock();
+        let refused = state.refused.as_ref();
+        let is_lowered =
+            |row: &RefusedRow| matches!(*row.refusal, DeclarationsRefusal::Lowered(..));
+        state.has_skipped || refused.is_some_and(|row| !is_lowered(row))
+    }
+
+    /// Versions up to which peers can rely on this gateway to have the tables. What it refuses is not part of
+    /// that, as they may not refuse it.
+    pub fn told_versions(&self) -> StoreVersions {
+        self.lock().told_versions()
+    }
+
     /// Version of the declarations in force, 0 for none, while the newest ones of the store are refused.
     pub fn refused_above(&self) -> Option<u64> {
         let state = self.lock();
@@ -353,8 +371,8 @@
         version: u64,
         source: &str,
     ) {
-        for error in decoded.skipped {
-            warn!(self.log, "declarations: invalid entry skipped"; "fault" => &*error);
+        for error in &decoded.skipped {
+            warn!(self.log, "declarations: invalid entry skipped"; "fault" => &**error);
         }
         let table = decoded.table;
         let current = state.route_table.as_ref().map(|table| table.version);
@@ -364,6 +382,7 @@
         info!(self.log, "declarations: in force"; "version" => table.version, "before" => current,
             "source" => source, "bytes" => decoded.stored.body.len(),
             "decoded_ms" => decoded.took.as_millis() as u64);
+        state.has_skipped = !decoded.skipped.is_empty();
         state.route_table = Some(Arc::new(table));
         if let Some(script) = decoded.script {
             state.history.record(script, decoded.stored.body.len());
@@ -390,7 +409,7 @@
         let is_difference = changed.is_some();
         let all = || self.servers.rows().map(owned).collect();
         StoreSnapshot {
-            versions: self.versions,
+            versions: self.told_versions(),
             declarations: None,
             evacuated: self.evacuations.active().into_iter().collect(),
             servers: changed.unwrap_or_else(all),
@@ -408,6 +427,15 @@
         is_refused || self.route_table.is_some() && self.declarations_row() >= version
     }
 
+    fn told_versions(&self) -> StoreVersions {
+        let refused = self.refused.as_ref().map(|row| row.version);
+        let known = refused.map_or(u64::MAX, |refused| refused.saturating_sub(1));
+        StoreVersions {
+            operators: self.versions.operators.min(known),
+            ..self.versions
+        }
+    }
+
     /// Version of the row with the declarations in force, or a later one; 0 for none.
     fn declarations_row(&self) -> u64 {
         self.declarations.as_ref().map_or(0, |stored| stored.row)
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -27,6 +27,8 @@
 /// Backoff after failed calls.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// Many gateways that the store turns away together repeat their calls less often each.
+const BACKOFF_PER_GATEWAY: Duration = Duration::from_millis(3);
 
 /// Applies the content of one table.
 pub trait TableHandler: Send + Sync + 'static {
@@ -306,7 +308,9 @@
         self.shared.metrics.store_call("poll", "failed");
         let backoff = match &mut self.outage {
             Some(outage) => {
-                outage.backoff = (outage.backoff * 2).min(MAX_BACKOFF);
+                let gateways = self.shared.fleet.gateways();
+                let longest = MAX_BACKOFF.max(BACKOFF_PER_GATEWAY * gateways as u32);
+                outage.backoff = (outage.backoff * 2).min(longest);
                 outage.backoff
             }
             None => {
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -4,6 +4,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// Frames of peers and checks of the store are half a second apart, so that a lower bound could not be kept.
+const MIN_BOUND: Duration = Duration::from_secs(1);
 /// A poll is kept shorter than this part of the bound allows, so that the next answer comes within it.
 const POLL_MARGIN: f64 = 0.75;
 /// Polls that would wait for less than this do not wait.
@@ -35,11 +37,11 @@
 
 impl ConfirmedDeclarations {
     /// Creates the state of the process with this random number, where declarations must be in force
-    /// everywhere within `bound`.
+    /// everywhere within `bound`, or a second if that is longer.
     pub fn new(process: u64, bound: Duration) -> Self {
         Self {
             process,
-            bound,
+            bound: bound.max(MIN_BOUND),
             confirmed_at: None,
             pending: None,
             readings: HashMap::new(),
--- a/crates/trials/tests/newer_declarations.rs
+++ b/crates/trials/tests/newer_declarations.rs
@@ -113,8 +113,12 @@
         wait_for(rig, &rig.gateway, "/old/x", StatusCode::OK).await;
         wait_for(rig, behind, "/old/x", StatusCode::OK).await;
         // Nobody may have confirmed yet that these are the newest.
-        let is_over = rig.wait_until(async || {
-            send(behind, "a", 150).await.status == StatusCode::PAYLOAD_TOO_LARGE
+        let is_over = rig.wait_until(async || match send(behind, "a", 150).await.status {
+            StatusCode::SERVICE_UNAVAILABLE => false,
+            status => {
+                assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+                true
+            }
         });
         assert!(is_over.await, "{}", behind.process.log_tail());
 
--- a/crates/trials/tests/refused_declarations.rs
+++ b/crates/trials/tests/refused_declarations.rs
@@ -101,6 +101,59 @@
         declarations(4, "/older/", 0).to_string().into_bytes();
 }
 
+/// Confirmed routes got 404 at a gateway that could not bring them into force.
+fn what_is_not_in_force_is_not_turned_away(content: Vec<u8>) {
+    with_rig(async |rig| {
+        let store = rig.store.standin();
+        store.put("op", "config", &declarations(5, "/first/", 0));
+        let _server = rig.add_server("plain-1", "registry", ServerKind::Plain);
+        wait_until_served(rig, "/first/x").await;
+        store.put_bytes("op", "config", content);
+        let log = &rig.gateway.process;
+        let told = rig.wait_until(async || {
+            log.has_logged("declarations: refused") || log.has_logged("invalid entry skipped")
+        });
+        assert!(told.await, "{}", log.log_tail());
+        for (id, path, key) in [("new", "/new/x", "key-1"), ("key", "/first/x", "key-2")] {
+            let answer = rig.call(id, path, Some(key)).await;
+            assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+            assert!(answer.retry_after.is_some(), "{answer:?}");
+        }
+        wait_until_served(rig, "/first/z").await;
+        store.put("op", "config", &declarations(9, "/first/", 0));
+        let refuses = rig.wait_until(async || {
+            rig.call("none", "/new/x", KEY).await.status == StatusCode::NOT_FOUND
+        });
+        assert!(refuses.await, "{}", log.log_tail());
+    });
+}
+
+/// Declarations with an entry that cannot be decoded.
+fn with_odd_route() -> Vec<u8> {
+    let mut content = declarations(6, "/first/", 0);
+    let odd = json!({ "Name": "new", "Hostname": 7, "Prefix": "/new/", "TimeoutMs": 8000 });
+    if let Some(routes) = content["Routes"].as_array_mut() {
+        routes.push(odd);
+    }
+    content.to_string().into_bytes()
+}
+
+macro_rules! not_in_force {
+    ($($name:ident: $content:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            what_is_not_in_force_is_not_turned_away($content);
+        }
+    )*};
+}
+
+not_in_force! {
+    routes_of_declarations_over_the_limit:
+        declarations(6, "/new/", OVER_ONE_MIB).to_string().into_bytes();
+    routes_of_declarations_that_are_no_json: b"{".to_vec();
+    routes_that_cannot_be_decoded: with_odd_route();
+}
+
 /// A gateway without declarations said nothing of why it is not ready.
 #[test]
 fn a_gateway_whose_first_declarations_are_refused_says_so() {
--- a/crates/trials/tests/unconfirmed_declarations.rs
+++ b/crates/trials/tests/unconfirmed_declarations.rs
@@ -4,6 +4,7 @@
 use runtime::Executor;
 use serde_json::{Value, json};
 use standins::ServerKind;
+use std::time::{Duration, Instant};
 use trials::{CallerAnswer, DirectGateway, DirectRig, FaultProxy, LinkFault, RIG_HOST};
 
 const FAILING_TABLES: &str = "bergamothold_direct_failing_tables ";
@@ -88,6 +89,13 @@
         caller.call(path, path, Some(key), 1_000).await
     }
 
+    /// Waits for some times the bound.
+    async fn wait_for_bounds(&self, bounds: u32) {
+        let (start, bound) = (Instant::now(), Duration::from_millis(APPLY_MS as u64));
+        let passed = async || start.elapsed() > bound * bounds;
+        assert!(self.rig.wait_until(passed).await);
+    }
+
     async fn send_long_body(&self, gateway: usize) -> CallerAnswer {
         let caller = self.gateways[gateway].caller().with_body(&"x".repeat(150));
         caller.call("long", "/old/x", Some("key-1"), 1_000).await
@@ -165,9 +173,7 @@
     with_gateways(3, async |trial| {
         trial.turn_away(0..3, fault).await;
         trial.put(4, &["/old/", "/new/"], &["key-1", "key-2"]);
-        trial
-            .wait_for_all("/new/x", StatusCode::SERVICE_UNAVAILABLE)
-            .await;
+        trial.wait_for_bounds(1).await;
         for gateway in 0..3 {
             trial.check_doubt(gateway).await;
             let page = trial.gateways[gateway].metrics().await;
@@ -219,6 +225,8 @@
         trial.turn_away(0..1, LinkFault::Cut).await;
         trial.put(4, &["/old/", "/new/"], &["key-1"]);
         trial.wait_for_all("/new/x", StatusCode::OK).await;
+        // What it has heard of the store itself is too old by then.
+        trial.wait_for_bounds(2).await;
         trial.wait_for_all("/none/x", StatusCode::NOT_FOUND).await;
         let refuses = trial.rig.wait_until(async || {
             let unknown = trial.ask(0, "/old/x", "key-2").await;
@@ -235,12 +243,7 @@
         trial.gateways[0].process.freeze().unwrap();
         trial.ways[0].set(LinkFault::Silent);
         trial.put(4, &["/old/", "/new/"], &["key-1", "key-2"]);
-        let confirmed = std::time::Instant::now();
-        let bound = std::time::Duration::from_millis(APPLY_MS as u64);
-        let passed = trial
-            .rig
-            .wait_until(async || confirmed.elapsed() > bound + bound);
-        assert!(passed.await);
+        trial.wait_for_bounds(2).await;
         trial.gateways[0].process.thaw().unwrap();
         trial.check_doubt(0).await;
     });
