--- a/crates/trials/src/endless_answers.rs
+++ b/crates/trials/src/endless_answers.rs
@@ -1,7 +1,7 @@
 //! Servers that answer many requests at once with bytes that do not end, and the memory of the gateway that
 //! reads them.
 
-use crate::direct_gateway::CallerAnswer;
+use crate::direct_gateway::{CallerAnswer, SEAL_HEADER};
 use crate::direct_rig::DirectRig;
 use crate::error::TrialError;
 use crate::loopback::loopback;
@@ -128,7 +128,7 @@
         EndlessAnswer::Sound(bytes) => (length_header(bytes), "x", bytes),
     };
     let head =
-        format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\nx-response-seal: raw\r\n{last_header}");
+        format!("HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{SEAL_HEADER}: raw\r\n{last_header}");
     stream.write_all(head.as_bytes()).await?;
     let block = part.repeat(BLOCK_BYTES / part.len());
     let mut left = bytes;
