Logs: answers of the store without rows that name a newer version, and rows passed over

The logs could not distinguish an empty answer that hides a row (hypothesis 1) from a row that is skipped by its version (hypothesis 3). Both lines are written at the moment of the decision, with the versions that it compares.

--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -336,6 +336,8 @@
         {
             let mut state = self.lock();
             if state.knows_declarations(version) {
+                info!(self.log, "declarations: row passed over"; "version" => version,
+                    "in_force" => state.declarations_row());
                 return None;
             }
             state.newer.on_decoding(version);
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -271,6 +271,10 @@
         let version = changes.version.max(since);
         let changed = !changes.rows.is_empty();
         self.log_skipped(changes.skipped, version);
+        if !changed && version > since {
+            info!(self.shared.log, "store: newer answer without rows"; "table" => ?H::TABLE,
+                "since" => since, "version" => version);
+        }
         let confirmed = changes
             .is_complete
             .then(|| answered_until(sent, wait, Clock::boot_time(), changed));
