--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -39,6 +39,7 @@
 mod standin_server;
 mod table_sim;
 mod table_standin;
+mod watch_faults;
 mod weight_store_standin;
 mod work_log;
 
@@ -66,5 +67,6 @@
     TableCondition, TableCounts, TableRefusal, TableRow, TableSim, TableSpec, TableWrite,
 };
 pub use table_standin::TableStandin;
+pub use watch_faults::{ListedVersion, QuietAnswer};
 pub use weight_store_standin::{WeightStoreSpec, WeightStoreStandin};
 pub use work_log::Work;
--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -1,7 +1,10 @@
 //! Stand-in for the store of the users' platform, with the platform's published HTTP API.
 
 use crate::faults::FaultInjector;
-use crate::standin_server::{Call, Standin, StandinServer, text_response, typed_response};
+use crate::standin_server::{
+    Call, Standin, StandinServer, aborted_response, text_response, typed_response,
+};
+use crate::watch_faults::{ListedCopy, QuietAnswer, WatchFaults};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use base64::Engine as _;
@@ -15,7 +18,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-type RowKey = (Box<str>, Box<str>);
+pub(crate) type RowKey = (Box<str>, Box<str>);
 
 /// Limits on one response, unless a test sets others. A row that exceeds them is sent alone.
 const PAGE_ROWS: usize = 500;
@@ -28,24 +31,28 @@
 }
 
 #[derive(Debug)]
-struct State {
+pub(crate) struct State {
     page_rows: usize,
     page_bytes: usize,
     /// Changes that are made right after the next response that is cut.
     after_cut: Vec<(RowKey, Option<String>)>,
-    rows: BTreeMap<RowKey, Row>,
-    version: u64,
+    pub(crate) rows: BTreeMap<RowKey, Row>,
+    pub(crate) version: u64,
     /// Polls for changes after a version below this one are told that the history is gone.
-    history_start: u64,
-    calls: u64,
+    pub(crate) history_start: u64,
+    pub(crate) calls: u64,
     /// Calls from this one on are refused.
-    refused_from: Option<u64>,
+    pub(crate) refused_from: Option<u64>,
     /// Table whose rows are not listed and whose changes are not told.
-    refused_table: Option<Box<str>>,
+    pub(crate) refused_table: Option<Box<str>>,
     /// Dropping the senders wakes the long polls.
-    pending_polls: Vec<Sender<()>>,
+    pub(crate) pending_polls: Vec<Sender<()>>,
     /// Link addresses to state in gateways' rows, by key, in place of their own.
     peer_addresses: HashMap<Box<str>, SocketAddr>,
+    pub(crate) watch_faults: WatchFaults,
+    pub(crate) listed_copy: Option<ListedCopy>,
+    /// Number of times that open polls were cut.
+    pub(crate) cuts: u64,
 }
 
 impl Default for State {
@@ -62,6 +69,9 @@
             refused_table: None,
             pending_polls: Vec::new(),
             peer_addresses: HashMap::new(),
+            watch_faults: WatchFaults::default(),
+            listed_copy: None,
+            cuts: 0,
         }
     }
 }
@@ -83,8 +93,8 @@
     }
 }
 
-#[derive(Debug)]
-struct Row {
+#[derive(Debug, Clone)]
+pub(crate) struct Row {
     /// Content in base64, encoded once, as large rows are sent often; absent once the row is removed.
     value: Option<String>,
     version: u64,
@@ -136,17 +146,6 @@
         self.lock().after_cut.push(change);
     }
 
-    /// Refuses all calls but the next `served`, until this is called with `None`.
-    pub fn refuse_after(&self, served: Option<u64>) {
-        let mut state = self.lock();
-        state.refused_from = served.map(|served| state.calls + served);
-    }
-
-    /// Refuses to list a table and to tell its changes, until this is called with `None`.
-    pub fn refuse_table(&self, table: Option<&str>) {
-        self.lock().refused_table = table.map(Box::from);
-    }
-
     /// States `address` as the link address in the row with this key, whatever its gateway writes.
     pub fn set_peer_address(&self, key: &str, address: SocketAddr) {
         let mut state = self.lock();
@@ -161,13 +160,6 @@
         }
     }
 
-    /// Discards the history of changes: polls that continue from an earlier version fail.
-    pub fn forget_history(&self) {
-        let mut state = self.lock();
-        state.history_start = state.version;
-        state.pending_polls.clear();
-    }
-
     /// Content of a row; `None` without one, or if it is not JSON.
     pub fn value(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.lock();
@@ -184,7 +176,7 @@
         rows.map(|((_, key), _)| key.clone()).collect()
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -194,12 +186,17 @@
         };
         let mut state = self.lock();
         let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let conditions_hold = entries("ExpectedRevision").iter().all(|row| {
+        let conditions = entries("ExpectedRevision");
+        let names_operators = conditions.iter().any(|row| row["Table"] == "op");
+        if names_operators && state.watch_faults.refuses_comparisons {
+            return text_response(StatusCode::FORBIDDEN, "not a table of the system");
+        }
+        let conditions_hold = conditions.iter().all(|row| {
             let version = state.rows.get(&row_key(row)).map_or(0, Row::live_version);
             row["Ver"].as_u64() == Some(version)
         });
         if !conditions_hold {
-            return json_response(StatusCode::PRECONDITION_FAILED, &json!({ "Rows": [] }));
+            return state.current_rows(&conditions);
         }
         for row in entries("Puts") {
             let (table, key) = row_key(&row);
@@ -219,10 +216,15 @@
         let from = query.get("From").cloned().unwrap_or_default();
         let limit = query.get("Limit").and_then(|text| text.parse().ok());
         let mut state = self.lock();
-        let rows = state.rows.iter().filter(|((found, key), row)| {
+        let (listed, version) = match &state.listed_copy {
+            Some(copy) => (&copy.rows, copy.version.unwrap_or(state.version)),
+            None => (&state.rows, state.version),
+        };
+        let rows = listed.iter().filter(|((found, key), row)| {
             **found == *table && **key >= *from && row.value.is_some()
         });
-        let page = state.page(rows.collect(), limit.unwrap_or(usize::MAX));
+        let mut page = state.page(rows.collect(), limit.unwrap_or(usize::MAX));
+        page.version = version;
         state.apply_after_cut(&page);
         page.into_response()
     }
@@ -233,14 +235,26 @@
         let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
         let after_version: u64 = number("AfterRevision").unwrap_or_default();
         let wait = Duration::from_millis(number("WaitMs").unwrap_or_default());
-        if let Some(rx) = self.subscribe(&table, after_version) {
+        let cuts = self.lock().cuts;
+        while let Some((rx, is_held)) = self.subscribe(&table, after_version) {
             let change = async {
                 let _ = rx.recv().await;
             };
             let timer = async {
                 Timer::after(wait).await;
             };
-            futures_lite::future::or(change, timer).await;
+            if is_held {
+                change.await;
+            } else {
+                futures_lite::future::or(change, timer).await;
+                break;
+            }
+            if self.lock().cuts != cuts {
+                break;
+            }
+        }
+        if self.lock().cuts != cuts {
+            return aborted_response().await;
         }
         let mut state = self.lock();
         if after_version < state.history_start {
@@ -248,7 +262,13 @@
         }
         let mut rows: Vec<_> = state.changed_rows(&table, after_version).collect();
         rows.sort_by_key(|(_, row)| row.version);
-        let page = state.page(rows, usize::MAX);
+        let mut page = state.page(rows, usize::MAX);
+        let quiet = state.watch_faults.quiet.filter(|_| page.rows.is_empty());
+        page.version = match quiet {
+            Some((QuietAnswer::PolledVersion, _)) => after_version,
+            Some((QuietAnswer::OldestVersion, _)) => 0,
+            _ => page.version,
+        };
         state.apply_after_cut(&page);
         page.into_response()
     }
@@ -263,8 +283,9 @@
         is_served
     }
 
-    /// Receiver that wakes a long poll; none if there is something to report at once.
-    fn subscribe(&self, table: &str, after_version: u64) -> Option<Receiver<()>> {
+    /// Receiver that wakes a long poll, and whether the poll is held beyond its time; none if there is
+    /// something to report at once.
+    fn subscribe(&self, table: &str, after_version: u64) -> Option<(Receiver<()>, bool)> {
         let mut state = self.lock();
         if after_version < state.history_start
             || state.changed_rows(table, after_version).next().is_some()
@@ -273,7 +294,9 @@
         }
         let (tx, rx) = async_channel::bounded(1);
         state.pending_polls.push(tx);
-        Some(rx)
+        let quiet = state.watch_faults.quiet;
+        let is_held = quiet.is_some_and(|(answer, _)| answer == QuietAnswer::Never);
+        Some((rx, is_held))
     }
 }
 
@@ -325,7 +348,24 @@
         after_version: u64,
     ) -> impl Iterator<Item = (&'a RowKey, &'a Row)> {
         let rows = self.rows.iter();
-        rows.filter(move |((found, _), row)| **found == *table && row.version > after_version)
+        rows.filter(move |(key, row)| {
+            *key.0 == *table
+                && row.version > after_version
+                && self.watch_faults.tells(key, row.version)
+        })
+    }
+
+    /// Response with the rows of conditions that do not hold.
+    fn current_rows(&self, conditions: &[Value]) -> Response<Body> {
+        let rows = conditions.iter().filter_map(|condition| {
+            let key = row_key(condition);
+            let row = self.rows.get(&key).filter(|row| row.value.is_some());
+            row.map(|row| row.to_json(&key))
+        });
+        let rows = rows.collect::<Vec<_>>().join(",");
+        let body = format!(r#"{{"Rows":[{rows}]}}"#);
+        let body = Body::full(body);
+        typed_response(StatusCode::PRECONDITION_FAILED, "application/json", body)
     }
 }
 
