A peer with older declarations confirms nothing

Callers can get 404 for a confirmed route at a gateway that has it from no one yet, as a peer whose watch is deaf confirms an older version than the one in force here, and that counted for this one. Such a peer shows by its version that it does not know the newest, so its word says nothing about anything newer. A confirmation counts for the version that it names alone.

--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -64,8 +64,10 @@
             return;
         };
         let at = shifted(confirmation.reading.at, confirmation.offset_ms).min(now);
-        if confirmation.declarations <= own {
+        if confirmation.declarations == own {
             self.on_store_answer(at);
+        } else if confirmation.declarations < own {
+            // The peer does not know those in force here, so that it may not know newer ones either.
         } else if self.pending.is_none_or(|(_, pending_at)| pending_at < at) {
             self.pending = Some((confirmation.declarations, at));
         }
@@ -135,7 +137,8 @@
     }
 
     fn confirmed_at(&mut self, own: u64) -> Option<Duration> {
-        if let Some((_, at)) = self.pending.take_if(|(version, _)| *version <= own) {
+        let pending = self.pending.take_if(|(version, _)| *version <= own);
+        if let Some((_, at)) = pending.filter(|(version, _)| *version == own) {
             self.on_store_answer(at);
         }
         self.confirmed_at
--- a/crates/policy/tests/confirmed_declarations.rs
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -109,6 +109,17 @@
     a_peer_of_an_earlier_build_confirms_nothing: ConfirmationReport::default() => None;
 }
 
+/// A gateway that hears of an older version from a peer knows that this one does not know all.
+#[test]
+fn a_peer_with_older_declarations_confirms_nothing() {
+    let mut confirmed = gateway(1);
+    confirmed.on_report("b", &report(1, 9_990, 0), 5, at(10_000));
+    assert_eq!(confirmed.age(5, at(10_000)), None);
+    // One that comes while the own version is older does not confirm what comes after it.
+    confirmed.on_report("b", &report(1, 9_990, 0), 3, at(10_000));
+    assert_eq!(confirmed.age(5, at(10_000)), None);
+}
+
 #[test]
 fn an_answer_without_changes_confirms_until_the_poll_was_over() {
     let wait = at(1_200);
