Versions that peers claim do not hide rows of the store

Callers can get 404 for a confirmed route although a listing holds its row: declarations that came from a peer that does not state their row were recorded with the version that the peer claims for the whole table, and an evacuation was recorded with that version in any case, so that a row of a lower version was passed over for good. Now the version of a row is kept only where it is known: declarations without it give way to any row, and a listing replaces all evacuations up to its version. A refusal of a newer row is no longer forgotten when an older row is decoded.

--- a/crates/direct/src/declarations_row.rs
+++ b/crates/direct/src/declarations_row.rs
@@ -54,7 +54,7 @@
     pub body: Arc<Vec<u8>>,
     /// Digest of the bytes.
     pub digest: ContentDigest,
-    /// Version of the store's row that holds them, or a later one; 0 until they are in force.
+    /// Version of the store's row that holds them; 0 until they are in force, or where it is not known.
     pub row: u64,
 }
 
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -4,7 +4,9 @@
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_body, decode_row,
 };
 use crate::evacuations::Evacuations;
-use adapter::{DeclarationError, Listing, StoreRow, decode_server_row, evacuated_domain, keys};
+use adapter::{
+    DeclarationError, Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys,
+};
 use policy::{
     BackendId, ContentHistory, DomainName, NewerDeclarations, RouteTable, ServerSet, server_key,
 };
@@ -12,7 +14,7 @@
     BackendEntry, BackendRow, ContentDigest, EditScript, ServerKey, StoreSnapshot, StoreVersions,
 };
 use slog::{Logger, info, warn};
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -107,6 +109,24 @@
         state.refused.as_ref().map(|_| in_force)
     }
 
+    /// Version of the store's row with the declarations in force; 0 for none, or where it is not known.
+    pub fn declarations_row(&self) -> u64 {
+        self.lock().declarations_row()
+    }
+
+    /// Rows of the operators' table with the versions that they have in the store if nothing has changed: that
+    /// with the declarations, and the orders for these domains. `None` where some of them are not known.
+    pub fn expected_rows(&self, domains: &[DomainName]) -> Option<Vec<(Box<str>, u64)>> {
+        let state = self.lock();
+        let refused = state.refused.as_ref().map_or(0, |refused| refused.version);
+        let row = state.declarations_row().max(refused);
+        let mut rows = vec![(keys::DECLARATIONS.into(), row)];
+        for domain in domains {
+            rows.push((evacuation_key(domain), state.evacuations.row(domain)?));
+        }
+        (row > 0).then_some(rows)
+    }
+
     /// Versions up to which the tables are known.
     pub fn versions(&self) -> StoreVersions {
         self.lock().versions
@@ -165,10 +185,12 @@
 
     /// Applies the whole operators' table; returns the same as [`Self::on_operator_rows`].
     pub async fn on_operator_listing(&self, listing: Listing) -> Option<&'static str> {
-        let listed = listing.rows.iter();
-        let listed = listed.filter_map(|row| evacuated_domain(&row.key));
-        let listed: HashSet<DomainName> = listed.map(Into::into).collect();
-        self.lock().evacuations.end_except(&listed, listing.version);
+        let listed = listing.rows.iter().filter_map(|row| {
+            let domain = evacuated_domain(&row.key)?;
+            Some((domain.into(), row.version))
+        });
+        let listed: HashMap<DomainName, u64> = listed.collect();
+        self.lock().evacuations.on_listing(&listed, listing.version);
         self.on_operator_rows(listing.rows, listing.version).await
     }
 
@@ -263,7 +285,8 @@
         };
         let mut state = self.lock();
         let versions = snapshot.versions;
-        let row = row.unwrap_or(versions.operators);
+        // The row is not known then, so that any row of the store is decoded.
+        let row = row.unwrap_or_default();
         info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
             "operators" => versions.operators, "own_operators" => state.versions.operators,
             "servers" => versions.servers, "own_servers" => state.versions.servers,
@@ -351,7 +374,7 @@
             Ok(())
         });
         let Err(refusal) = result else {
-            state.refused = None;
+            state.refused.take_if(|refused| refused.version <= version);
             return None;
         };
         warn!(self.log, "declarations: refused, the last ones stay"; "version" => version,
@@ -379,6 +402,11 @@
         let table = decoded.table;
         let current = state.route_table.as_ref().map(|table| table.version);
         if current.is_some_and(|current| current >= table.version) {
+            // The same declarations can be written again, or have come without the version of their row.
+            let in_force = state.declarations.as_mut();
+            if let Some(in_force) = in_force.filter(|_| current == Some(table.version)) {
+                in_force.row = in_force.row.max(version);
+            }
             return;
         }
         info!(self.log, "declarations: in force"; "version" => table.version, "before" => current,
@@ -438,7 +466,7 @@
         }
     }
 
-    /// Version of the row with the declarations in force, or a later one; 0 for none.
+    /// Version of the row with the declarations in force; 0 for none, or where it is not known.
     fn declarations_row(&self) -> u64 {
         self.declarations.as_ref().map_or(0, |stored| stored.row)
     }
