Declarations are confirmed by a read of their row, and a check finds what the watch does not tell

Callers got 404 for routes of confirmed changes at all gateways, watchers and others, until the next change (CONFIG, DENIED). Cause: an answer of the store to a poll, without rows, counted as proof that there was no newer row, for the gateway and, by its frames, for all others; a watch that misses a change thus confirmed the declarations before it. The class: the absence of news taken for news of absence, here within the store's own answers. Now only a read of the rows confirms.

--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -1,17 +1,29 @@
 //! Until when the declarations in force are known to have been the newest.
 
 use crate::shared::Shared;
-use policy::ConfirmedDeclarations;
+use policy::{ConfirmedBy, ConfirmedDeclarations};
 use proto::ConfirmationReport;
 use runtime::Clock;
 use slog::{info, warn};
 use std::time::Duration;
 
 impl Shared {
-    /// Records that the store held nothing newer for the operators' table at this time of
+    /// Records that a read of the operators' rows has shown nothing newer at this time of
     /// [`Clock::boot_time`].
-    pub fn on_store_confirmed(&self, at: Duration) {
-        self.with_confirmed(|confirmed, _, _| confirmed.on_store_answer(at));
+    pub fn on_store_confirmed(&self, at: Duration, by: ConfirmedBy) {
+        self.with_confirmed(|confirmed, _, _| confirmed.on_store_answer(at, by));
+    }
+
+    /// Records that the operators' rows were checked at this time of [`Clock::boot_time`], until now.
+    pub fn on_store_checked(&self, at: Duration) {
+        self.with_confirmed(|confirmed, _, now| {
+            confirmed.on_checked(at, now.saturating_sub(at));
+        });
+    }
+
+    /// How the declarations in force were last confirmed as the newest.
+    pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
+        self.lock_confirmed().confirmed_by()
     }
 
     /// Records what a peer has told of its declarations.
@@ -46,15 +58,19 @@
         self.with_confirmed(ConfirmedDeclarations::may_refuse)
     }
 
-    /// Whether this gateway has to ask the store as peers do not confirm its declarations.
-    pub fn needs_confirmation(&self) -> bool {
-        self.with_confirmed(ConfirmedDeclarations::needs_check)
+    /// Whether to check the operators' rows in the store now.
+    pub fn is_store_check_due(&self) -> bool {
+        let gateways = self.fleet.gateways();
+        let watches = self.watches_store();
+        let random = rand::random();
+        self.with_confirmed(|confirmed, own, now| {
+            confirmed.is_check_due(own, now, gateways, watches, random)
+        })
     }
 
-    /// How long the store may hold a poll of the operators' table.
-    pub fn operators_poll_wait(&self, longest: Duration) -> Duration {
-        let random = rand::random();
-        self.with_confirmed(|confirmed, own, now| confirmed.poll_wait(longest, own, now, random))
+    /// Longest time that a check of the operators' rows may take.
+    pub fn store_check_timeout(&self) -> Duration {
+        self.lock_confirmed().check_timeout()
     }
 
     /// Logs when the declarations in force begin or cease to be a reason to turn requests away.
@@ -65,10 +81,12 @@
         }
         let unconfirmed_ms = self.unconfirmed_for().map(|age| age.as_millis() as u64);
         if may_refuse {
-            info!(self.log, "declarations: confirmed again"; "unconfirmed_ms" => unconfirmed_ms);
+            info!(self.log, "declarations: confirmed again"; "unconfirmed_ms" => unconfirmed_ms,
+                "by" => ?self.confirmed_by(), "row" => self.store_cache.declarations_row());
         } else {
             warn!(self.log, "declarations: nobody confirms that they are the newest";
-                "unconfirmed_ms" => unconfirmed_ms, "failing_tables" => self.failing_tables());
+                "unconfirmed_ms" => unconfirmed_ms, "by" => ?self.confirmed_by(),
+                "row" => self.store_cache.declarations_row(), "failing_tables" => self.failing_tables());
         }
     }
 
--- a/crates/direct/src/content_metrics.rs
+++ b/crates/direct/src/content_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of how the content of the store reaches a gateway.
 
-use prometheus::{Gauge, IntCounterVec, Opts, Registry};
+use prometheus::{Gauge, IntCounter, IntCounterVec, Opts, Registry};
 use std::time::Duration;
 
 /// Counters of transfers from peers, and how far this gateway is behind them.
@@ -10,6 +10,7 @@
     failed_fetches: IntCounterVec,
     behind: Gauge,
     unconfirmed: Gauge,
+    unread_changes: IntCounter,
 }
 
 impl ContentMetrics {
@@ -25,6 +26,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let unread_changes = IntCounter::new(
+            "bergamothold_direct_unread_changes_total",
+            "Changes of declarations or evacuations that a check has found and the watch did not tell of",
+        )?;
+        registry.register(Box::new(unread_changes.clone()))?;
         Ok(Self {
             bytes: counter_vec(
                 "bergamothold_direct_content_bytes_total",
@@ -40,6 +46,7 @@
                 "bergamothold_direct_behind_peers_seconds",
                 "Time since which peers have content of the store that this gateway does not have",
             )?,
+            unread_changes,
             unconfirmed: gauge(
                 "bergamothold_direct_declarations_unconfirmed_seconds",
                 "Time for which nobody has confirmed that the declarations are the newest; infinite if nobody has",
@@ -62,6 +69,11 @@
         self.behind.set(behind.as_secs_f64());
     }
 
+    /// Counts a change that the watch did not tell of.
+    pub fn unread_change(&self) {
+        self.unread_changes.inc();
+    }
+
     /// Sets for how long the declarations have not been confirmed; `None` if they never were.
     pub fn set_unconfirmed(&self, age: Option<Duration>) {
         let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -114,7 +114,8 @@
         info!(self.shared.log, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
             "has_key" => head.api_key.is_some(), "declarations" => declarations, "doubt" => doubt,
-            "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64));
+            "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64),
+            "confirmed_by" => ?self.shared.confirmed_by(), "row" => self.shared.store_cache.declarations_row());
         self.shared.metrics.request("none", reply.outcome());
         reply
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -53,6 +53,7 @@
 mod shared;
 mod signal;
 mod store_cache;
+mod store_check;
 mod store_watch;
 mod stream;
 mod stream_buffers;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -338,6 +338,11 @@
         self.content.set_unconfirmed(age);
     }
 
+    /// Counts a change of the operators' table that the watch did not tell of.
+    pub fn unread_change(&self) {
+        self.content.unread_change();
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn encode(&self) -> Result<Vec<u8>, prometheus::Error> {
         let mut text = Vec::new();
--- /dev/null
+++ b/crates/direct/src/store_check.rs
@@ -0,0 +1,133 @@
+//! Checks of the operators' rows in the store, which find what watches do not tell of.
+
+use crate::shared::Shared;
+use crate::store_watch::report_declarations;
+use adapter::{Comparison, Listing, Store, StoreError, StoreTable};
+use async_io::Timer;
+use policy::{ConfirmedBy, DomainName};
+use runtime::Clock;
+use slog::{info, warn};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TABLE: StoreTable = StoreTable::Operators;
+/// Interval at which a check may become due.
+const TICK: Duration = Duration::from_millis(100);
+/// Time for the watch to tell of a change that a comparison has found, so that the table is not read too.
+const WATCH_DELAY: Duration = Duration::from_millis(150);
+/// Domains whose orders are compared. The store takes at most 100 rows in a call.
+const MAX_COMPARED_DOMAINS: usize = 90;
+
+/// Checks the operators' rows whenever nobody has confirmed them lately, until the process ends. A check
+/// compares the versions of the rows, and reads the table where they differ.
+pub async fn check_store(shared: Arc<Shared>, store: Store) {
+    let domains = shared.settings.domains.iter();
+    let mut check = StoreCheck {
+        domains: domains.take(MAX_COMPARED_DOMAINS).cloned().collect(),
+        shared,
+        store,
+        compares: true,
+    };
+    loop {
+        Timer::after(TICK).await;
+        let knows_rows = check.shared.store_cache.versions().operators > 0;
+        if !knows_rows || !check.shared.is_store_check_due() {
+            continue;
+        }
+        let at = Clock::boot_time();
+        let checked = check.run().await;
+        check.shared.on_store_checked(at);
+        if let Err(err) = checked {
+            check.shared.metrics.store_call("check", "failed");
+            info!(check.shared.log, "store: rows cannot be checked"; "err" => %err);
+        }
+    }
+}
+
+struct StoreCheck {
+    shared: Arc<Shared>,
+    store: Store,
+    domains: Vec<DomainName>,
+    /// Whether the store compares rows of this table.
+    compares: bool,
+}
+
+impl StoreCheck {
+    async fn run(&mut self) -> Result<(), StoreError> {
+        let is_different = match self.compare().await? {
+            Some(Comparison::Unchanged(_)) => return Ok(()),
+            Some(Comparison::Changed) => {
+                Timer::after(WATCH_DELAY).await;
+                match self.compare().await? {
+                    Some(Comparison::Unchanged(_)) => return Ok(()),
+                    again => again == Some(Comparison::Changed),
+                }
+            }
+            Some(Comparison::Unsupported) => {
+                info!(
+                    self.shared.log,
+                    "store: compares no rows, the table is read to check it"
+                );
+                self.compares = false;
+                false
+            }
+            None => false,
+        };
+        self.read(is_different).await
+    }
+
+    /// Compares the rows; `None` where their versions are not known, or the store does not compare.
+    async fn compare(&self) -> Result<Option<Comparison>, StoreError> {
+        let expected = self.shared.store_cache.expected_rows(&self.domains);
+        let Some(expected) = expected.filter(|_| self.compares) else {
+            return Ok(None);
+        };
+        let at = Clock::boot_time();
+        let timeout = self.shared.store_check_timeout();
+        let compared = self.store.compare(TABLE, &expected, timeout).await?;
+        self.shared.metrics.store_call("compare", "ok");
+        if let Comparison::Unchanged(version) = compared {
+            let by = ConfirmedBy::Comparison(version);
+            self.shared.on_store_confirmed(at, by);
+        }
+        Ok(Some(compared))
+    }
+
+    /// Reads the table; `is_different` tells whether a comparison has found that it is not as it is known.
+    async fn read(&self, is_different: bool) -> Result<(), StoreError> {
+        let cache = &self.shared.store_cache;
+        let at = Clock::boot_time();
+        let listing = self.store.list(TABLE).await?;
+        self.shared.metrics.store_call("list", "ok");
+        let version = listing.version;
+        let known = cache.versions().operators;
+        let before = cache.expected_rows(&self.domains);
+        let changed = self.apply(listing).await;
+        if version < known || is_different && !changed {
+            warn!(self.shared.log, "store: a listing is older than what is known";
+                "version" => version, "known" => known, "row" => cache.declarations_row());
+            return Ok(());
+        }
+        if changed && before.is_some() {
+            self.shared.metrics.unread_change();
+            warn!(self.shared.log, "store: a check has found a change that the watch did not tell of";
+                "version" => version, "known" => known, "row" => cache.declarations_row());
+        }
+        let by = ConfirmedBy::Listing(version);
+        self.shared.on_store_confirmed(at, by);
+        Ok(())
+    }
+
+    /// Applies a listing, and returns whether it has shown anything new.
+    async fn apply(&self, listing: Listing) -> bool {
+        let cache = &self.shared.store_cache;
+        let before = cache.expected_rows(&self.domains);
+        let refusal = cache.on_operator_listing(listing).await;
+        report_declarations(&self.shared, refusal);
+        let changed = cache.expected_rows(&self.domains) != before;
+        if changed {
+            self.shared.fleet.urgent().notify();
+        }
+        changed
+    }
+}
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -4,9 +4,8 @@
 use adapter::{Changes, Listing, ListingProgress, ReceivedBytes, Store, StoreError, StoreTable};
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::{answered_until, store_check_interval};
+use policy::store_check_interval;
 use rand::random;
-use runtime::Clock;
 use slog::{info, warn};
 use std::future::Future;
 use std::sync::Arc;
@@ -20,8 +19,8 @@
 /// Interval at which a gateway that does not watch the store checks whether it has to. A small
 /// part of the second after which a silent peer is replaced.
 const UNWATCHED_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which a gateway that does not watch the store asks it while peers do not confirm what it has.
-const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
+/// Polls of different gateways, which a change ends at once, spread by up to this part of their length.
+const POLL_SPREAD: f64 = 0.25;
 /// Interval at which a response that arrives is reported as contact with the store.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
 /// Backoff after failed calls.
@@ -41,19 +40,8 @@
     /// Whether peers also send the content of this table.
     const SENT_BY_PEERS: bool = true;
 
-    /// How long the store may hold the next poll.
-    fn poll_wait(&self, _shared: &Shared) -> Duration {
-        Self::WAIT
-    }
-
-    /// Whether the store has to be asked although peers watch the table.
-    fn needs_check(&self, _shared: &Shared) -> bool {
-        false
-    }
-
-    /// Records that the store held nothing newer at this time of [`Clock::boot_time`].
-    fn on_confirmed(&self, _shared: &Shared, _at: Duration) {}
-
+    /// Whether the table is asked now and then although peers watch it, in case that they are stuck.
+    const ASKED_BESIDE_PEERS: bool = true;
     /// Version up to which the table is cached, including what peers sent; 0 where peers do not
     /// send it.
     fn cached_version(&self, shared: &Shared) -> u64;
@@ -75,18 +63,8 @@
 
 impl TableHandler for OperatorTableHandler {
     const TABLE: StoreTable = StoreTable::Operators;
-
-    fn poll_wait(&self, shared: &Shared) -> Duration {
-        shared.operators_poll_wait(Self::WAIT)
-    }
-
-    fn needs_check(&self, shared: &Shared) -> bool {
-        shared.needs_confirmation()
-    }
-
-    fn on_confirmed(&self, shared: &Shared, at: Duration) {
-        shared.on_store_confirmed(at);
-    }
+    /// Its rows are checked apart from the watch.
+    const ASKED_BESIDE_PEERS: bool = false;
 
     fn cached_version(&self, shared: &Shared) -> u64 {
         shared.store_cache.versions().operators
@@ -126,7 +104,8 @@
     }
 }
 
-fn report_declarations(shared: &Shared, refusal: Option<&'static str>) {
+/// Updates the metrics of the declarations after they may have changed.
+pub(crate) fn report_declarations(shared: &Shared, refusal: Option<&'static str>) {
     if let Some(reason) = refusal {
         shared.metrics.refused_declarations(reason);
     }
@@ -150,10 +129,10 @@
         let is_left_to_peers = watch.is_left_to_peers();
         if is_left_to_peers && !watch.claim_check() {
             Timer::after(UNWATCHED_INTERVAL).await;
-            // What peers sent in the meantime need not be polled again.
-            known_version = known_version.map(|version: u64| version.max(watch.cached_version()));
             continue;
         }
+        // What was read otherwise in the meantime need not be polled again.
+        known_version = known_version.map(|version: u64| version.max(watch.cached_version()));
         let reports = report_progress::<H, _>(watch.shared.clone(), received.clone());
         let call = async {
             match known_version {
@@ -166,8 +145,8 @@
                     watch.poll(version, Duration::ZERO).await
                 }
                 Some(version) => {
-                    let wait = watch.handler.poll_wait(&watch.shared);
-                    watch.poll(version, wait).await
+                    let spread = random::<f64>() * POLL_SPREAD;
+                    watch.poll(version, H::WAIT.mul_f64(1.0 - spread)).await
                 }
             }
         };
@@ -231,12 +210,8 @@
     fn claim_check(&mut self) -> bool {
         let now = self.shared.clock.now();
         let gateways = self.shared.fleet.gateways();
-        let interval = if self.handler.needs_check(&self.shared) {
-            CONFIRMATION_INTERVAL
-        } else {
-            store_check_interval(gateways, self.check_spread)
-        };
-        let is_due = now >= self.last_check + interval;
+        let interval = store_check_interval(gateways, self.check_spread);
+        let is_due = H::ASKED_BESIDE_PEERS && now >= self.last_check + interval;
         if is_due {
             self.last_check = now;
             self.check_spread = random();
@@ -249,39 +224,27 @@
     }
 
     async fn list(&mut self) -> Result<u64, StoreError> {
-        // A continued listing is complete only as of its first page.
-        let begun = self.listing.is_empty().then(Clock::boot_time);
         let listing = self.store.continue_listing(H::TABLE, &mut self.listing);
         let listing = listing.await?;
         let version = listing.version;
         self.shared.metrics.store_call("list", "ok");
         self.log_skipped(listing.skipped, version);
         self.handler.on_listing(&self.shared, listing).await;
-        if let Some(at) = begun {
-            self.handler.on_confirmed(&self.shared, at);
-        }
         Ok(version)
     }
 
     async fn poll(&self, since: u64, wait: Duration) -> Result<u64, StoreError> {
-        let sent = Clock::boot_time();
         let changes = self.store.changes(H::TABLE, since, wait).await?;
         self.shared.metrics.store_call("changes", "ok");
+        let changed = !changes.rows.is_empty();
         // An older version than the one polled for would make the next poll go back.
         let version = changes.version.max(since);
-        let changed = !changes.rows.is_empty();
         self.log_skipped(changes.skipped, version);
         if !changed && version > since {
             info!(self.shared.log, "store: newer answer without rows"; "table" => ?H::TABLE,
                 "since" => since, "version" => version);
         }
-        let confirmed = changes
-            .is_complete
-            .then(|| answered_until(sent, wait, Clock::boot_time(), changed));
         self.handler.on_changes(&self.shared, changes).await;
-        if let Some(at) = confirmed {
-            self.handler.on_confirmed(&self.shared, at);
-        }
         if changed {
             self.shared.fleet.urgent().notify();
         }
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -6,14 +6,31 @@
 
 /// Frames of peers and checks of the store are half a second apart, so that a lower bound could not be kept.
 const MIN_BOUND: Duration = Duration::from_secs(1);
-/// A poll is kept shorter than this part of the bound allows, so that the next answer comes within it.
-const POLL_MARGIN: f64 = 0.75;
-/// Polls that would wait for less than this do not wait.
-const MIN_POLL_WAIT: Duration = Duration::from_millis(100);
-/// Polls of different gateways, which a change ends at once, spread by up to this part of their length.
-const POLL_SPREAD: f64 = 0.25;
-/// A gateway that leaves the store to others asks it when nobody has confirmed for this part of the bound.
-const CHECK_AFTER: f64 = 0.75;
+/// Gateways that watch the store check it when nobody has confirmed for this part of the bound.
+const WATCHER_CHECK: f64 = 0.35;
+/// Gateways that leave the store to others do so after this part of it.
+const CHECK: f64 = 0.75;
+/// The checks of watchers spread by up to this part, so that the first one confirms to the others.
+const CHECK_SPREAD: f64 = 0.4;
+/// A check takes at most this part of the bound.
+const CHECK_TIMEOUT: f64 = 0.3;
+/// Shortest interval between checks of one gateway while they fail.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The same for each gateway that may check, as the store handles such calls one after the other.
+const CHECK_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(20);
+/// A check that reads the whole table takes at most this part of the time.
+const LISTING_SHARE: u32 = 5;
+
+/// How the declarations in force were last confirmed as the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfirmedBy {
+    /// The store has compared the versions of rows, as of this version of its own.
+    Comparison(u64),
+    /// The table was read, as of this version of the store.
+    Listing(u64),
+    /// A peer has confirmed them.
+    Peer,
+}
 
 /// Decides for how long declarations may be the reason to turn requests away.
 ///
@@ -29,6 +46,9 @@
     bound: Duration,
     /// When a version up to the one in force was last known to be the newest.
     confirmed_at: Option<Duration>,
+    confirmed_by: Option<ConfirmedBy>,
+    /// When the store was last checked, and how long that took.
+    last_check: Option<(Duration, Duration)>,
     /// The same for a version that is not in force yet.
     pending: Option<(u64, Duration)>,
     /// Last clock readings of peers, with when they came.
@@ -43,14 +63,25 @@
             process,
             bound: bound.max(MIN_BOUND),
             confirmed_at: None,
+            confirmed_by: None,
+            last_check: None,
             pending: None,
             readings: HashMap::new(),
         }
     }
 
-    /// Records that the store held no newer declarations than those in force, or refused, at the time `at`.
-    pub fn on_store_answer(&mut self, at: Duration) {
-        self.confirmed_at = self.confirmed_at.max(Some(at));
+    /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
+    /// a read of their row has shown.
+    pub fn on_store_answer(&mut self, at: Duration, by: ConfirmedBy) {
+        if self.confirmed_at < Some(at) {
+            self.confirmed_at = Some(at);
+            self.confirmed_by = Some(by);
+        }
+    }
+
+    /// How the declarations were last confirmed.
+    pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
+        self.confirmed_by
     }
 
     /// Records the report of a peer, for a gateway with the version `own` in force.
@@ -65,7 +96,7 @@
         };
         let at = shifted(confirmation.reading.at, confirmation.offset_ms).min(now);
         if confirmation.declarations == own {
-            self.on_store_answer(at);
+            self.on_store_answer(at, ConfirmedBy::Peer);
         } else if confirmation.declarations < own {
             // The peer does not know those in force here, so that it may not know newer ones either.
         } else if self.pending.is_none_or(|(_, pending_at)| pending_at < at) {
@@ -111,52 +142,61 @@
         self.age(own, now).is_some_and(|age| age <= self.bound)
     }
 
-    /// Whether a gateway that leaves the store to others has to ask it, as they do not confirm the version
-    /// `own`.
-    pub fn needs_check(&mut self, own: u64, now: Duration) -> bool {
-        let limit = self.bound.mul_f64(CHECK_AFTER);
-        self.age(own, now).is_none_or(|age| age > limit)
-    }
-
-    /// How long the store may hold a poll of at most `longest`, so that its answer confirms the version `own`
-    /// in time. `random` is a random number.
-    pub fn poll_wait(
+    /// Whether to check the store now, as nobody has confirmed the version `own` lately, among `gateways`
+    /// gateways. `watches` tells whether this one watches the store; `random` is a random number.
+    pub fn is_check_due(
         &mut self,
-        longest: Duration,
         own: u64,
         now: Duration,
+        gateways: usize,
+        watches: bool,
         random: u64,
-    ) -> Duration {
-        let age = self.age(own, now).unwrap_or(self.bound);
-        let left = self.bound.mul_f64(POLL_MARGIN).saturating_sub(age);
-        if left < MIN_POLL_WAIT {
-            return Duration::ZERO;
-        }
-        let part = (random % 1_000) as f64 / 1_000.0 * POLL_SPREAD;
-        longest.mul_f64(1.0 - part).min(left)
+    ) -> bool {
+        let spread = (random % 1_000) as f64 / 1_000.0;
+        let part = match watches {
+            true => WATCHER_CHECK * (1.0 - CHECK_SPREAD * spread),
+            false => CHECK,
+        };
+        let limit = self.bound.mul_f64(part);
+        let is_old = self.age(own, now).is_none_or(|age| age > limit);
+        is_old && self.may_check(now, gateways, spread)
+    }
+
+    fn may_check(&self, now: Duration, gateways: usize, spread: f64) -> bool {
+        let Some((at, took)) = self.last_check else {
+            return true;
+        };
+        let was_confirmed = self.confirmed_at >= Some(at);
+        let interval = match was_confirmed {
+            true => Duration::ZERO,
+            false => {
+                let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+                let interval = CHECK_INTERVAL_PER_GATEWAY.saturating_mul(gateways);
+                interval.max(MIN_CHECK_INTERVAL).mul_f64(0.5 + spread)
+            }
+        };
+        now >= at + interval.max(took * LISTING_SHARE)
+    }
+
+    /// Records that the store was checked at the time `at`, which took this long.
+    pub fn on_checked(&mut self, at: Duration, took: Duration) {
+        self.last_check = Some((at, took));
+    }
+
+    /// Longest time that a check may take, so that another one can follow within the bound.
+    pub fn check_timeout(&self) -> Duration {
+        self.bound.mul_f64(CHECK_TIMEOUT)
     }
 
     fn confirmed_at(&mut self, own: u64) -> Option<Duration> {
         let pending = self.pending.take_if(|(version, _)| *version <= own);
         if let Some((_, at)) = pending.filter(|(version, _)| *version == own) {
-            self.on_store_answer(at);
+            self.on_store_answer(at, ConfirmedBy::Peer);
         }
         self.confirmed_at
     }
 }
 
-/// Until when a complete answer of the store, to a call that was sent at `sent`, says that there is nothing
-/// newer. One without changes is given when the call has waited for `wait`, if it has taken that long.
-pub fn answered_until(
-    sent: Duration,
-    wait: Duration,
-    now: Duration,
-    has_changes: bool,
-) -> Duration {
-    let waited = !has_changes && now >= sent + wait;
-    if waited { sent + wait } else { sent }
-}
-
 fn shifted(at: Duration, ms: i64) -> Duration {
     let by = Duration::from_millis(ms.unsigned_abs());
     if ms < 0 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -138,7 +138,7 @@
     CONFIG_HEAD_KEY, CONFIG_KEY, CommandRow, ConfigHead, ConfigRow, HISTORY_PREFIX, HistoryRow,
     command_key, history_key,
 };
-pub use confirmed_declarations::{ConfirmedDeclarations, answered_until};
+pub use confirmed_declarations::{ConfirmedBy, ConfirmedDeclarations};
 pub use content_history::ContentHistory;
 pub use content_sends::{MAX_CONTENT_SENDS, needs_send_slot};
 pub use crash_evidence::CrashEvidence;
--- a/crates/policy/tests/confirmed_declarations.rs
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -1,6 +1,6 @@
 //! For how long declarations may be the reason to turn a request away.
 
-use policy::{ConfirmedDeclarations, answered_until};
+use policy::{ConfirmedBy, ConfirmedDeclarations};
 use proto::{ClockReading, Confirmation, ConfirmationReport};
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -10,6 +10,8 @@
 
 const BOUND: Duration = Duration::from_secs(2);
 
+const LISTED: ConfirmedBy = ConfirmedBy::Listing(9);
+
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -23,16 +25,16 @@
     let mut confirmed = gateway(1);
     assert!(!confirmed.may_refuse(4, at(0)));
     assert_eq!(confirmed.age(4, at(0)), None);
-    assert!(confirmed.needs_check(4, at(0)));
+    assert!(confirmed.is_check_due(4, at(0), 3, false, 0));
 }
 
 #[test]
 fn the_store_confirms_for_as_long_as_a_change_may_take() {
     let mut confirmed = gateway(1);
-    confirmed.on_store_answer(at(1_000));
+    confirmed.on_store_answer(at(1_000), LISTED);
     assert!(confirmed.may_refuse(4, at(3_000)));
     assert!(!confirmed.may_refuse(4, at(3_001)));
-    confirmed.on_store_answer(at(500));
+    confirmed.on_store_answer(at(500), LISTED);
     assert!(confirmed.may_refuse(4, at(3_000)), "an older answer");
 }
 
@@ -44,13 +46,13 @@
     assert_eq!(hello.confirmation, None);
     // The clock of `b` is 70 s behind, and the frame takes 30 ms.
     b.on_report("a", &hello, 4, at(30_030));
-    b.on_store_answer(at(30_500));
+    b.on_store_answer(at(30_500), LISTED);
     let answer = b.report("a", 4, at(30_600));
     a.on_report("b", &answer, 4, at(101_000));
     assert_eq!(a.age(4, at(101_000)), Some(at(530)));
     // Before the reading came, it was confirmed as well.
     let mut c = gateway(3);
-    c.on_store_answer(at(20_000));
+    c.on_store_answer(at(20_000), LISTED);
     c.on_report("a", &hello, 4, at(30_030));
     let answer = c.report("a", 4, at(30_040));
     let mut a = gateway(1);
@@ -62,7 +64,7 @@
 fn what_a_peer_confirms_counts_once_it_is_in_force() {
     let (mut a, mut b) = (gateway(1), gateway(2));
     b.on_report("a", &a.report("b", 4, at(100)), 5, at(100));
-    b.on_store_answer(at(150));
+    b.on_store_answer(at(150), LISTED);
     let newer = b.report("a", 5, at(200));
     a.on_report("b", &newer, 4, at(200));
     assert!(!a.may_refuse(4, at(200)));
@@ -121,30 +123,50 @@
 }
 
 #[test]
-fn an_answer_without_changes_confirms_until_the_poll_was_over() {
-    let wait = at(1_200);
-    let until = |now, has_changes| answered_until(at(1_000), wait, at(now), has_changes);
-    assert_eq!(until(2_250, false), at(2_200));
-    assert_eq!(until(2_250, true), at(1_000));
-    assert_eq!(until(1_100, false), at(1_000), "given before its time");
+fn the_last_confirmation_names_its_source() {
+    let mut confirmed = gateway(1);
+    assert_eq!(confirmed.confirmed_by(), None);
+    confirmed.on_store_answer(at(9_000), LISTED);
+    confirmed.on_report("b", &report(1, 9_990, 0), 4, at(10_000));
+    assert_eq!(confirmed.confirmed_by(), Some(ConfirmedBy::Peer));
+    confirmed.on_store_answer(at(9_500), LISTED);
+    assert_eq!(confirmed.confirmed_by(), Some(ConfirmedBy::Peer));
+}
+
+#[test]
+fn watchers_check_before_others_and_others_before_the_bound() {
+    let mut confirmed = gateway(1);
+    confirmed.on_store_answer(at(5_000), LISTED);
+    confirmed.on_checked(at(5_000), at(10));
+    let mut due = |ms, watches, random| confirmed.is_check_due(4, at(ms), 26, watches, random);
+    assert!(!due(5_700, true, 0));
+    assert!(due(5_701, true, 0));
+    assert!(due(5_421, true, 999), "the first of several");
+    assert!(!due(5_400, true, 999));
+    assert!(!due(6_500, false, 0));
+    assert!(due(6_501, false, 0));
+}
+
+#[test]
+fn checks_that_fail_are_spread_over_the_gateways() {
+    for (gateways, earliest) in [(3, 250_u64), (26, 260), (103, 1_030), (340, 3_400)] {
+        let mut confirmed = gateway(1);
+        confirmed.on_checked(at(10_000), at(10));
+        let mut due =
+            |ms, random| confirmed.is_check_due(4, at(10_000 + ms), gateways, false, random);
+        assert!(!due(earliest - 1, 0), "{gateways}");
+        assert!(due(earliest, 0), "{gateways}");
+        assert!(!due(earliest, 999), "{gateways}");
+    }
 }
 
 #[test]
-fn polls_end_before_their_declarations_are_too_old() {
+fn a_check_that_takes_long_is_not_repeated_at_once() {
     let mut confirmed = gateway(1);
-    let longest = at(1_200);
-    assert_eq!(
-        confirmed.poll_wait(longest, 4, at(5_000), 0),
-        Duration::ZERO
-    );
-    confirmed.on_store_answer(at(5_000));
-    assert_eq!(confirmed.poll_wait(longest, 4, at(5_150), 0), longest);
-    assert!(confirmed.poll_wait(longest, 4, at(5_150), 999) >= at(900));
-    assert_eq!(confirmed.poll_wait(longest, 4, at(6_200), 0), at(300));
-    assert_eq!(
-        confirmed.poll_wait(longest, 4, at(6_450), 0),
-        Duration::ZERO
-    );
+    confirmed.on_store_answer(at(10_000), LISTED);
+    confirmed.on_checked(at(10_000), at(600));
+    assert!(!confirmed.is_check_due(4, at(12_900), 3, true, 0));
+    assert!(confirmed.is_check_due(4, at(13_000), 3, true, 0));
 }
 
 /// What happens to gateway `.0` in a replay.
@@ -288,7 +310,7 @@
             Step::Answered(_, sent, answered) => {
                 self.gateways[n].2 = own.max(self.newest(answered));
                 let sent = sent + self.gateways[n].1;
-                self.gateways[n].0.on_store_answer(sent);
+                self.gateways[n].0.on_store_answer(sent, LISTED);
                 self.push(time + at(600), Step::Poll(n));
             }
             Step::Send(_) => {
