Polls go on from the last row that came, not from an answer without rows

What is known goes forward by rows and listings alone; once the history does not reach back to the last row, the table is listed. Weighed: the cost is a listing per watcher each time that other tables have changed for the length of the history; the table of gateways, which all of them poll, goes on from the newest version as before, as a listing of 340 rows at each of 340 gateways would cost most of what they read. Tests: store_pages, two new cases; the first fails on the code before, where the version of the answer was the next one polled for.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -402,6 +402,9 @@
     /// While many gateways start or restart, each change would end the polls of all others.
     const PAUSE: Duration = Duration::from_secs(1);
     const SENT_BY_PEERS: bool = false;
+    /// A listing at each gateway whenever other tables have changed for a while would cost most of what the
+    /// gateways read.
+    const SKIPS_HISTORY: bool = true;
 
     fn cached_version(&self, _shared: &Shared) -> u64 {
         0
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -42,6 +42,9 @@
 
     /// Whether the table is asked now and then although peers watch it, in case that they are stuck.
     const ASKED_BESIDE_PEERS: bool = true;
+    /// Whether polls go on from the version of an answer without rows, which can hide changes. Otherwise they
+    /// go on from the last row, and the table is listed again once the history does not reach back to it.
+    const SKIPS_HISTORY: bool = false;
     /// Version up to which the table is cached, including what peers sent; 0 where peers do not
     /// send it.
     fn cached_version(&self, shared: &Shared) -> u64;
@@ -237,12 +240,14 @@
         let changes = self.store.changes(H::TABLE, since, wait).await?;
         self.shared.metrics.store_call("changes", "ok");
         let changed = !changes.rows.is_empty();
-        // An older version than the one polled for would make the next poll go back.
-        let version = changes.version.max(since);
+        let version = match H::SKIPS_HISTORY && !changed {
+            true => changes.newest.max(since),
+            false => changes.version,
+        };
         self.log_skipped(changes.skipped, version);
-        if !changed && version > since {
+        if !changed && changes.newest > since {
             info!(self.shared.log, "store: newer answer without rows"; "table" => ?H::TABLE,
-                "since" => since, "version" => version);
+                "since" => since, "version" => changes.newest);
         }
         self.handler.on_changes(&self.shared, changes).await;
         if changed {
--- a/crates/direct/tests/store_pages.rs
+++ b/crates/direct/tests/store_pages.rs
@@ -3,7 +3,7 @@
 use adapter::{Changes, ListingProgress, Store, StoreError, StoreTable};
 use runtime::{Executor, HttpClient};
 use serde_json::{Value, json};
-use standins::{PlatformStore, Standin as _, StandinServer};
+use standins::{PlatformStore, QuietAnswer, Standin as _, StandinServer};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -160,3 +160,36 @@
         assert_eq!(server.standin().counts()["calls"], 4);
     });
 }
+
+/// An answer without rows that bore the newest version of the store hid what was written before it.
+#[test]
+fn an_answer_without_rows_moves_no_poll_on() {
+    with_store(async |server, store| {
+        let mut known = KnownRows::default();
+        known.list(&store).await;
+        let since = known.version;
+        server
+            .standin()
+            .quieten_watches(Some(QuietAnswer::NewestVersion));
+        server.standin().put("servers", "a", &json!("a"));
+        let changes = store.changes(StoreTable::Servers, since, WAIT).await;
+        let changes = changes.unwrap();
+        assert!(changes.rows.is_empty() && changes.newest > since);
+        assert_eq!(changes.version, since);
+        server.standin().quieten_watches(None);
+        known.catch_up(&store).await;
+        assert_eq!(known.keys(), ["a"]);
+    });
+}
+
+/// Rows of other tables do not count for the one that is polled.
+#[test]
+fn a_poll_goes_on_from_its_last_row() {
+    with_store(async |server, store| {
+        let standin = server.standin();
+        standin.put("servers", "a", &json!("a"));
+        standin.put("op", "config", &json!({}));
+        let changes = store.changes(StoreTable::Servers, 0, WAIT).await.unwrap();
+        assert_eq!((changes.version, changes.newest), (1, 2));
+    });
+}
