Tables of servers and gateways are listed at intervals, and after a cut

A server that leaves, or a gateway that starts, in a moment in which watches hear nothing stayed unread for as long as the history is kept and no other row changes (DRAIN, and shares of limits that add up to too much). Watchers list the servers' table every 6 s each, about once a second together; gateways list their own table every 30 s, or half a second for each of them, and soon after a poll was cut.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -40,6 +40,10 @@
 /// Longest interval between load frames, so that peers can tell a lost gateway from an idle one.
 const MAX_FRAME_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval between listings of the gateways' table, whose rows grow with the number of gateways.
+const MIN_LISTING_INTERVAL: Duration = Duration::from_secs(30);
+const LISTING_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(500);
+
 #[derive(Debug)]
 struct PeerState {
     row: GatewayRow,
@@ -406,6 +410,11 @@
     /// gateways read.
     const SKIPS_HISTORY: bool = true;
 
+    fn listing_interval(gateways: usize) -> Option<Duration> {
+        let interval = LISTING_INTERVAL_PER_GATEWAY * gateways as u32;
+        Some(interval.max(MIN_LISTING_INTERVAL))
+    }
+
     fn cached_version(&self, _shared: &Shared) -> u64 {
         0
     }
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -4,7 +4,7 @@
 use adapter::{Changes, Listing, ListingProgress, ReceivedBytes, Store, StoreError, StoreTable};
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::store_check_interval;
+use policy::{STORE_WATCHER_COUNT, store_check_interval};
 use rand::random;
 use slog::{info, warn};
 use std::future::Future;
@@ -23,6 +23,10 @@
 const POLL_SPREAD: f64 = 0.25;
 /// Interval at which a response that arrives is reported as contact with the store.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between listings of the servers' table at a gateway that watches it.
+const WATCHER_LISTING_INTERVAL: Duration = Duration::from_secs(STORE_WATCHER_COUNT as u64);
+/// After a cut poll, tables that are listed at intervals are listed within this time for each gateway.
+const CUT_LISTING_SPREAD: Duration = Duration::from_millis(10);
 /// Backoff after failed calls.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
@@ -45,6 +49,12 @@
     /// Whether polls go on from the version of an answer without rows, which can hide changes. Otherwise they
     /// go on from the last row, and the table is listed again once the history does not reach back to it.
     const SKIPS_HISTORY: bool = false;
+
+    /// Time after which the whole table is listed again, which shows what polls did not tell.
+    fn listing_interval(_gateways: usize) -> Option<Duration> {
+        None
+    }
+
     /// Version up to which the table is cached, including what peers sent; 0 where peers do not
     /// send it.
     fn cached_version(&self, shared: &Shared) -> u64;
@@ -89,6 +99,12 @@
 impl TableHandler for ServerTableHandler {
     const TABLE: StoreTable = StoreTable::Servers;
 
+    /// Those who watch the table list it about once a second together, so that a server that leaves is not used
+    /// for longer than its drain takes.
+    fn listing_interval(_gateways: usize) -> Option<Duration> {
+        Some(WATCHER_LISTING_INTERVAL)
+    }
+
     fn cached_version(&self, shared: &Shared) -> u64 {
         shared.store_cache.versions().servers
     }
@@ -126,6 +142,7 @@
         outage: None,
         last_check: Duration::ZERO,
         check_spread: random(),
+        listing_due: None,
     };
     let mut known_version = None;
     loop {
@@ -134,6 +151,9 @@
             Timer::after(UNWATCHED_INTERVAL).await;
             continue;
         }
+        if watch.is_listing_due(is_left_to_peers) {
+            known_version = None;
+        }
         // What was read otherwise in the meantime need not be polled again.
         known_version = known_version.map(|version: u64| version.max(watch.cached_version()));
         let reports = report_progress::<H, _>(watch.shared.clone(), received.clone());
@@ -195,6 +215,8 @@
     last_check: Duration,
     /// Random number that spreads these calls over the gateways.
     check_spread: u64,
+    /// When the table is listed again.
+    listing_due: Option<Duration>,
 }
 
 struct Outage {
@@ -222,6 +244,30 @@
         is_due
     }
 
+    /// Whether the table is to be listed again, although polls are answered.
+    fn is_listing_due(&self, is_left_to_peers: bool) -> bool {
+        let now = self.shared.clock.now();
+        !is_left_to_peers && self.listing_due.is_some_and(|due| now >= due)
+    }
+
+    /// Sets when the table is listed again after a listing, or soon if polls were cut, spread over the gateways.
+    fn schedule_listing(&mut self, was_cut: bool) {
+        let gateways = self.shared.fleet.gateways();
+        let Some(interval) = H::listing_interval(gateways) else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        let due = match was_cut {
+            true => now + (CUT_LISTING_SPREAD * gateways as u32).mul_f64(random()),
+            false => now + interval.mul_f64(0.75 + random::<f64>() * 0.5),
+        };
+        self.listing_due = Some(
+            self.listing_due
+                .filter(|_| was_cut)
+                .map_or(due, |known| known.min(due)),
+        );
+    }
+
     fn cached_version(&self) -> u64 {
         self.handler.cached_version(&self.shared)
     }
@@ -233,6 +279,7 @@
         self.shared.metrics.store_call("list", "ok");
         self.log_skipped(listing.skipped, version);
         self.handler.on_listing(&self.shared, listing).await;
+        self.schedule_listing(false);
         Ok(version)
     }
 
@@ -276,6 +323,9 @@
     }
 
     async fn on_failure(&mut self, err: &StoreError) {
+        if let StoreError::OutcomeUnknown(..) = err {
+            self.schedule_listing(true);
+        }
         let now = self.shared.clock.now();
         self.shared.metrics.store_call("poll", "failed");
         let backoff = match &mut self.outage {
