Tests: gateways before a store with deaf watches are a fixture of the trials

The fixture of unread_rows moves to trials/src/unread_trial.rs, so that tests of the other tables share it.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -85,6 +85,7 @@
 mod soak_upsets;
 mod temp_dir;
 mod udp_proxy;
+mod unread_trial;
 mod wait_until;
 
 pub use binaries::{Binaries, build_command, workspace};
@@ -138,4 +139,5 @@
 pub use soak_upsets::{Upset, UpsetKind};
 pub use temp_dir::TempDir;
 pub use udp_proxy::UdpProxy;
+pub use unread_trial::{TrialDeclarations, UnreadTrial};
 pub use wait_until::wait_until;
