Checks of the operators' rows compare the orders for domains in which servers are

Callers: requests went on to an evacuated domain, or were refused by an order that had been taken back, where the watch did not tell of the row, until the next listing. The check compared orders only for the domains that the settings state (Zones). Where they state none, it compared none.

The check now takes the domains of the known servers too. Seen to fail before: both tests with a deaf watch (still 200, or 503, later than EvacuateMs). After: the 4 tests of evacuations passed.

--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -138,6 +138,17 @@
         rows
     }
 
+    /// Failure domains in which servers are, with repetitions.
+    pub fn server_domains(&self) -> Vec<DomainName> {
+        let state = self.lock();
+        let rows = state.servers.rows();
+        let entries = rows.filter_map(|(_, row, _)| match row {
+            BackendRow::Present(entry) => Some(entry.domain.clone()),
+            _ => None,
+        });
+        entries.collect()
+    }
+
     /// Versions up to which the tables are known.
     pub fn versions(&self) -> StoreVersions {
         self.lock().versions
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -7,6 +7,7 @@
 use policy::{ConfirmedBy, DomainName};
 use runtime::Clock;
 use slog::{info, warn};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,9 +22,7 @@
 /// Checks the operators' rows whenever nobody has confirmed them lately, until the process ends. A check
 /// compares the versions of the rows, and reads the table where they differ.
 pub async fn check_store(shared: Arc<Shared>, store: Store) {
-    let domains = shared.settings.domains.iter();
     let mut check = StoreCheck {
-        domains: domains.take(MAX_COMPARED_DOMAINS).cloned().collect(),
         shared,
         store,
         compares: true,
@@ -47,12 +46,18 @@
 struct StoreCheck {
     shared: Arc<Shared>,
     store: Store,
-    domains: Vec<DomainName>,
     /// Whether the store compares rows of this table.
     compares: bool,
 }
 
 impl StoreCheck {
+    /// Domains that can be evacuated: those of the settings, which may state none, and those of servers.
+    fn domains(&self) -> Vec<DomainName> {
+        let mut domains: BTreeSet<_> = self.shared.settings.domains.iter().cloned().collect();
+        domains.extend(self.shared.store_cache.server_domains());
+        domains.into_iter().take(MAX_COMPARED_DOMAINS).collect()
+    }
+
     async fn run(&mut self) -> Result<(), StoreError> {
         let is_different = match self.compare().await? {
             Some(Comparison::Unchanged(_)) => return Ok(()),
@@ -78,7 +83,7 @@
 
     /// Compares the rows; `None` where their versions are not known, or the store does not compare.
     async fn compare(&self) -> Result<Option<Comparison>, StoreError> {
-        let expected = self.shared.store_cache.expected_rows(&self.domains);
+        let expected = self.shared.store_cache.expected_rows(&self.domains());
         let Some(expected) = expected.filter(|_| self.compares) else {
             return Ok(None);
         };
@@ -101,7 +106,7 @@
         self.shared.metrics.store_call("list", "ok");
         let version = listing.version;
         let known = cache.versions().operators;
-        let before = cache.expected_rows(&self.domains);
+        let before = cache.expected_rows(&self.domains());
         let changed = self.apply(listing).await;
         if version < known || is_different && !changed {
             warn!(self.shared.log, "store: a listing is older than what is known";
@@ -121,10 +126,10 @@
     /// Applies a listing, and returns whether it has shown anything new.
     async fn apply(&self, listing: Listing) -> bool {
         let cache = &self.shared.store_cache;
-        let before = cache.expected_rows(&self.domains);
+        let before = cache.expected_rows(&self.domains());
         let refusal = cache.on_operator_listing(listing).await;
         report_declarations(&self.shared, refusal);
-        let changed = cache.expected_rows(&self.domains) != before;
+        let changed = cache.expected_rows(&self.domains()) != before;
         if changed {
             self.shared.fleet.urgent().notify();
         }
--- a/crates/trials/tests/unread_changes.rs
+++ b/crates/trials/tests/unread_changes.rs
@@ -215,7 +215,9 @@
         a_raised_limit_in_a_compaction: Compaction, RAISED;
         a_moved_route_and_a_deaf_watch: Deaf, MOVED;
         a_moved_route_in_a_compaction: Compaction, MOVED;
+        an_evacuation_and_a_deaf_watch: Deaf, ORDERED;
         an_evacuation_in_a_compaction: Compaction, ORDERED;
+        an_evacuation_that_ends_and_a_deaf_watch: Deaf, TAKEN_BACK;
         an_evacuation_that_ends_in_a_compaction: Compaction, TAKEN_BACK;
     }
 }
