Tests: rows left out before later ones, at gateways that leave the store to others, known red

A check or a listing of those who watch the store finds a row that watches left out. The version of the table does not move if a later row of it was told to all, so that the others see nothing newer at their peers, fetch nothing, and check nothing, as peers confirm the declarations. Callers: an evacuation is not obeyed, and a draining server gets requests, at 2 of 8 gateways until the next change. The gateways of tests now state their failure domains, as those of deployments do; otherwise no order is compared.

--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -129,7 +129,8 @@
             "NodeName: {name}\nIp: 127.0.0.1\nZone: {domain}\nBind:\n  \
              Frontend: \"{frontend_address}\"\n  Ready: \"{readiness_address}\"\n\
              InternalPortRange:\n  - {port}\n  - {port}\n\
-             Limits:\n  MemoryMb: {HOST_MEMORY_MB}\nPlatform:\n  Address: \"{store}\"\nBounds:\n",
+             Limits:\n  MemoryMb: {HOST_MEMORY_MB}\nZones:\n  a: {{}}\n  b: {{}}\n\
+             Platform:\n  Address: \"{store}\"\nBounds:\n",
             port = peer_address.port()
         );
         let grace = [("GraceS", GRACE_S)];
