Tests: newer declarations at a peer whose tables are not newer, known red

The same cause for declarations: they are named in load frames, but fetched only with a newer version of a table, so that all gateways that leave the store to others read the table themselves, at once.

--- a/crates/policy/tests/snapshot_source.rs
+++ b/crates/policy/tests/snapshot_source.rs
@@ -412,3 +412,21 @@
         SnapshotStep::Wait
     );
 }
+
+/// A check of the store found declarations that watches had left out before a row that all have, so that no
+/// table was newer at those who had them.
+#[test]
+fn newer_declarations_are_fetched_though_no_table_is_newer() {
+    let mut source = source();
+    let report = ContentReport {
+        domain: Some("a"),
+        versions: versions(2),
+        reaches_store: true,
+        declarations: 5,
+    };
+    source.on_report("near", report, Duration::from_millis(1_000));
+    let mut steps = (1_000..1_500)
+        .step_by(10)
+        .map(|at| source.next_step(&versions(2), Duration::from_millis(at)));
+    assert!(steps.any(|step| fetches(&step, "near")));
+}
