Tests: a listing without news makes all others fetch all rows, known red

A listing bears the newest version of the store, which moves with transactions on any table, and raises the start of the history to it. Gateways that leave the store to others then fetch all rows, not a difference.

--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -203,3 +203,12 @@
     set.on_difference(vec![("x".into(), entry("x", false), 5)], 5_009, at(30));
     assert!(!set.is_usable("x", at(30)));
 }
+
+/// Those who watch the table list it once a second together, so that each change of any other table made all
+/// others fetch all rows.
+#[test]
+fn a_listing_without_news_leaves_differences_possible() {
+    let mut sender = set();
+    sender.on_listing(vec![("x".into(), entry("x", false), 5)], 8, at(0));
+    assert_eq!(changed_since(&sender, 5), Some(Vec::new()));
+}
