--- a/crates/policy/tests/confirmed_declarations.rs
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -385,3 +385,24 @@
         );
     }
 }
+
+/// Calls that the store handles in a second; it refuses more than wait for a second.
+const CHECKS_PER_SECOND: usize = 200;
+
+/// Gateways whose last confirmation has come from the same peer checked in the same moment.
+#[test]
+fn gateways_without_confirmation_do_not_check_all_at_once() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut checks = 0;
+    for process in 0..340 {
+        let mut confirmed = gateway(process);
+        confirmed.on_store_answer(at(5_000), ConfirmedBy::Peer);
+        // Each asks ten times a second, beginning at any moment.
+        let first = rng.random_range(6_400..6_500);
+        let mut ticks = (first..6_700).step_by(100);
+        checks += usize::from(
+            ticks.any(|ms| confirmed.is_check_due(4, at(ms), 340, false, rng.random())),
+        );
+    }
+    assert!(checks <= CHECKS_PER_SECOND, "{checks} within 200 ms");
+}
