Newer declarations at a peer are fetched though its tables are not newer

Callers got 503 at gateways that leave the store to others, which all read the table themselves at once: a check had found declarations that watches had left out before a row that all have, so that no table was newer at those who had them. Load frames name the declarations in force; a source with newer ones now counts as newer, not only while the own newest ones are refused. One that does not give them rests, as before.

--- a/crates/direct/src/content_sync.rs
+++ b/crates/direct/src/content_sync.rs
@@ -65,7 +65,9 @@
         let now = self.shared.clock.now();
         let versions = self.shared.store_cache.versions();
         let refused_above = self.shared.store_cache.refused_above();
-        self.lock_source().set_refused_above(refused_above);
+        let in_force = self.shared.store_cache.route_table();
+        let in_force = in_force.map_or(0, |table| table.version);
+        self.lock_source().set_declarations(in_force);
         // One that falls back to the store goes on asking peers: what they send is less.
         if self.shared.is_watcher()
             && refused_above.is_none()
--- a/crates/policy/src/snapshot_source.rs
+++ b/crates/policy/src/snapshot_source.rs
@@ -85,8 +85,8 @@
     sources: HashMap<Box<str>, Source>,
     /// Since when peers have newer content than this gateway.
     behind_since: Option<Duration>,
-    /// Version in force, where the newest declarations of the store were refused; 0 for none.
-    refused_above: Option<u64>,
+    /// Version of the declarations in force; 0 for none.
+    declarations: u64,
     /// Whether a fetch is under way.
     is_fetching: bool,
     last_fetch: Option<Duration>,
@@ -104,7 +104,7 @@
             domain: domain.into(),
             sources: HashMap::new(),
             behind_since: None,
-            refused_above: None,
+            declarations: 0,
             is_fetching: false,
             last_fetch: None,
             failures: 0,
@@ -134,18 +134,16 @@
         self.sources.remove(peer);
     }
 
-    /// Sets the version of the declarations in force, 0 for none, while the newest ones of the store are
-    /// refused. Peers may have newer ones in force than that.
-    pub fn set_refused_above(&mut self, in_force: Option<u64>) {
-        self.refused_above = in_force;
+    /// Sets the version of the declarations in force, 0 for none.
+    pub fn set_declarations(&mut self, in_force: u64) {
+        self.declarations = in_force;
     }
 
-    /// Whether a peer has newer declarations in force while the newest ones of the store are refused here. One
-    /// that did not give them rests, as it may have what this gateway refuses.
-    fn has_unrefused(&self, source: &Source, now: Duration) -> bool {
-        let is_newer = self
-            .refused_above
-            .is_some_and(|in_force| source.declarations > in_force);
+    /// Whether a peer has newer declarations in force, though its tables need not be newer: the newest ones of the
+    /// store may be refused here, or a row left out that was read there. One that did not give them rests, as it
+    /// may have what this gateway refuses.
+    fn has_newer_declarations(&self, source: &Source, now: Duration) -> bool {
+        let is_newer = source.declarations > self.declarations;
         let rests = source
             .failed_at
             .is_some_and(|at| now < at + FAILED_SOURCE_PAUSE);
@@ -180,7 +178,8 @@
         let sources = self.sources.iter();
         let sources = sources.map(|(peer, source)| (&**peer, source));
         let newer = sources.filter(|(_, source)| {
-            let is_newer = source.versions.is_ahead_of(own) || self.has_unrefused(source, now);
+            let is_newer =
+                source.versions.is_ahead_of(own) || self.has_newer_declarations(source, now);
             is_newer && now < source.heard_at + PEER_TIMEOUT
         });
         let newer: Vec<_> = newer.collect();
--- a/crates/trials/src/sim_content.rs
+++ b/crates/trials/src/sim_content.rs
@@ -246,7 +246,9 @@
             gateway.reads_store = true;
             self.read_store(index);
         }
-        match self.gateways[index].source.next_step(&own, now) {
+        let source = &mut self.gateways[index].source;
+        source.set_declarations(own.operators);
+        match source.next_step(&own, now) {
             SnapshotStep::Wait => {}
             SnapshotStep::CheckAt(at) => self.push(at.as_millis() as u64, Event::Step(index)),
             SnapshotStep::Fetch { peer, timeout } => {
