Checks of gateways that leave the store to others are spread

Each now has its place in a spread of 0.35 of the bound, or 20 ms for each gateway if that is longer, and no gateway checks more often than every 20 ms for each of them, spread by half.

--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -3,20 +3,23 @@
 use proto::{ClockReading, Confirmation, ConfirmationReport};
 use std::collections::HashMap;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Frames of peers and checks of the store are half a second apart, so that a lower bound could not be kept.
 const MIN_BOUND: Duration = Duration::from_secs(1);
 /// Gateways that watch the store check it when nobody has confirmed for this part of the bound.
 const WATCHER_CHECK: f64 = 0.35;
 /// Gateways that leave the store to others do so after this part of it.
-const CHECK: f64 = 0.75;
+const CHECK: f64 = 0.5;
+/// Their checks spread by this part of it, and by a time for each gateway.
+const CHECK_SPREAD: f64 = 0.35;
 /// The checks of watchers spread by up to this part, so that the first one confirms to the others.
-const CHECK_SPREAD: f64 = 0.4;
+const WATCHER_SPREAD: f64 = 0.4;
 /// A check takes at most this part of the bound.
 const CHECK_TIMEOUT: f64 = 0.3;
 /// Shortest interval between checks of one gateway while they fail.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// The same for each gateway that may check, as the store handles such calls one after the other.
+/// Time between checks of all gateways together, as the store handles such calls one after the other.
 const CHECK_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(20);
 /// A check that reads the whole table takes at most this part of the time.
 const LISTING_SHARE: u32 = 5;
@@ -153,11 +156,16 @@
         random: u64,
     ) -> bool {
         let spread = (random % 1_000) as f64 / 1_000.0;
-        let part = match watches {
-            true => WATCHER_CHECK * (1.0 - CHECK_SPREAD * spread),
-            false => CHECK,
+        let limit = match watches {
+            true => self
+                .bound
+                .mul_f64(WATCHER_CHECK * (1.0 - WATCHER_SPREAD * spread)),
+            false => {
+                let spread = self.bound.mul_f64(CHECK_SPREAD);
+                let spread = spread.max(check_interval(gateways));
+                self.bound.mul_f64(CHECK) + spread.mul_f64(self.place())
+            }
         };
-        let limit = self.bound.mul_f64(part);
         let is_old = self.age(own, now).is_none_or(|age| age > limit);
         is_old && self.may_check(now, gateways, spread)
     }
@@ -169,16 +177,19 @@
         let was_confirmed = self.confirmed_at >= Some(at);
         let interval = match was_confirmed {
             true => Duration::ZERO,
-            false => {
-                let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
-                let interval = CHECK_INTERVAL_PER_GATEWAY.saturating_mul(gateways);
-                interval.max(MIN_CHECK_INTERVAL).mul_f64(0.5 + spread)
-            }
+            false => MIN_CHECK_INTERVAL,
         };
+        let interval = interval.max(check_interval(gateways));
+        let interval = interval.mul_f64(0.5 + spread);
         now >= at + interval.max(took * LISTING_SHARE)
     }
 
-    /// Records that the store was checked at the time `at`, which took this long.
+    /// Place of this gateway in the spread of the checks, from 0 to 1.
+    fn place(&self) -> f64 {
+        xxh3_64(&self.process.to_le_bytes()) as f64 / u64::MAX as f64
+    }
+
+    /// Records that the store was checked at the time `at`, which took this long if its table was read.
     pub fn on_checked(&mut self, at: Duration, took: Duration) {
         self.last_check = Some((at, took));
     }
@@ -197,6 +208,11 @@
     }
 }
 
+/// Interval between checks of one gateway at which all together are not too many for the store.
+fn check_interval(gateways: usize) -> Duration {
+    CHECK_INTERVAL_PER_GATEWAY.saturating_mul(u32::try_from(gateways).unwrap_or(u32::MAX))
+}
+
 fn shifted(at: Duration, ms: i64) -> Duration {
     let by = Duration::from_millis(ms.unsigned_abs());
     if ms < 0 {
