Rows that a check or a listing finds reach gateways that leave the store to others

Others fetch content by the version of a table alone, and that did not move. A listing confirms only if the row of the declarations that it holds is the one that is known. Time taken by a comparison does not delay the next one, a store that has refused one is asked again after 30 s, and the version that a confirmation speaks of is read under its lock.

--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -14,10 +14,12 @@
         self.with_confirmed(|confirmed, _, _| confirmed.on_store_answer(at, by));
     }
 
-    /// Records that the operators' rows were checked at this time of [`Clock::boot_time`], until now.
-    pub fn on_store_checked(&self, at: Duration) {
+    /// Records that the operators' rows were checked at this time of [`Clock::boot_time`], until now, by reading
+    /// the table if `is_listing`.
+    pub fn on_store_checked(&self, at: Duration, is_listing: bool) {
         self.with_confirmed(|confirmed, _, now| {
-            confirmed.on_checked(at, now.saturating_sub(at));
+            let took = is_listing.then(|| now.saturating_sub(at));
+            confirmed.on_checked(at, took.unwrap_or_default());
         });
     }
 
@@ -94,10 +96,12 @@
         &self,
         run: impl FnOnce(&mut ConfirmedDeclarations, u64, Duration) -> T,
     ) -> T {
+        // The version is read under the lock, so that no confirmation of a newer one counts for it.
+        let mut confirmed = self.lock_confirmed();
         let own = self
             .store_cache
             .route_table()
             .map_or(0, |table| table.version);
-        run(&mut self.lock_confirmed(), own, Clock::boot_time())
+        run(&mut confirmed, own, Clock::boot_time())
     }
 }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -5,7 +5,8 @@
 };
 use crate::evacuations::Evacuations;
 use adapter::{
-    DeclarationError, Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys,
+    DeclarationError, Listing, StoreRow, StoreTable, decode_server_row, evacuated_domain,
+    evacuation_key, keys,
 };
 use policy::{
     BackendId, ContentHistory, DomainName, NewerDeclarations, RouteTable, ServerSet, server_key,
@@ -14,7 +15,7 @@
     BackendEntry, BackendRow, ContentDigest, EditScript, ServerKey, StoreSnapshot, StoreVersions,
 };
 use slog::{Logger, info, warn};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -39,7 +40,17 @@
     newer: NewerDeclarations,
     evacuations: Evacuations,
     servers: ServerSet,
+    /// Versions of the last rows that were read, or of listings that have shown others.
     versions: StoreVersions,
+    is_untold: Untold,
+}
+
+/// Tables in which a listing has shown rows that are not newer than the version that others have, so that they
+/// would not ask for them.
+#[derive(Debug, Default)]
+struct Untold {
+    operators: bool,
+    servers: bool,
 }
 
 #[derive(Debug)]
@@ -212,8 +223,48 @@
             Some((domain.into(), row.version))
         });
         let listed: HashMap<DomainName, u64> = listed.collect();
-        self.lock().evacuations.on_listing(&listed, listing.version);
-        self.on_operator_rows(listing.rows, listing.version).await
+        let (known, before) = {
+            let mut state = self.lock();
+            let before = state.operator_rows();
+            state.evacuations.on_listing(&listed, listing.version);
+            (state.versions.operators, before)
+        };
+        let refusal = self.on_operator_rows(listing.rows, 0).await;
+        let mut state = self.lock();
+        if state.operator_rows() != before || known == 0 {
+            state.is_untold.operators |= known > 0 && listing.version <= known;
+            state.advance_operators(listing.version);
+        }
+        refusal
+    }
+
+    /// Table in which a listing has shown rows that others do not see as newer than what they have.
+    pub fn untold_table(&self) -> Option<StoreTable> {
+        let state = self.lock();
+        match state.is_untold {
+            Untold {
+                operators: true, ..
+            } => Some(StoreTable::Operators),
+            Untold { servers: true, .. } => Some(StoreTable::Servers),
+            Untold { .. } => None,
+        }
+    }
+
+    /// Records that a table is known up to `version`, which is newer than what others have.
+    pub fn tell(&self, table: StoreTable, version: u64) {
+        let mut state = self.lock();
+        match table {
+            StoreTable::Operators => {
+                state.is_untold.operators = false;
+                state.advance_operators(version);
+            }
+            StoreTable::Servers => {
+                state.is_untold.servers = false;
+                state.servers.end_history(version);
+                state.versions.servers = state.versions.servers.max(version);
+            }
+            StoreTable::Gateways => {}
+        }
     }
 
     /// Applies changed rows of the servers' table, which is then known up to `version`.
@@ -242,11 +293,15 @@
         });
         let rows = rows.collect();
         let mut state = self.lock();
-        state.servers.on_listing(rows, listing.version, now);
+        let known = state.versions.servers;
+        let has_news = state.servers.on_listing(rows, listing.version, now);
         for (server, started) in starts {
             state.servers.on_start(server, started);
         }
-        state.versions.servers = state.versions.servers.max(listing.version);
+        if has_news || known == 0 {
+            state.is_untold.servers |= known > 0 && listing.version <= known;
+            state.versions.servers = known.max(listing.version);
+        }
         self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
             "version" => listing.version);
@@ -319,12 +374,11 @@
             }
             state.set_evacuations(&snapshot.evacuated, versions.operators);
             state.advance_operators(versions.operators);
-        } else if let Some(refused) = state.refused.take() {
-            // Those that peers have in force are older than the refused ones.
-            if let Some(decoded) = declarations {
-                self.put_in_force(&mut state, decoded, row, peer);
-            }
-            state.refused = Some(refused);
+        } else if let Some(decoded) = declarations {
+            // Where the newest are refused here, those that peers have in force are older.
+            let refused = state.refused.take();
+            self.put_in_force(&mut state, decoded, row, peer);
+            state.refused = refused;
         }
         let known = state.versions.servers;
         if versions.servers > known {
@@ -488,6 +542,12 @@
         }
     }
 
+    /// What a listing of the operators' table can change.
+    fn operator_rows(&self) -> (u64, u64, HashSet<DomainName>) {
+        let refused = self.refused.as_ref().map_or(0, |row| row.version);
+        (self.declarations_row(), refused, self.evacuations.active())
+    }
+
     /// Version of the row with the declarations in force; 0 for none, or where it is not known.
     fn declarations_row(&self) -> u64 {
         self.declarations.as_ref().map_or(0, |stored| stored.row)
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use crate::store_watch::report_declarations;
-use adapter::{Comparison, Listing, Store, StoreError, StoreTable};
+use adapter::{Comparison, Listing, Store, StoreError, StoreTable, keys};
 use async_io::Timer;
 use policy::{ConfirmedBy, DomainName};
 use runtime::Clock;
@@ -16,6 +16,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time for the watch to tell of a change that a comparison has found, so that the table is not read too.
 const WATCH_DELAY: Duration = Duration::from_millis(150);
+/// Time after which a store that has refused to compare rows is asked to again.
+const REFUSED_PAUSE: Duration = Duration::from_secs(30);
+/// Pause before rows are told again that could not be.
+const TELL_PAUSE: Duration = Duration::from_millis(500);
 /// Domains whose orders are compared. The store takes at most 100 rows in a call.
 const MAX_COMPARED_DOMAINS: usize = 90;
 
@@ -25,17 +29,20 @@
     let mut check = StoreCheck {
         shared,
         store,
-        compares: true,
+        refused_at: None,
     };
     loop {
         Timer::after(TICK).await;
+        if let Some(table) = check.shared.store_cache.untold_table() {
+            check.tell(table).await;
+        }
         let knows_rows = check.shared.store_cache.versions().operators > 0;
         if !knows_rows || !check.shared.is_store_check_due() {
             continue;
         }
         let at = Clock::boot_time();
         let checked = check.run().await;
-        check.shared.on_store_checked(at);
+        check.shared.on_store_checked(at, !check.compares());
         if let Err(err) = checked {
             check.shared.metrics.store_call("check", "failed");
             info!(check.shared.log, "store: rows cannot be checked"; "err" => %err);
@@ -46,8 +53,8 @@
 struct StoreCheck {
     shared: Arc<Shared>,
     store: Store,
-    /// Whether the store compares rows of this table.
-    compares: bool,
+    /// When the store last refused to compare rows of this table.
+    refused_at: Option<Duration>,
 }
 
 impl StoreCheck {
@@ -58,6 +65,12 @@
         domains.into_iter().take(MAX_COMPARED_DOMAINS).collect()
     }
 
+    /// Whether the store compares rows, as far as it is known.
+    fn compares(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.refused_at.is_none_or(|at| now >= at + REFUSED_PAUSE)
+    }
+
     async fn run(&mut self) -> Result<(), StoreError> {
         let is_different = match self.compare().await? {
             Some(Comparison::Unchanged(_)) => return Ok(()),
@@ -73,7 +86,7 @@
                     self.shared.log,
                     "store: compares no rows, the table is read to check it"
                 );
-                self.compares = false;
+                self.refused_at = Some(self.shared.clock.now());
                 false
             }
             None => false,
@@ -84,7 +97,7 @@
     /// Compares the rows; `None` where their versions are not known, or the store does not compare.
     async fn compare(&self) -> Result<Option<Comparison>, StoreError> {
         let expected = self.shared.store_cache.expected_rows(&self.domains());
-        let Some(expected) = expected.filter(|_| self.compares) else {
+        let Some(expected) = expected.filter(|_| self.compares()) else {
             return Ok(None);
         };
         let at = Clock::boot_time();
@@ -105,6 +118,11 @@
         let listing = self.store.list(TABLE).await?;
         self.shared.metrics.store_call("list", "ok");
         let version = listing.version;
+        let listed = listing
+            .rows
+            .iter()
+            .find(|row| &*row.key == keys::DECLARATIONS);
+        let listed = listed.map(|row| row.version);
         let known = cache.versions().operators;
         let before = cache.expected_rows(&self.domains());
         let changed = self.apply(listing).await;
@@ -113,16 +131,44 @@
                 "version" => version, "known" => known, "row" => cache.declarations_row());
             return Ok(());
         }
+        let expected = cache.expected_rows(&self.domains());
+        let is_known = expected.is_some_and(|rows| rows.first().map(|row| row.1) == listed);
         if changed && before.is_some() {
             self.shared.metrics.unread_change();
             warn!(self.shared.log, "store: a check has found a change that the watch did not tell of";
                 "version" => version, "known" => known, "row" => cache.declarations_row());
         }
-        let by = ConfirmedBy::Listing(version);
-        self.shared.on_store_confirmed(at, by);
+        if is_known {
+            let by = ConfirmedBy::Listing(version);
+            self.shared.on_store_confirmed(at, by);
+        }
         Ok(())
     }
 
+    /// Lists a table as of a version that others see as newer than what they have, and tells them of it.
+    async fn tell(&self, table: StoreTable) {
+        let cache = &self.shared.store_cache;
+        match self.store.list_anew(table).await {
+            Ok(listing) => {
+                let version = listing.version;
+                if table == StoreTable::Servers {
+                    cache.on_server_listing(&listing, self.shared.clock.now());
+                } else {
+                    self.apply(listing).await;
+                }
+                cache.tell(table, version);
+                self.shared.fleet.urgent().notify();
+                info!(self.shared.log, "store: rows that others may not have are told as newer";
+                    "table" => ?table, "version" => version);
+            }
+            Err(err) => {
+                info!(self.shared.log, "store: rows cannot be told as newer, trying again";
+                    "table" => ?table, "err" => %err);
+                Timer::after(TELL_PAUSE).await;
+            }
+        }
+    }
+
     /// Applies a listing, and returns whether it has shown anything new.
     async fn apply(&self, listing: Listing) -> bool {
         let cache = &self.shared.store_cache;
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -87,27 +87,38 @@
         }
     }
 
-    /// Records a complete listing as of `version`. Servers that it does not contain are removed.
+    /// Records a complete listing as of `version`. Servers that it does not contain are removed. Returns whether
+    /// it has shown anything new.
     pub fn on_listing(
         &mut self,
         rows: Vec<(BackendId, BackendRow, u64)>,
         version: u64,
         now: Duration,
-    ) {
+    ) -> bool {
+        let is_first = self.known.is_empty();
         let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
         let known = self.known.iter();
         let missing = known
             .filter(|(id, known)| !listed.contains(*id) && known.row != BackendRow::Absent)
             .map(|(id, _)| id.clone());
+        let mut has_news = false;
         for id in missing.collect::<Vec<BackendId>>() {
-            self.on_row(&id, BackendRow::Absent, version, now);
+            has_news |= self.on_row(&id, BackendRow::Absent, version, now);
         }
         for (id, row, row_version) in rows {
-            self.on_row(&id, row, row_version, now);
+            has_news |= self.on_row(&id, row, row_version, now);
+        }
+        if has_news || is_first {
+            // Servers that came and went since the last known version are in no listing.
+            self.end_history(version);
         }
-        // Servers that came and went since the last known version are in no listing.
-        self.history_start = self.history_start.max(version);
         self.remove_tombstones(now);
+        has_news
+    }
+
+    /// Records that changes up to `version` may not be known one by one.
+    pub fn end_history(&mut self, version: u64) {
+        self.history_start = self.history_start.max(version);
     }
 
     /// Records the rows that have changed since a version up to which all is known, `known`. A row that is
