Gateways whose rows a listing no longer has are gone

A gateway whose removed row no poll told of stayed among the peers for good, with its links and the version that it had named: a listing of the gateways' table applied the rows that it has and dropped none (found by the review, by reading). The new test of gateway_rows passes; it was not run on the code before. The cache of the store's content is split: what peers bring and get, and what checks compare, have files of their own.

--- /dev/null
+++ b/crates/direct/src/peer_content.rs
@@ -0,0 +1,122 @@
+//! Content of the store that peers are told of and bring.
+
+use crate::declarations_row::{StoredDeclarations, decode_body};
+use crate::store_cache::{State, StoreCache};
+use adapter::DeclarationError;
+use policy::{BackendId, DomainName};
+use proto::{BackendRow, StoreSnapshot, StoreVersions};
+use slog::info;
+use std::time::Duration;
+
+impl StoreCache {
+    /// Versions up to which peers can rely on this gateway to have the tables. What it refuses is not part of
+    /// that, as they may not refuse it.
+    pub fn told_versions(&self) -> StoreVersions {
+        self.lock().told_versions()
+    }
+
+    /// Exports the content for a peer that knows the tables up to the versions `peer`: the rows that are
+    /// newer than that.
+    pub fn export(&self, peer: &StoreVersions) -> StoreSnapshot {
+        let state = self.lock();
+        let declarations = state.declarations.as_ref();
+        let declarations = declarations.filter(|stored| stored.row > peer.operators);
+        let declarations = declarations.map(|stored| stored.body.to_vec());
+        let mut snapshot = state.export_rows(peer);
+        snapshot.declarations = declarations;
+        snapshot
+    }
+
+    /// As [`Self::export`], with the active declarations apart.
+    pub fn export_parts(
+        &self,
+        peer: &StoreVersions,
+    ) -> (StoreSnapshot, Option<StoredDeclarations>) {
+        let state = self.lock();
+        (state.export_rows(peer), state.declarations.clone())
+    }
+
+    /// Applies the content that a peer exported, for the tables that are newer there; its declarations are
+    /// those of the store's row of the version `row`, if that is known. Declarations that cannot be decoded
+    /// fail the whole, so that its version does not hide them.
+    pub async fn merge_from_peer(
+        &self,
+        peer: &str,
+        mut snapshot: StoreSnapshot,
+        row: Option<u64>,
+        now: Duration,
+    ) -> Result<(), DeclarationError> {
+        let declarations = match snapshot.declarations.take() {
+            Some(body) => Some(decode_body(body, self.declarations()).await?),
+            None => None,
+        };
+        let mut state = self.lock();
+        let versions = snapshot.versions;
+        // The row is not known then, so that any row of the store is decoded.
+        let row = row.unwrap_or_default();
+        info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
+            "operators" => versions.operators, "own_operators" => state.versions.operators,
+            "servers" => versions.servers, "own_servers" => state.versions.servers,
+            "rows" => snapshot.servers.len(), "is_difference" => snapshot.is_difference);
+        if versions.operators > state.versions.operators {
+            if let Some(decoded) = declarations {
+                self.put_in_force(&mut state, decoded, row, peer);
+            }
+            state.set_evacuations(&snapshot.evacuated, versions.operators);
+            state.advance_operators(versions.operators);
+        } else if let Some(decoded) = declarations {
+            // Where the newest are refused here, those that peers have in force are older.
+            let refused = state.refused.take();
+            self.put_in_force(&mut state, decoded, row, peer);
+            state.refused = refused;
+        }
+        let known = state.versions.servers;
+        if versions.servers > known {
+            let rows = snapshot.servers;
+            if snapshot.is_difference {
+                state.servers.on_difference(rows, known, now);
+            } else {
+                state.servers.on_listing(rows, versions.servers, now);
+            }
+            state.versions.servers = versions.servers;
+            self.log_restarted(&mut state);
+        }
+        Ok(())
+    }
+
+    /// Applies the evacuations that a peer knows as of a version of the operators' table, whose
+    /// declarations are still to come.
+    pub fn on_peer_evacuations(&self, domains: &[DomainName], version: u64) {
+        let mut state = self.lock();
+        if version > state.versions.operators {
+            state.set_evacuations(domains, version);
+        }
+    }
+}
+
+impl State {
+    fn export_rows(&self, peer: &StoreVersions) -> StoreSnapshot {
+        let owned =
+            |(id, row, version): (&BackendId, &BackendRow, u64)| (id.clone(), row.clone(), version);
+        let changed = self.servers.changed_since(peer.servers);
+        let changed = changed.map(|rows| rows.map(owned).collect());
+        let is_difference = changed.is_some();
+        let all = || self.servers.rows().map(owned).collect();
+        StoreSnapshot {
+            versions: self.told_versions(),
+            declarations: None,
+            evacuated: self.evacuations.active().into_iter().collect(),
+            servers: changed.unwrap_or_else(all),
+            is_difference,
+        }
+    }
+
+    fn told_versions(&self) -> StoreVersions {
+        let refused = self.refused.as_ref().map(|row| row.version);
+        let known = refused.map_or(u64::MAX, |refused| refused.saturating_sub(1));
+        StoreVersions {
+            operators: self.versions.operators.min(known),
+            ..self.versions
+        }
+    }
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -25,7 +25,7 @@
 use rand::random;
 use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role};
 use slog::info;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -334,6 +334,25 @@
         self.send_news::<WaitingNews>(found.address, waiting_rx);
     }
 
+    /// Removes the gateways whose rows a listing no longer has.
+    fn remove_unlisted(self: &Arc<Self>, listing: &Listing) {
+        let listed = listing.rows.iter().map(|row| &*row.key);
+        let listed: HashSet<&str> = listed.collect();
+        let names: Vec<Box<str>> = self.lock().keys().cloned().collect();
+        for name in names {
+            let key = format!("{}{name}", keys::GATEWAY_PREFIX);
+            if !listed.contains(&*key) {
+                self.on_row(&StoreRow {
+                    key: key.into(),
+                    value: None,
+                    version: listing.version,
+                    removed: true,
+                    oversized: false,
+                });
+            }
+        }
+    }
+
     fn send_news<N: PeerNews>(&self, peer: SocketAddr, wake: Receiver<()>) {
         let (link, shared) = (self.link.clone(), self.shared.clone());
         let stream = send_news::<N>(shared, link, peer, wake);
@@ -423,6 +442,7 @@
         for row in &listing.rows {
             self.0.on_row(row);
         }
+        self.0.remove_unlisted(&listing);
         let own_key = gateway_key(shared);
         if listing.rows.iter().all(|row| *row.key != *own_key) {
             self.0.on_own_row(None);
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -1,19 +1,15 @@
 //! Cached content of the store: declarations, evacuations and backend servers.
 
+use crate::checked_rows::Untold;
 use crate::declarations_row::{
-    DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_body, decode_row,
+    DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
 use crate::evacuations::Evacuations;
-use adapter::{
-    DeclarationError, Listing, StoreRow, StoreTable, decode_server_row, evacuated_domain,
-    evacuation_key, keys,
-};
+use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, keys};
 use policy::{
     BackendId, ContentHistory, DomainName, NewerDeclarations, RouteTable, ServerSet, server_key,
 };
-use proto::{
-    BackendEntry, BackendRow, ContentDigest, EditScript, ServerKey, StoreSnapshot, StoreVersions,
-};
+use proto::{BackendEntry, ContentDigest, EditScript, ServerKey, StoreVersions};
 use slog::{Logger, info, warn};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,37 +21,29 @@
 #[derive(Debug)]
 pub struct StoreCache {
     state: Mutex<State>,
-    log: Logger,
+    pub(crate) log: Logger,
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(crate) struct State {
     route_table: Option<Arc<RouteTable>>,
-    declarations: Option<StoredDeclarations>,
+    pub(crate) declarations: Option<StoredDeclarations>,
     history: ContentHistory,
     /// The newest declarations, where they were refused.
-    refused: Option<RefusedRow>,
+    pub(crate) refused: Option<RefusedRow>,
     /// Whether some entries of those in force could not be decoded.
     has_skipped: bool,
     newer: NewerDeclarations,
-    evacuations: Evacuations,
-    servers: ServerSet,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) servers: ServerSet,
     /// Versions of the last rows that were read, or of listings that have shown others.
-    versions: StoreVersions,
-    is_untold: Untold,
-}
-
-/// Tables in which a listing has shown rows that are not newer than the version that others have, so that they
-/// would not ask for them.
-#[derive(Debug, Default)]
-struct Untold {
-    operators: bool,
-    servers: bool,
+    pub(crate) versions: StoreVersions,
+    pub(crate) is_untold: Untold,
 }
 
 #[derive(Debug)]
-struct RefusedRow {
-    version: u64,
+pub(crate) struct RefusedRow {
+    pub(crate) version: u64,
     refusal: Arc<DeclarationsRefusal>,
 }
 
@@ -107,12 +95,6 @@
         state.has_skipped || refused.is_some_and(|row| !is_lowered(row))
     }
 
-    /// Versions up to which peers can rely on this gateway to have the tables. What it refuses is not part of
-    /// that, as they may not refuse it.
-    pub fn told_versions(&self) -> StoreVersions {
-        self.lock().told_versions()
-    }
-
     /// Version of the declarations in force, 0 for none, while the newest ones of the store are refused.
     pub fn refused_above(&self) -> Option<u64> {
         let state = self.lock();
@@ -125,41 +107,6 @@
         self.lock().declarations_row()
     }
 
-    /// Rows of the operators' table with the versions that they have in the store if nothing has changed: that
-    /// with the declarations, and the orders for these domains. `None` where some of them are not known.
-    pub fn expected_rows(&self, domains: &[DomainName]) -> Option<Vec<(Box<str>, u64)>> {
-        let state = self.lock();
-        let refused = state.refused.as_ref().map_or(0, |refused| refused.version);
-        let row = state.declarations_row().max(refused);
-        let mut rows = vec![(keys::DECLARATIONS.into(), row)];
-        for domain in domains {
-            rows.push((evacuation_key(domain), state.evacuations.row(domain)?));
-        }
-        (row > 0).then_some(rows)
-    }
-
-    /// Rows of the servers that are not known to be gone, with the versions that they have in the store if
-    /// nothing has changed.
-    pub fn expected_servers(&self) -> Vec<(Box<str>, u64)> {
-        let state = self.lock();
-        let rows = state.servers.rows();
-        let rows = rows.filter(|(_, row, _)| **row != BackendRow::Absent);
-        let mut rows: Vec<_> = rows.map(|(id, _, version)| (id.clone(), version)).collect();
-        rows.sort_unstable();
-        rows
-    }
-
-    /// Failure domains in which servers are, with repetitions.
-    pub fn server_domains(&self) -> Vec<DomainName> {
-        let state = self.lock();
-        let rows = state.servers.rows();
-        let entries = rows.filter_map(|(_, row, _)| match row {
-            BackendRow::Present(entry) => Some(entry.domain.clone()),
-            _ => None,
-        });
-        entries.collect()
-    }
-
     /// Versions up to which the tables are known.
     pub fn versions(&self) -> StoreVersions {
         self.lock().versions
@@ -238,35 +185,6 @@
         refusal
     }
 
-    /// Table in which a listing has shown rows that others do not see as newer than what they have.
-    pub fn untold_table(&self) -> Option<StoreTable> {
-        let state = self.lock();
-        match state.is_untold {
-            Untold {
-                operators: true, ..
-            } => Some(StoreTable::Operators),
-            Untold { servers: true, .. } => Some(StoreTable::Servers),
-            Untold { .. } => None,
-        }
-    }
-
-    /// Records that a table is known up to `version`, which is newer than what others have.
-    pub fn tell(&self, table: StoreTable, version: u64) {
-        let mut state = self.lock();
-        match table {
-            StoreTable::Operators => {
-                state.is_untold.operators = false;
-                state.advance_operators(version);
-            }
-            StoreTable::Servers => {
-                state.is_untold.servers = false;
-                state.servers.end_history(version);
-                state.versions.servers = state.versions.servers.max(version);
-            }
-            StoreTable::Gateways => {}
-        }
-    }
-
     /// Applies changed rows of the servers' table, which is then known up to `version`.
     pub fn on_server_rows(&self, rows: &[StoreRow], version: u64, now: Duration) {
         let mut state = self.lock();
@@ -325,85 +243,7 @@
         }
     }
 
-    /// Exports the content for a peer that knows the tables up to the versions `peer`: the rows that are
-    /// newer than that.
-    pub fn export(&self, peer: &StoreVersions) -> StoreSnapshot {
-        let state = self.lock();
-        let declarations = state.declarations.as_ref();
-        let declarations = declarations.filter(|stored| stored.row > peer.operators);
-        let declarations = declarations.map(|stored| stored.body.to_vec());
-        let mut snapshot = state.export_rows(peer);
-        snapshot.declarations = declarations;
-        snapshot
-    }
-
-    /// As [`Self::export`], with the active declarations apart.
-    pub fn export_parts(
-        &self,
-        peer: &StoreVersions,
-    ) -> (StoreSnapshot, Option<StoredDeclarations>) {
-        let state = self.lock();
-        (state.export_rows(peer), state.declarations.clone())
-    }
-
-    /// Applies the content that a peer exported, for the tables that are newer there; its declarations are
-    /// those of the store's row of the version `row`, if that is known. Declarations that cannot be decoded
-    /// fail the whole, so that its version does not hide them.
-    pub async fn merge_from_peer(
-        &self,
-        peer: &str,
-        mut snapshot: StoreSnapshot,
-        row: Option<u64>,
-        now: Duration,
-    ) -> Result<(), DeclarationError> {
-        let declarations = match snapshot.declarations.take() {
-            Some(body) => Some(decode_body(body, self.declarations()).await?),
-            None => None,
-        };
-        let mut state = self.lock();
-        let versions = snapshot.versions;
-        // The row is not known then, so that any row of the store is decoded.
-        let row = row.unwrap_or_default();
-        info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
-            "operators" => versions.operators, "own_operators" => state.versions.operators,
-            "servers" => versions.servers, "own_servers" => state.versions.servers,
-            "rows" => snapshot.servers.len(), "is_difference" => snapshot.is_difference);
-        if versions.operators > state.versions.operators {
-            if let Some(decoded) = declarations {
-                self.put_in_force(&mut state, decoded, row, peer);
-            }
-            state.set_evacuations(&snapshot.evacuated, versions.operators);
-            state.advance_operators(versions.operators);
-        } else if let Some(decoded) = declarations {
-            // Where the newest are refused here, those that peers have in force are older.
-            let refused = state.refused.take();
-            self.put_in_force(&mut state, decoded, row, peer);
-            state.refused = refused;
-        }
-        let known = state.versions.servers;
-        if versions.servers > known {
-            let rows = snapshot.servers;
-            if snapshot.is_difference {
-                state.servers.on_difference(rows, known, now);
-            } else {
-                state.servers.on_listing(rows, versions.servers, now);
-            }
-            state.versions.servers = versions.servers;
-            self.log_restarted(&mut state);
-        }
-        Ok(())
-    }
-
-    /// Applies the evacuations that a peer knows as of a version of the operators' table, whose
-    /// declarations are still to come.
-    pub fn on_peer_evacuations(&self, domains: &[DomainName], version: u64) {
-        let mut state = self.lock();
-        if version > state.versions.operators {
-            state.set_evacuations(domains, version);
-        }
-    }
-
-    fn log_restarted(&self, state: &mut State) {
+    pub(crate) fn log_restarted(&self, state: &mut State) {
         for server in state.servers.take_restarted() {
             info!(self.log, "servers: has started anew, in use again after it had left";
                 "server" => &*server);
@@ -465,7 +305,7 @@
 
     /// Puts declarations in force unless these or newer ones are. `source` is "store" or the name of a
     /// peer, for logs.
-    fn put_in_force(
+    pub(crate) fn put_in_force(
         &self,
         state: &mut State,
         decoded: DecodedDeclarations,
@@ -501,28 +341,12 @@
         state.refused.take_if(|refused| refused.version <= version);
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
-    fn export_rows(&self, peer: &StoreVersions) -> StoreSnapshot {
-        let owned =
-            |(id, row, version): (&BackendId, &BackendRow, u64)| (id.clone(), row.clone(), version);
-        let changed = self.servers.changed_since(peer.servers);
-        let changed = changed.map(|rows| rows.map(owned).collect());
-        let is_difference = changed.is_some();
-        let all = || self.servers.rows().map(owned).collect();
-        StoreSnapshot {
-            versions: self.told_versions(),
-            declarations: None,
-            evacuated: self.evacuations.active().into_iter().collect(),
-            servers: changed.unwrap_or_else(all),
-            is_difference,
-        }
-    }
-
     /// Whether the declarations of a row of this version are in force, or older than those, or were
     /// refused.
     fn knows_declarations(&self, version: u64) -> bool {
@@ -533,23 +357,14 @@
         is_refused || self.route_table.is_some() && self.declarations_row() >= version
     }
 
-    fn told_versions(&self) -> StoreVersions {
-        let refused = self.refused.as_ref().map(|row| row.version);
-        let known = refused.map_or(u64::MAX, |refused| refused.saturating_sub(1));
-        StoreVersions {
-            operators: self.versions.operators.min(known),
-            ..self.versions
-        }
-    }
-
     /// What a listing of the operators' table can change.
-    fn operator_rows(&self) -> (u64, u64, HashSet<DomainName>) {
+    pub(crate) fn operator_rows(&self) -> (u64, u64, HashSet<DomainName>) {
         let refused = self.refused.as_ref().map_or(0, |row| row.version);
         (self.declarations_row(), refused, self.evacuations.active())
     }
 
     /// Version of the row with the declarations in force; 0 for none, or where it is not known.
-    fn declarations_row(&self) -> u64 {
+    pub(crate) fn declarations_row(&self) -> u64 {
         self.declarations.as_ref().map_or(0, |stored| stored.row)
     }
 
@@ -569,12 +384,12 @@
     }
 
     /// Sets the evacuations as of `version`, but for those known from newer rows.
-    fn set_evacuations(&mut self, domains: &[DomainName], version: u64) {
+    pub(crate) fn set_evacuations(&mut self, domains: &[DomainName], version: u64) {
         self.evacuations.set(domains, version);
         self.servers.set_evacuated(self.evacuations.active());
     }
 
-    fn advance_operators(&mut self, version: u64) {
+    pub(crate) fn advance_operators(&mut self, version: u64) {
         self.versions.operators = self.versions.operators.max(version);
         self.servers.set_evacuated(self.evacuations.active());
     }
--- a/crates/trials/tests/gateway_rows.rs
+++ b/crates/trials/tests/gateway_rows.rs
@@ -2,6 +2,7 @@
 
 use runtime::Executor;
 use serde_json::json;
+use standins::QuietAnswer;
 use std::time::Duration;
 use trials::DirectRig;
 
@@ -42,3 +43,22 @@
         assert!(!has_row(&rig));
     });
 }
+
+/// A gateway whose removed row no poll told of was counted among the others until they ended.
+#[test]
+fn a_removal_that_no_poll_tells_of_is_read_from_a_listing() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        let store = rig.store.local_addr();
+        let mut other = rig.add_gateway("gateway-2", store).unwrap();
+        let has_logged = |line: &str| rig.gateway.process.has_logged(line);
+        assert!(rig.wait_until(async || has_logged("gateway found")).await);
+        other.process.kill();
+        let store = rig.store.standin();
+        store.quieten_watches(Some(QuietAnswer::NewestVersion));
+        store.remove(ROW.0, "gateway/gateway-2");
+        store.forget_history();
+        store.cut_watches();
+        assert!(rig.wait_until(async || has_logged("gateway gone")).await);
+    });
+}
