Trials: a metrics page that cannot be read is an error, not a page without figures

Cause: `DirectGateway::metrics` gave an empty text where no response came within 2 s, and tests read an absent line as 0. So a busy machine could fail a test that expects a figure, or pass one that waits for 0 ("freed"); in `drain` an unread page beside load counted as a process that had ended and so as a lost request.

Change: the page is asked for again where no response comes in time, at most ten times; a refused connection or another status is an error at once, which single readings report and waits take for "not yet". A metric without labels has to have its line. The checks stay as they are. The same in the example `content-spread`.

--- a/crates/trials/examples/content-spread.rs
+++ b/crates/trials/examples/content-spread.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use trials::{DirectGateway, DirectRig};
+use trials::{DirectGateway, DirectRig, TrialError};
 
 /// Size of a further route, in bytes.
 const ROUTE_BYTES: usize = 227;
@@ -22,12 +22,12 @@
 }
 
 /// Mean bytes of declarations that a gateway has had from peers.
-async fn bytes_from_peers(gateways: &[Arc<DirectGateway>]) -> f64 {
+async fn bytes_from_peers(gateways: &[Arc<DirectGateway>]) -> Result<f64, TrialError> {
     let mut sum = 0.0;
     for gateway in gateways {
-        sum += metric(&gateway.metrics().await, BYTES_METRIC);
+        sum += metric(&gateway.metrics().await?, BYTES_METRIC);
     }
-    sum / gateways.len() as f64
+    Ok(sum / gateways.len() as f64)
 }
 
 /// Waits until a gateway has a version, and returns when it was seen there.
@@ -37,9 +37,11 @@
     poll_interval: Duration,
     start: Instant,
 ) -> Duration {
-    while start.elapsed() < TIME_LIMIT
-        && metric(&gateway.metrics().await, VERSION_METRIC) < version as f64
-    {
+    let has_version = async || {
+        let page = gateway.metrics().await;
+        page.is_ok_and(|page| metric(&page, VERSION_METRIC) >= version as f64)
+    };
+    while start.elapsed() < TIME_LIMIT && !has_version().await {
         async_io::Timer::after(poll_interval).await;
     }
     start.elapsed()
@@ -53,7 +55,7 @@
     poll_interval: Duration,
     bytes_before: f64,
     label: &str,
-) {
+) -> Result<(), TrialError> {
     let start = Instant::now();
     let waits = gateways.iter().cloned();
     let waits = waits.map(|gateway| {
@@ -66,7 +68,7 @@
         times.push(wait.await);
     }
     times.sort_unstable();
-    let bytes = bytes_from_peers(gateways).await - bytes_before;
+    let bytes = bytes_from_peers(gateways).await? - bytes_before;
     let peaks = gateways
         .iter()
         .map(|gateway| gateway.process.usage().peak_resident_bytes);
@@ -82,6 +84,7 @@
         times[times.len() - 1].as_millis(),
         fell_back.count(),
     );
+    Ok(())
 }
 
 async fn measure(
@@ -90,7 +93,7 @@
     bytes: usize,
     poll_interval: Duration,
     settle_time: Duration,
-) -> Result<(), trials::TrialError> {
+) -> Result<(), TrialError> {
     let rig = DirectRig::start(executor)?;
     rig.write_declarations(3, &["key-1"]);
     let mut gateways = Vec::new();
@@ -106,7 +109,7 @@
     async_io::Timer::after(settle_time).await;
     let routes = bytes / ROUTE_BYTES;
     let label = format!("{count} gateways, {:.1} MB", bytes as f64 / 1e6);
-    let before = bytes_from_peers(&gateways).await;
+    let before = bytes_from_peers(&gateways).await?;
     rig.write_large_declarations(4, &["key-1"], routes);
     report(
         &rig,
@@ -116,9 +119,9 @@
         before,
         &format!("{label}, whole"),
     )
-    .await;
+    .await?;
     async_io::Timer::after(settle_time).await;
-    let before = bytes_from_peers(&gateways).await;
+    let before = bytes_from_peers(&gateways).await?;
     rig.write_large_declarations(5, &["key-1"], routes + 1);
     report(
         &rig,
@@ -128,7 +131,7 @@
         before,
         &format!("{label}, one route"),
     )
-    .await;
+    .await?;
     Ok(())
 }
 
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::{Method, Request, StatusCode};
 use runtime::{Body, Executor, HttpClient, HttpError, SingleExchange, SingleResponse};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 /// Time from SIGTERM to the end of a process, where a trial sets no other.
 const GRACE_S: f64 = 6.0;
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Times that a metrics page is asked for.
+const MAX_PAGE_TRIES: usize = 10;
 
 /// A direct gateway in a process of its own.
 #[derive(Debug)]
@@ -186,12 +189,21 @@
         })
     }
 
-    /// Text of its metrics page; empty if it cannot be read.
-    pub async fn metrics(&self) -> String {
-        let response = self.get(self.metrics_address, "/metrics").await;
-        response.map_or(String::new(), |(_, body)| {
-            String::from_utf8_lossy(&body).into_owned()
-        })
+    /// Text of its metrics page, which is asked for again where none comes in time. An error if its address
+    /// refuses connections, or if no page comes at all.
+    pub async fn metrics(&self) -> Result<String, TrialError> {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let reason: Box<str> = match self.fetch(self.metrics_address, "/metrics").await {
+                Ok((StatusCode::OK, page)) => return Ok(String::from_utf8_lossy(&page).into()),
+                Ok((status, _)) => status.to_string().into(),
+                Err(err) if tries == MAX_PAGE_TRIES || is_refused(&err) => err.to_string().into(),
+                Err(_) => continue,
+            };
+            let name = self.name.clone();
+            return Err(TrialError::Process(name, "read the metrics of", reason));
+        }
     }
 
     /// Returns a client of the gateway's address, which stays valid across restarts.
@@ -220,15 +232,27 @@
     }
 
     async fn get(&self, address: SocketAddr, path: &'static str) -> Option<(StatusCode, Bytes)> {
+        self.fetch(address, path).await.ok()
+    }
+
+    async fn fetch(
+        &self,
+        address: SocketAddr,
+        path: &'static str,
+    ) -> Result<(StatusCode, Bytes), HttpError> {
         let mut req = Request::new(Body::empty());
         *req.uri_mut() = hyper::Uri::from_static(path);
         let response = self
             .http
             .fetch(address, req, MAX_RESPONSE_BYTES, CONNECT_TIMEOUT);
-        response.await.ok()
+        response.await
     }
 }
 
+fn is_refused(err: &HttpError) -> bool {
+    matches!(err, HttpError::Connect(_, err) if err.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// A client that sends requests to a gateway, each on a new connection.
 #[derive(Debug, Clone)]
 pub struct DirectCaller {
--- a/crates/trials/src/hostile_peers.rs
+++ b/crates/trials/src/hostile_peers.rs
@@ -185,7 +185,7 @@
             .violations
             .push("no answer from the readiness address".into());
     }
-    let answers = rig.wait_until(async || !beside_store.metrics().await.is_empty());
+    let answers = rig.wait_until(async || beside_store.metrics().await.is_ok());
     if !answers.await {
         let violation = "no answer from the gateway with the hostile store";
         figures.violations.push(violation.into());
--- a/crates/trials/tests/direct.rs
+++ b/crates/trials/tests/direct.rs
@@ -322,7 +322,7 @@
         wait_until_served(rig, "/lookup/x").await;
         let page = std::fs::read_to_string(workspace().join("docs/OPERATIONS.md")).unwrap();
         let documented = metric_names(&page);
-        let exported = metric_names(&rig.gateway.metrics().await);
+        let exported = metric_names(&rig.gateway.metrics().await.unwrap());
         assert!(exported.is_subset(&documented), "not on the page: {:?}", exported.difference(&documented));
         let counters = ["requests_total", "attempts_total", "declarations_version", "waiting"];
         for counter in counters {
--- a/crates/trials/tests/drain.rs
+++ b/crates/trials/tests/drain.rs
@@ -107,7 +107,7 @@
     async fn wait_until_a_prompt_waits(&self) {
         let waits = async || {
             let metrics = self.rig.gateway.metrics().await;
-            metrics.contains("bergamothold_direct_waiting 1\n")
+            metrics.is_ok_and(|page| page.contains("bergamothold_direct_waiting 1\n"))
         };
         assert!(self.rig.wait_until(waits).await);
     }
@@ -280,7 +280,7 @@
         let open = rig.start_prompt("open").await;
         rig.terminate().await;
         rig.wait_until_connections_are_refused().await;
-        assert!(!rig.rig.gateway.metrics().await.is_empty(), "the process still runs");
+        assert!(rig.rig.gateway.metrics().await.is_ok(), "the process still runs");
         assert!(open.body.collect().await.is_err());
         rig.wait_exit().await;
     };
@@ -313,7 +313,7 @@
                 StatusCode::SERVICE_UNAVAILABLE => assert!(!rig.has_run(&id), "{id}"),
                 StatusCode::BAD_GATEWAY => {}
                 // Its connection was reset as accepting ended; then the process still runs.
-                _ if rig.rig.gateway.metrics().await.is_empty() => lost.push(id),
+                _ if rig.rig.gateway.metrics().await.is_err() => lost.push(id),
                 _ => assert!(!rig.has_run(&id), "{id}"),
             }
         }
--- a/crates/trials/tests/lost_servers.rs
+++ b/crates/trials/tests/lost_servers.rs
@@ -124,7 +124,7 @@
     // Repeats are shared out among an assumed number of gateways until they are known.
     let knows_gateways = async || {
         let metrics = rig.gateway.metrics().await;
-        metrics.contains("bergamothold_direct_gateways 1\n")
+        metrics.is_ok_and(|page| page.contains("bergamothold_direct_gateways 1\n"))
     };
     assert!(rig.wait_until_ready().await && rig.wait_until(knows_gateways).await);
     let log = || rig.gateway.process.log();
--- a/crates/trials/tests/queue_decisions.rs
+++ b/crates/trials/tests/queue_decisions.rs
@@ -138,7 +138,7 @@
 }
 
 async fn has_metric(rig: &DirectRig, line: &str) -> bool {
-    let metrics = rig.gateway.metrics().await;
+    let metrics = rig.gateway.metrics().await.unwrap();
     metrics.lines().any(|exported| exported == line)
 }
 
@@ -159,7 +159,7 @@
         assert!(max_wait > backlog && max_wait < 3_000.0, "{line}");
         assert!(!explain(rig, "long").contains("queue: prompt waits"));
         let counted = "bergamothold_direct_held_prompts_total{reason=\"engine soon able\"} 1";
-        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await);
+        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await.unwrap());
     };    // One long prompt runs and a second one waits, so that a third could only begin after four seconds of
     // its three. The reason alone would not tell whether the backlog or the queue was to blame.
     a_refusal_of_a_late_prompt_is_explained => async |rig: &mut DirectRig, engine: &StandinServer<PlatformServer>| {
@@ -182,7 +182,7 @@
         assert!(0.8 * forecast > figure(&line, "remaining_ms"), "{line}");
         assert!(figure(&line, "waited_ms") < 1_000.0, "refused when it arrives: {line}");
         let counted = "bergamothold_direct_refusals_total{reason=\"engines too far behind\"} 1";
-        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await);
+        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await.unwrap());
     };    // A short prompt of a more urgent rank has just started, more are expected, and the only engine would be
     // taken. That it was left to them looked like a lack of room.
     room_left_to_more_urgent_prompts_is_explained => async |rig: &mut DirectRig, engine: &StandinServer<PlatformServer>| {
@@ -208,6 +208,6 @@
         let max_wait = figure(&line, "max_wait_ms");
         assert!(max_wait > 0.0 && max_wait < 8_000.0 - forecast, "{line}");
         let counted = "bergamothold_direct_held_prompts_total{reason=\"urgent ranks\"} 1";
-        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await);
+        assert!(has_metric(rig, counted).await, "{}", rig.gateway.metrics().await.unwrap());
     };
 }
--- a/crates/trials/tests/raw_answers.rs
+++ b/crates/trials/tests/raw_answers.rs
@@ -224,7 +224,7 @@
         assert!(rig.wait_until(closed).await, "all connections are closed");
         let memory = peak_memory(rig.gateway.process.pid());
         assert!(memory < SMALLEST_HOST_BYTES, "{} MB", memory >> 20);
-        let metrics = rig.gateway.metrics().await;
+        let metrics = rig.gateway.metrics().await.unwrap();
         let counted = metrics.contains("bergamothold_direct_invalid_answers_total{reason=");
         assert!(counted || !is_counted, "{metrics}");
     });
--- a/crates/trials/tests/readiness.rs
+++ b/crates/trials/tests/readiness.rs
@@ -40,7 +40,7 @@
         let failing = "bergamothold_direct_failing_tables 1";
         let lost = rig.wait_until(async || {
             let metrics = rig.gateway.metrics().await;
-            metrics.lines().any(|line| line == failing)
+            metrics.is_ok_and(|page| page.lines().any(|line| line == failing))
         });
         assert!(lost.await, "{}", rig.gateway.process.log_tail());
         assert!(rig.gateway.is_ready().await);
--- a/crates/trials/tests/refused_declarations.rs
+++ b/crates/trials/tests/refused_declarations.rs
@@ -42,7 +42,10 @@
 }
 
 async fn wait_for_metric(rig: &DirectRig, line: &str) {
-    let shown = rig.wait_until(async || rig.gateway.metrics().await.lines().any(|l| l == line));
+    let shown = rig.wait_until(async || {
+        let metrics = rig.gateway.metrics().await;
+        metrics.is_ok_and(|page| page.lines().any(|shown| shown == line))
+    });
     assert!(shown.await, "{line}: {}", rig.gateway.process.log_tail());
 }
 
@@ -194,7 +197,7 @@
         let served = rig.wait_until(async || is_served("/first/y").await).await;
         assert!(served, "{}", later.process.log_tail());
         assert!(later.is_ready().await);
-        let metrics = later.metrics().await;
+        let metrics = later.metrics().await.unwrap();
         assert!(metrics.lines().any(|line| line == IS_REFUSED), "{metrics}");
         store.put("op", "config", &declarations(6, "/second/", 0));
         let served = rig.wait_until(async || is_served("/second/y").await).await;
@@ -216,15 +219,15 @@
         assert!(!gateway.is_ready().await);
         let failing = |metrics: String| {
             let line = "bergamothold_direct_failing_tables 0";
-            !metrics.is_empty() && !metrics.lines().any(|shown| shown == line)
+            !metrics.lines().any(|shown| shown == line)
         };
-        assert!(failing(gateway.metrics().await));
+        assert!(failing(gateway.metrics().await.unwrap()));
         rig.write_declarations(3, &["key-1"]);
         proxy.set(LinkFault::None);
         let ready = rig.wait_until(async || gateway.is_ready().await);
         assert!(ready.await, "{}", gateway.process.log_tail());
         proxy.set(LinkFault::Cut);
-        let lost = rig.wait_until(async || failing(gateway.metrics().await));
+        let lost = rig.wait_until(async || failing(gateway.metrics().await.unwrap()));
         assert!(lost.await, "{}", gateway.process.log_tail());
         assert!(gateway.is_ready().await);
     });
--- a/crates/trials/tests/request_limits.rs
+++ b/crates/trials/tests/request_limits.rs
@@ -118,7 +118,8 @@
             .unwrap();
         let limited_servers = async |expected: &str| {
             let line = format!("bergamothold_direct_limited_servers {expected}");
-            later.metrics().await.contains(&line)
+            let metrics = later.metrics().await;
+            metrics.is_ok_and(|page| page.contains(&line))
         };
         let heard = rig.wait_until(async || limited_servers("1").await).await;
         assert!(heard, "{}", later.process.log_tail());
@@ -163,7 +164,7 @@
             );
         }
         let reason = "refusals_total{reason=\"servers at their limits\"} 2";
-        let metrics = rig.gateway.metrics().await;
+        let metrics = rig.gateway.metrics().await.unwrap();
         assert!(metrics.contains(reason), "{metrics}");
     });
 }
--- a/crates/trials/tests/server_pauses.rs
+++ b/crates/trials/tests/server_pauses.rs
@@ -117,7 +117,7 @@
 
 /// The line of the metrics page that counts repeats which the budget did not allow.
 async fn denied_repeats(rig: &DirectRig) -> Option<String> {
-    let metrics = rig.gateway.metrics().await;
+    let metrics = rig.gateway.metrics().await.unwrap();
     let mut lines = metrics.lines();
     let line = lines.find(|line| line.starts_with("bergamothold_direct_repeats_denied_total"));
     line.map(str::to_owned)
@@ -133,7 +133,8 @@
     let reason = "refusals_total{reason=\"servers asked for a pause\"}";
     let known = async || {
         rig.call("notice", case.path, KEY).await;
-        rig.gateway.metrics().await.contains(reason)
+        let metrics = rig.gateway.metrics().await;
+        metrics.is_ok_and(|page| page.contains(reason))
     };
     assert!(
         rig.wait_until(known).await,
@@ -282,7 +283,8 @@
     refuse(preferred, PAUSE_SECONDS);
     let known = async || {
         rig.call("notice", ENGINES.path, KEY).await;
-        rig.gateway.metrics().await.contains("paused_servers 1")
+        let metrics = rig.gateway.metrics().await;
+        metrics.is_ok_and(|page| page.contains("paused_servers 1"))
     };
     assert!(
         rig.wait_until(known).await,
--- a/crates/trials/tests/slow_readers.rs
+++ b/crates/trials/tests/slow_readers.rs
@@ -113,11 +113,13 @@
     callers
 }
 
-/// Value of a metric without labels, or with those in `name`.
+/// Value of a metric without labels, or with those in `name`, which has no line before it is first counted.
 async fn metric(rig: &DirectRig, name: &str) -> u64 {
-    let metrics = rig.gateway.metrics().await;
+    let metrics = rig.gateway.metrics().await.unwrap();
     let mut lines = metrics.lines();
     let value = lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+    let is_listed = value.is_some() || name.contains('{');
+    assert!(is_listed, "no {name} in {metrics}");
     value.unwrap_or(0)
 }
 
@@ -154,7 +156,7 @@
         let read = async || metric(&rig, served).await == before + callers as u64;
         assert!(
             rig.wait_until(read).await,
-            "{}",
+            "{:?}",
             rig.gateway.metrics().await
         );
         let held = metric(&rig, "bergamothold_direct_stream_buffer_bytes").await;
@@ -166,7 +168,7 @@
         let freed = async || metric(&rig, "bergamothold_direct_buffered_bytes").await == 0;
         assert!(
             rig.wait_until(freed).await,
-            "{}",
+            "{:?}",
             rig.gateway.metrics().await
         );
     });
--- a/crates/trials/tests/unconfirmed_declarations.rs
+++ b/crates/trials/tests/unconfirmed_declarations.rs
@@ -70,7 +70,7 @@
         }
         for gateway in &self.gateways[gateways] {
             let lost = self.rig.wait_until(async || {
-                let page = gateway.metrics().await;
+                let page = gateway.metrics().await.unwrap();
                 let failing = page.lines().find(|line| line.starts_with(FAILING_TABLES));
                 failing.is_some_and(|line| !line.ends_with(" 0"))
             });
@@ -176,7 +176,7 @@
         trial.wait_for_bounds(1).await;
         for gateway in 0..3 {
             trial.check_doubt(gateway).await;
-            let page = trial.gateways[gateway].metrics().await;
+            let page = trial.gateways[gateway].metrics().await.unwrap();
             let name = "bergamothold_direct_declarations_unconfirmed_seconds ";
             let age = page.lines().find_map(|line| line.strip_prefix(name));
             let age: f64 = age.unwrap().parse().unwrap();
