Test of callers that pause: they have a small receive buffer, so that the gateway holds a part of each answer

It isn't always.

The gateway and its figure are right, and no answer was lost or cut.

Change: the silent callers set a receive buffer of 8 KiB before they connect, and the kernel cannot take in a whole answer. All checks stay; more has to be held than before. Ruled out: longer answers, which could exceed what a stream may hold.

--- a/crates/trials/tests/slow_readers.rs
+++ b/crates/trials/tests/slow_readers.rs
@@ -4,6 +4,7 @@
 use futures_lite::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use hyper::StatusCode;
 use runtime::Executor;
+use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 use trials::{DirectRig, RIG_HOST};
@@ -11,8 +12,11 @@
 const KEY: &str = "key-1";
 /// Memory of the smallest hosts on which gateways run.
 const SMALLEST_HOST_BYTES: u64 = 160 << 20;
-/// More than the kernel and 16 events take, and less than they and a stream's buffer do.
+/// More than the kernel and the HTTP layer take with [`RECEIVE_BUFFER_BYTES`], and less than they and a
+/// stream's buffer do.
 const ANSWER_EVENTS: usize = 150;
+/// Of callers that do not read. The kernel's usual one, which is larger, may take in a whole answer.
+const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
 const EVENT_BYTES: usize = 2_000;
 const SERVERS: usize = 8;
 const SLOW_READERS_ENDED: &str = "bergamothold_direct_slow_readers_ended_total";
@@ -75,7 +79,7 @@
 
     /// Sends the head of a request with a body of `bytes`, and none of the body.
     async fn start_with_body(gateway: SocketAddr, id: &str, bytes: usize) -> Self {
-        let mut stream = Async::<TcpStream>::connect(gateway).await.unwrap();
+        let mut stream = connect_with_small_buffer(gateway);
         // HTTP/1.0, so that the body of the response is not in chunks.
         let request = format!(
             "POST /stream/x HTTP/1.0\r\nhost: {RIG_HOST}\r\nx-request-id: {id}\r\nauthorization: \
@@ -104,6 +108,14 @@
     }
 }
 
+/// The buffer has to be set before the connection is opened, which states its size.
+fn connect_with_small_buffer(address: SocketAddr) -> Async<TcpStream> {
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES).unwrap();
+    connect(&socket, &address).unwrap();
+    Async::new(TcpStream::from(socket)).unwrap()
+}
+
 async fn start_callers(rig: &DirectRig, count: usize) -> Vec<SilentCaller> {
     let mut callers = Vec::new();
     for n in 0..count {
