Trials: ports of processes lie outside of the system's range for outgoing connections, in blocks that one process has

Two faults remained:

- on a machine with a wider range they could be taken; the range is now read, and blocks that touch it are left out;
- two test processes drew the same ports where their ids differ so that 331 times the difference, modulo 20,000, is less than the ports drawn (for instance by 181: 89 ports apart), and a port that one had probed could be bound by the other.
Each process now claims blocks of 100 ports by a socket on the first of each, which it keeps until it ends.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -106,7 +106,7 @@
 };
 pub use hostile_bytes::HostileBytes;
 pub use hostile_peers::{HostileFigures, run_hostile_peers};
-pub use loopback::spawn_lock;
+pub use loopback::{free_port, port_blocks, spawn_lock};
 pub use node::{Node, NodeConfig, PlatformAddresses};
 pub use operator::{Operator, OperatorReply};
 pub use plan::{Arrival, LoadPlan, RequestClass};
--- a/crates/trials/src/loopback.rs
+++ b/crates/trials/src/loopback.rs
@@ -1,9 +1,15 @@
 //! Addresses of the loopback interface.
 
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::ops::Range;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+/// Ports below this are left to the services of the machine.
+const FIRST_PORT: u16 = 10_000;
+/// Least port that the system gives to outgoing connections, where it cannot be read.
+const USUAL_FIRST_EPHEMERAL: u16 = 32_768;
+const BLOCK_PORTS: u16 = 100;
+
 /// A port of the loopback address.
 pub fn loopback(port: u16) -> SocketAddr {
     ([127, 0, 0, 1], port).into()
@@ -16,21 +22,69 @@
     LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Finds a port that is free for TCP and UDP. It lies below the range of ephemeral ports and is
-/// returned only once by this process, so that nothing else binds it before its user does.
-pub(crate) fn free_port() -> u16 {
-    static ATTEMPTS: AtomicU32 = AtomicU32::new(0);
-    const FIRST_PORT: u32 = 10_000;
-    const PORT_COUNT: u32 = 20_000;
-    const PROCESS_STRIDE: u32 = 331;
-    let process_offset = std::process::id().wrapping_mul(PROCESS_STRIDE);
-    let ports = (0..PORT_COUNT).map(|_| {
-        let next = process_offset.wrapping_add(ATTEMPTS.fetch_add(1, Ordering::Relaxed));
-        (FIRST_PORT + next % PORT_COUNT) as u16
-    });
-    let is_free = |port: &u16| {
+/// Ports that belong to this process until it ends.
+#[derive(Debug)]
+struct PortBlock {
+    /// Bound to the first port of the block, which no other process can have meanwhile.
+    _claim: TcpListener,
+    left: Range<u16>,
+}
+
+impl PortBlock {
+    fn claim(first: u16) -> Option<Self> {
         let _lock = spawn_lock();
-        TcpListener::bind(loopback(*port)).is_ok() && UdpSocket::bind(loopback(*port)).is_ok()
+        Some(Self {
+            _claim: TcpListener::bind(loopback(first)).ok()?,
+            left: first + 1..first + BLOCK_PORTS,
+        })
+    }
+}
+
+/// Finds a port that is free for TCP and UDP. Neither outgoing connections nor other trials take it, and this
+/// process gets it only once, so that nothing else binds it before its user does. 0 if there is none left.
+pub fn free_port() -> u16 {
+    static BLOCKS: Mutex<Vec<PortBlock>> = Mutex::new(Vec::new());
+    let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let left = blocks.last_mut().map(|block| &mut block.left);
+        if let Some(port) = left.and_then(|left| left.find(is_free)) {
+            return port;
+        }
+        let first = blocks.last().map(|block| block.left.end);
+        let Some(block) = blocks_from(first).find_map(PortBlock::claim) else {
+            return 0;
+        };
+        blocks.push(block);
+    }
+}
+
+fn is_free(port: &u16) -> bool {
+    let _lock = spawn_lock();
+    TcpListener::bind(loopback(*port)).is_ok() && UdpSocket::bind(loopback(*port)).is_ok()
+}
+
+/// First ports of the blocks from `first` on, and then of those before it; `None` starts at a place that differs
+/// by process.
+fn blocks_from(first: Option<u16>) -> impl Iterator<Item = u16> {
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let blocks = port_blocks(&range.unwrap_or_default());
+    let start = first.map_or(std::process::id() as usize, |first| {
+        blocks.partition_point(|block| *block < first)
+    });
+    let count = blocks.len();
+    (0..count).map(move |n| blocks[(start + n) % count])
+}
+
+/// First ports of all blocks outside of the range that the system gives to outgoing connections, which is stated
+/// as its least and greatest port.
+pub fn port_blocks(ephemeral: &str) -> Vec<u16> {
+    let mut bounds = ephemeral.split_whitespace().map(str::parse);
+    let ephemeral = match (bounds.next(), bounds.next()) {
+        (Some(Ok(least)), Some(Ok(greatest))) => least..=greatest,
+        _ => USUAL_FIRST_EPHEMERAL..=u16::MAX,
     };
-    ports.into_iter().find(is_free).unwrap_or_default()
+    let firsts = (FIRST_PORT..=u16::MAX - BLOCK_PORTS).step_by(BLOCK_PORTS.into());
+    let is_outside =
+        |first: &u16| first + BLOCK_PORTS <= *ephemeral.start() || first > ephemeral.end();
+    firsts.filter(is_outside).collect()
 }
