Trials: readiness is asked from a thread of its own, and an answer that is missing says why

Cause: the checks of `endless_answers` and of the soaks ran on the executor of the trial, which also plays hundreds of callers and servers, and gave only true or false. A check without a 200 told neither what the gateway had said nor whether the trial itself was late. Both known reds that rest on one (`many_bodies_without_a_length`, `changes_are_in_force_under_faults`) could not be traced.

Change: `check_readiness` opens a connection of its own from a blocking thread, within the same 2 s, and returns status and text, or the error, with the time it took and by how much the trial began it late. The figures name each such answer, and the stalls that the gateway logged; the soak adds the time to the gateway's next disturbance. The checks stay; peak memory of 0, which stands for a status that cannot be read, now fails too.

--- a/crates/trials/examples/endless-answers.rs
+++ b/crates/trials/examples/endless-answers.rs
@@ -57,12 +57,15 @@
     match Executor::run(2, run) {
         Ok(figures) => {
             println!(
-                "{answer:?}, {calls} at once: peak {:.1} MiB, {:.1} MiB before; ready: {}",
+                "{answer:?}, {calls} at once: peak {:.1} MiB, {:.1} MiB before",
                 figures.peak_bytes as f64 / MIB,
                 figures.idle_bytes as f64 / MIB,
-                figures.was_ready
             );
             println!("  answers by status: {:?}", figures.answers);
+            println!(
+                "  not ready: {:?}, stalls: {:?}",
+                figures.not_ready, figures.stalls
+            );
             println!("  false promises: {:?}", figures.false_promises);
             let (served, not_served) = (figures.sound, figures.not_served.len());
             println!("  sound answers beside: {served} served, {not_served} not");
--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -186,7 +186,7 @@
                 ("GraceS", GRACE.as_secs_f64()),
             ];
             let process = rig.add_gateway_with_bounds(&name, store_link.address(), &bounds)?;
-            gateways.push(SoakGateway::new(executor, process, store_link, None));
+            gateways.push(SoakGateway::new(process, store_link, None));
         }
         let mut servers = Vec::new();
         for (service, kind) in [
--- a/crates/trials/src/endless_answers.rs
+++ b/crates/trials/src/endless_answers.rs
@@ -6,6 +6,7 @@
 use crate::error::TrialError;
 use crate::loopback::loopback;
 use crate::process::ResourceUsage;
+use crate::readiness_check::check_readiness;
 use async_io::{Async, Timer};
 use futures_lite::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use runtime::{Executor, Task};
@@ -29,6 +30,7 @@
 const SOUND_PAUSE: Duration = Duration::from_millis(20);
 /// Statuses that callers take for the promise that a request has not run.
 const PROMISES_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+const STALL_LINE: &str = "process: executor stall";
 const BLOCK_BYTES: usize = 16 << 10;
 
 /// What the faulty servers write.
@@ -65,8 +67,10 @@
     pub sound: usize,
     /// What else became of such calls.
     pub not_served: Vec<String>,
-    /// Whether the process was ready at each of its probes.
-    pub was_ready: bool,
+    /// Answers to readiness checks that did not say that the process is ready.
+    pub not_ready: Vec<String>,
+    /// What the process logged of stalls of its executor.
+    pub stalls: Vec<String>,
 }
 
 /// Starts a server that gives `answer` to each request.
@@ -168,10 +172,13 @@
         served.is_ok()
     });
     let mut figures = EndlessFigures {
-        was_ready: is_served.await,
         idle_bytes: peak_bytes(&rig),
         ..EndlessFigures::default()
     };
+    if !is_served.await {
+        let text = "the sound server is never reached";
+        figures.not_ready.push(text.to_owned());
+    }
     let have_ended = Arc::new(AtomicBool::new(false));
     let endless = (0..calls).map(|n| {
         let caller = rig.gateway.caller();
@@ -191,7 +198,10 @@
             Ok(()) => figures.sound += 1,
             Err(seen) => figures.not_served.push(seen),
         }
-        figures.was_ready &= rig.gateway.is_ready().await;
+        let answer = check_readiness(rig.gateway.readiness_address()).await;
+        if !answer.is_ready() {
+            figures.not_ready.push(answer.to_string());
+        }
         Timer::after(SOUND_PAUSE).await;
     }
     for (id, answer) in collected.await {
@@ -203,6 +213,7 @@
         }
     }
     figures.peak_bytes = peak_bytes(&rig);
+    figures.stalls = stalls(&rig);
     Ok(figures)
 }
 
@@ -244,10 +255,15 @@
     }
 }
 
+fn stalls(rig: &DirectRig) -> Vec<String> {
+    let log = rig.gateway.process.log();
+    let lines = log.lines().filter(|line| line.contains(STALL_LINE));
+    lines.map(str::to_owned).collect()
+}
+
 /// Lines of the gateway's log that name a request.
 fn log_lines(rig: &DirectRig, id: &str) -> String {
-    let path = rig.directory().path().join("gateway-1.log");
-    let log = std::fs::read_to_string(path).unwrap_or_default();
+    let log = rig.gateway.process.log();
     let name = format!("\"{id}\"");
     let lines = log.lines().filter(|line| line.contains(&name));
     lines.collect::<Vec<_>>().join("\n")
--- a/crates/trials/src/soak_changes.rs
+++ b/crates/trials/src/soak_changes.rs
@@ -1,5 +1,6 @@
 //! Changes of declarations in series, and requests for what they add and remove.
 
+use crate::readiness_check::ReadinessAnswer;
 use crate::soak_client::{Client, ClientCall, ClientRequest};
 use crate::soak_declarations::{IDLE_ROUTE_BYTES, SOAK_KEY, SoakDeclarations};
 use crate::soak_growth::GrowthPlan;
@@ -21,7 +22,15 @@
 pub(crate) struct History {
     pub(crate) parts: Vec<Part>,
     pub(crate) probes: Vec<(Probe, ClientCall)>,
-    pub(crate) unready: Vec<(usize, Instant)>,
+    pub(crate) unready: Vec<Unready>,
+}
+
+/// A readiness check of a gateway that was not answered with 200.
+#[derive(Debug)]
+pub(crate) struct Unready {
+    pub(crate) gateway: usize,
+    pub(crate) asked_at: Instant,
+    pub(crate) answer: ReadinessAnswer,
 }
 
 pub(crate) type SharedHistory = Arc<Mutex<History>>;
--- a/crates/trials/src/soak_fleet.rs
+++ b/crates/trials/src/soak_fleet.rs
@@ -6,6 +6,7 @@
 use crate::fault_proxy::{FaultProxy, LinkFault};
 use crate::loopback::loopback;
 use crate::process::Process;
+use crate::readiness_check::{ReadinessAnswer, check_readiness};
 use crate::soak_log::bad_log_line;
 use crate::soak_readiness::{DrainAnswer, ready_in_drain};
 use crate::soak_rules::ServerView;
@@ -15,8 +16,7 @@
 use async_io::Timer;
 use async_lock::Mutex;
 use futures_lite::future::or;
-use hyper::{Request, StatusCode};
-use runtime::{Body, Executor, HttpClient};
+use runtime::Executor;
 use standins::{EnginePace, PlatformServer, PlatformStore, ServerKind, StandinServer};
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt as _;
@@ -64,7 +64,6 @@
     /// Proxy at which other gateways reach its links; absent if they reach them directly.
     pub(crate) peer_link: Option<UdpProxy>,
     readiness_address: SocketAddr,
-    http: HttpClient,
     /// Disturbances of its process and of its links.
     pub(crate) upsets: UpsetLog,
     /// Readiness in all its drains.
@@ -143,7 +142,7 @@
             } else {
                 None
             };
-            let gateway = SoakGateway::new(executor, process, store_link, peer_link);
+            let gateway = SoakGateway::new(process, store_link, peer_link);
             gateways.push(gateway);
         }
         Ok(Self {
@@ -198,7 +197,6 @@
 impl SoakGateway {
     /// A gateway that runs.
     pub(crate) fn new(
-        executor: &Executor,
         process: DirectGateway,
         store_link: FaultProxy,
         peer_link: Option<UdpProxy>,
@@ -206,7 +204,6 @@
         Self {
             address: process.frontend_address(),
             readiness_address: process.readiness_address(),
-            http: HttpClient::new(executor.clone()),
             process: Arc::new(Mutex::new(process)),
             store_link,
             peer_link,
@@ -323,14 +320,12 @@
 
     /// Whether its readiness endpoint reports that it accepts requests.
     pub(crate) async fn is_ready(&self) -> bool {
-        const MAX_PAGE_BYTES: usize = 1 << 20;
-        const TIMEOUT: Duration = Duration::from_secs(2);
-        let mut req = Request::new(Body::empty());
-        *req.uri_mut() = hyper::Uri::from_static("/v1/ready");
-        let page = self
-            .http
-            .fetch(self.readiness_address, req, MAX_PAGE_BYTES, TIMEOUT);
-        page.await.is_ok_and(|(status, _)| status == StatusCode::OK)
+        self.check_readiness().await.is_ready()
+    }
+
+    /// Asks its readiness endpoint.
+    pub(crate) async fn check_readiness(&self) -> ReadinessAnswer {
+        check_readiness(self.readiness_address).await
     }
 }
 
--- a/crates/trials/src/soak_growth.rs
+++ b/crates/trials/src/soak_growth.rs
@@ -4,7 +4,9 @@
 use crate::direct_soak::{SoakFigures, keep_logs_of_failure};
 use crate::error::TrialError;
 use crate::fault_proxy::LinkFault;
-use crate::soak_changes::{History, PROBE_TIME_LIMIT, SharedHistory, change, lock, send_probes};
+use crate::soak_changes::{
+    History, PROBE_TIME_LIMIT, SharedHistory, Unready, change, lock, send_probes,
+};
 use crate::soak_client::{Client, Ending};
 use crate::soak_declarations::{IDLE_ROUTE_BYTES, SoakDeclarations};
 use crate::soak_fleet::{FleetSize, PeerLinks, SoakFleet, SoakGateway, gateway_violations};
@@ -12,6 +14,7 @@
 use crate::soak_losses::lost_request;
 use crate::soak_probes::{Probe, is_in_touch, outdated_answer};
 use crate::soak_rules::{SERVED_IN_CALM, STABLE_WINDOW, held_past_limit, too_few_served};
+use crate::soak_upsets::Upset;
 use async_io::Timer;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -137,8 +140,13 @@
 async fn watch_readiness(gateway: SoakGateway, n: usize, history: SharedHistory, end: Instant) {
     while Instant::now() < end {
         let asked_at = Instant::now();
-        if !gateway.is_ready().await {
-            lock(&history).unready.push((n, asked_at));
+        let answer = gateway.check_readiness().await;
+        if !answer.is_ready() {
+            lock(&history).unready.push(Unready {
+                gateway: n,
+                asked_at,
+                answer,
+            });
         }
         Timer::after(READINESS_POLL_INTERVAL).await;
     }
@@ -260,12 +268,22 @@
         let unready = history
             .unready
             .iter()
-            .filter(|(found, at)| *found == n && is_calm(at));
-        let count = unready.count();
-        if count > 1 {
+            .filter(|found| found.gateway == n && is_calm(&found.asked_at));
+        let seen: Vec<_> = unready.map(|found| describe(found, upsets)).collect();
+        if seen.len() > 1 {
             figures.violations.push(format!(
-                "READY: soaked-{n} was not ready {count} times, {RECOVERY_BOUND:?} after any fault"
+                "READY: soaked-{n} was not ready {} times, {RECOVERY_BOUND:?} after any fault: {}",
+                seen.len(),
+                seen.join("; ")
             ));
         }
     }
 }
+
+/// The answer to a readiness check, with the time from the check to the next disturbance of its gateway.
+fn describe(unready: &Unready, upsets: &[Upset]) -> String {
+    let begins = upsets.iter().map(|upset| upset.from);
+    let next = begins.filter(|from| *from > unready.asked_at).min();
+    let next = next.map(|from| from - unready.asked_at);
+    format!("{}, next disturbance after {next:?}", unready.answer)
+}
--- a/crates/trials/tests/endless_answers.rs
+++ b/crates/trials/tests/endless_answers.rs
@@ -23,7 +23,11 @@
 /// promise, keeps its memory, and has memory for the answers of a sound server throughout.
 fn endless_answers_are_bounded(answer: EndlessAnswer, calls: usize, max_peak_bytes: u64) {
     let figures = run(answer, calls);
-    assert!(figures.peak_bytes < max_peak_bytes, "{figures:?}");
+    // 0 stands for memory that cannot be read.
+    assert!(
+        figures.peak_bytes > 0 && figures.peak_bytes < max_peak_bytes,
+        "{figures:?}"
+    );
     let statuses = figures.answers.keys();
     let mut others = statuses.filter(|status| ![502, 503, 504].contains(*status));
     assert_eq!(others.next(), None, "{figures:?}");
@@ -31,7 +35,7 @@
     assert!(figures.sound > 0, "{figures:?}");
     let mut refused = figures.not_served.iter();
     assert!(!refused.any(|seen| seen.contains(NO_MEMORY)), "{figures:?}");
-    assert!(figures.was_ready, "{figures:?}");
+    assert_eq!(figures.not_ready, [""; 0], "{figures:?}");
 }
 
 macro_rules! cases {
