--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -55,6 +55,7 @@
 mod server_rows_check;
 mod shared;
 mod signal;
+mod stalls;
 mod store_cache;
 mod store_check;
 mod store_watch;
