A gateway that is heard without a known row has the gateways' table listed

Callers: limits were divided among too few gateways where the watch did not tell of the row of a new one, until the next listing, 30 s or more later. A load frame of it was passed over.

A gateway that hears one whose row it does not know lists the table, two seconds later, as its watch pauses for one, spread by 10 ms for each gateway, and at most every 5 s. One whose removal was read counts as known while it is heard.

Seen to fail before: a_new_gateway_and_deaf_watches (not counted within the 20 s that the rig waits).

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -58,6 +58,7 @@
 mod store_watch;
 mod stream;
 mod stream_buffers;
+mod unknown_peers;
 mod waiting_news;
 
 pub use command::{NAME, command, run};
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::server_failure::FailureNews;
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
+use crate::unknown_peers::UnknownPeers;
 use crate::waiting_news::WaitingNews;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
 use async_channel::{Receiver, Sender};
@@ -79,6 +80,7 @@
     announced_failures: AtomicU64,
     /// Whether the gateways' table was read; until then the number of gateways is not known.
     listed: AtomicBool,
+    unknown: UnknownPeers,
 }
 
 /// Applies the gateways' table to the set of peers.
@@ -114,6 +116,7 @@
             announced_crashes: AtomicU64::new(0),
             announced_failures: AtomicU64::new(0),
             listed: AtomicBool::new(false),
+            unknown: UnknownPeers::default(),
             shared: shared.clone(),
         });
         let streams = Arc::new(PeerStreamHandler(peers.clone()));
@@ -345,15 +348,16 @@
         let now = self.shared.clock.now();
         self.shared.on_peer_confirmation(peer, &frame.report);
         let frame = frame.message;
-        let reaches_store = frame.reaches_store;
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
-        self.lock_roster().on_heard(peer, now);
+        if !self.lock_roster().on_heard(peer, now) {
+            self.unknown.on_heard(self, peer);
+        }
         let domain = {
             let mut peers = self.lock();
             let known = peers.get_mut(peer);
             known.map(|known| {
                 known.last_heard = now;
-                known.reaches_store = reaches_store;
+                known.reaches_store = frame.reaches_store;
                 known.row.domain.clone()
             })
         };
@@ -361,7 +365,7 @@
             let report = ContentReport {
                 domain: domain.as_deref(),
                 versions: frame.versions,
-                reaches_store,
+                reaches_store: frame.reaches_store,
                 declarations: frame.declarations,
             };
             self.content.on_report(peer, report);
@@ -384,6 +388,11 @@
         }
     }
 
+    /// Whether the row of a gateway, or its removal, was read.
+    pub fn knows_row(&self, name: &str) -> bool {
+        self.lock_roster().knows(name)
+    }
+
     /// State shared by the tasks of the process.
     pub fn shared(&self) -> &Shared {
         &self.shared
--- a/crates/policy/src/gateway_roster.rs
+++ b/crates/policy/src/gateway_roster.rs
@@ -47,11 +47,16 @@
 }
 
 impl GatewayRoster {
-    /// Records that a peer was heard over its link; ignored if its row has not been seen.
-    pub fn on_heard(&mut self, name: &str, now: Duration) {
-        if let Some(signs) = self.signs.get_mut(name) {
-            signs.heard_at = now;
-        }
+    /// Records that a peer was heard over its link. Ignored if its row has not been seen; returns whether it
+    /// has.
+    pub fn on_heard(&mut self, name: &str, now: Duration) -> bool {
+        let signs = self.signs.get_mut(name);
+        signs.map(|signs| signs.heard_at = now).is_some()
+    }
+
+    /// Whether the row of a gateway has been seen, and its removal, if it was removed, not long ago.
+    pub fn knows(&self, name: &str) -> bool {
+        self.signs.contains_key(name)
     }
 
     /// Records that the row of a gateway was found or renewed, or, unless `is_registered`, removed.
--- a/crates/trials/tests/unread_changes.rs
+++ b/crates/trials/tests/unread_changes.rs
@@ -4,7 +4,7 @@
 use serde_json::json;
 use standins::{QuietAnswer, ServerKind};
 use std::time::{Duration, Instant};
-use trials::{TrialDeclarations, UnreadTrial as Trial};
+use trials::{DirectGateway, TrialDeclarations, UnreadTrial as Trial};
 
 /// `ConfigApplyMs`, `DrainMs` and `EvacuateMs` of the gateways.
 const APPLY: Duration = Duration::from_secs(2);
@@ -323,3 +323,44 @@
         a_new_server_is_used(Fault::Compaction);
     }
 }
+
+mod gateways {
+    use super::*;
+
+    async fn knows(gateway: &DirectGateway, gateways: usize) -> bool {
+        let metrics = gateway.metrics().await;
+        metrics.contains(&format!("bergamothold_direct_gateways {gateways}"))
+    }
+
+    /// A gateway whose row watches leave out is heard, and so its row is read.
+    fn a_new_gateway_is_counted(fault: Fault) {
+        run(2, async |trial| {
+            for gateway in &trial.gateways {
+                assert!(trial.rig.wait_until(async || knows(gateway, 2).await).await);
+            }
+            let address = trial.rig.store.local_addr();
+            let mut started = None;
+            let start = |trial: &Trial| {
+                started = Some(trial.rig.add_gateway("unread-new", address).unwrap());
+            };
+            fault
+                .run(trial, ("bergamothold", "gateway/unread-new"), start)
+                .await;
+            let started = started.unwrap();
+            for gateway in trial.gateways.iter().chain([&started]) {
+                let counted = trial.rig.wait_until(async || knows(gateway, 3).await);
+                assert!(counted.await, "{}", gateway.process.log_tail());
+            }
+        });
+    }
+
+    #[test]
+    fn a_new_gateway_and_deaf_watches() {
+        a_new_gateway_is_counted(Fault::Deaf);
+    }
+
+    #[test]
+    fn a_new_gateway_in_a_compaction() {
+        a_new_gateway_is_counted(Fault::Compaction);
+    }
+}
