Soak: changes that watches of the store do not tell of (mix `unread`)

What it does: the store is quiet for 0.2 to 5 s, with routes and keys, evacuations, servers that drain or are removed inside; polls get the newest, the polled or an old version, or no answer; then the history is dropped or kept, watches are cut or not; one time in five listings are behind, also up to 1.5 s longer; gateways are killed and frozen, and some start late. Checked from what clients and servers see: no confirmed part is refused after ConfigApplyMs, it is served in calm, no request reaches a server later than DrainMs after its row was written, nor an evacuated domain after EvacuateMs. A time in which listings are behind counts as a disturbed way to the store at all gateways; a quiet watch does not.

The writing of versions in soak_changes.rs moves into a type; the order in which it draws is unchanged.

--- a/crates/trials/examples/direct-soak.rs
+++ b/crates/trials/examples/direct-soak.rs
@@ -3,14 +3,16 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use runtime::Executor;
+use standins::QuietAnswer;
 use std::process::ExitCode;
 use std::time::Duration;
 use trials::{
     FleetSize, GrowthPlan, LinkFault, SoakFigures, SoakPlan, StopPlan, TrialError, TurnedAway,
-    TurnedAwayPlan, run_growth_soak, run_soak, run_stop_soak, run_turned_away_soak,
+    TurnedAwayPlan, UnreadPlan, run_growth_soak, run_soak, run_stop_soak, run_turned_away_soak,
+    run_unread_soak,
 };
 
-const MIXES: [&str; 5] = ["faults", "calm", "growth", "turned-away", "all"];
+const MIXES: [&str; 6] = ["faults", "calm", "growth", "turned-away", "unread", "all"];
 const SHARES: [&str; 5] = ["any", "all", "all-but-one", "half", "third"];
 const REFUSALS: [&str; 6] = [
     "any",
@@ -20,6 +22,7 @@
     "no-response",
     "lost-response",
 ];
+const ANSWERS: [&str; 5] = ["any", "newest", "polled", "oldest", "never"];
 const LINKS: [&str; 3] = ["sound", "cut", "one-way"];
 
 fn flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -73,32 +76,32 @@
         .arg(flag(
             "kilobytes-from",
             "100",
-            "Declarations at first, mixes growth and turned-away",
+            "Declarations at first, mixes growth, turned-away and unread",
         ))
         .arg(flag(
             "kilobytes-to",
             "1500",
-            "Declarations at last, mixes growth and turned-away",
+            "Declarations at last, mixes growth, turned-away and unread",
         ))
         .arg(flag(
             "shortest-ms",
             "200",
-            "Shortest time between changes, mixes growth and turned-away",
+            "Shortest time between changes, mixes growth, turned-away and unread",
         ))
         .arg(flag(
             "apply-ms",
             "2000",
-            "Time within which a change is in force, mixes growth and turned-away",
+            "Time within which a change is in force, mixes growth, turned-away and unread",
         ))
         .arg(flag(
             "longest-ms",
             "1500",
-            "Longest time between changes, mixes growth and turned-away",
+            "Longest time between changes, mixes growth, turned-away and unread",
         ))
         .arg(flag(
             "calm-growth",
             "0",
-            "1 for no other faults, mixes growth and turned-away",
+            "1 for no other faults, mixes growth, turned-away and unread",
         ))
         .arg(choice(
             "share",
@@ -120,6 +123,17 @@
             "0",
             "Delay of sound links each way, mix turned-away",
         ))
+        .arg(choice(
+            "answer",
+            ANSWERS,
+            "Version in the answers of watches that hear nothing, mix unread",
+        ))
+        .arg(flag(
+            "server-changes",
+            "1",
+            "0 for servers that stay, mix unread",
+        ))
+        .arg(flag("late", "0", "Gateways that start late, mix unread"))
         .arg(flag(
             "stops",
             "1",
@@ -174,6 +188,22 @@
     }
 }
 
+fn unread_plan(changes: GrowthPlan, matches: &ArgMatches) -> UnreadPlan {
+    let answer = matches.get_one::<String>("answer").map(String::as_str);
+    UnreadPlan {
+        changes,
+        answer: match answer {
+            Some("newest") => Some(QuietAnswer::NewestVersion),
+            Some("polled") => Some(QuietAnswer::PolledVersion),
+            Some("oldest") => Some(QuietAnswer::OldestVersion),
+            Some("never") => Some(QuietAnswer::Never),
+            _ => None,
+        },
+        server_changes: value(matches, "server-changes") > 0,
+        late: value(matches, "late") as usize,
+    }
+}
+
 fn run(mix: &str, seed: u64, matches: &ArgMatches) -> Result<SoakFigures, TrialError> {
     let number = |name| value(matches, name) as usize;
     let time = Duration::from_secs(value(matches, "seconds"));
@@ -205,6 +235,10 @@
                 let changes = growth_plan(seed, size, time, matches);
                 run_turned_away_soak(&executor, turned_away_plan(changes, matches)).await
             }
+            "unread" => {
+                let changes = growth_plan(seed, size, time, matches);
+                run_unread_soak(&executor, unread_plan(changes, matches)).await
+            }
             _ => {
                 let plan = SoakPlan {
                     seed,
--- a/crates/trials/src/soak_changes.rs
+++ b/crates/trials/src/soak_changes.rs
@@ -26,58 +26,78 @@
 
 pub(crate) type SharedHistory = Arc<Mutex<History>>;
 
+/// Writes versions, each of which adds a route and a key.
+#[derive(Debug)]
+pub(crate) struct Versions<'a> {
+    pub(crate) store: &'a PlatformStore,
+    pub(crate) history: &'a SharedHistory,
+    pub(crate) declarations: SoakDeclarations,
+    pub(crate) rng: SmallRng,
+    /// Versions for which a route or a key stays.
+    pub(crate) lifetime: usize,
+    /// Number of versions that were written.
+    pub(crate) count: usize,
+}
+
+impl Versions<'_> {
+    /// Writes the next version, which also removes the oldest added parts.
+    pub(crate) fn write(&mut self) {
+        let (number, declarations) = (self.count, &mut self.declarations);
+        declarations.version += self.rng.random_range(1..4);
+        declarations.routes.push(format!("new-{number}"));
+        declarations.keys.push(format!("new-key-{number}"));
+        let removes = declarations.routes.len() > self.lifetime;
+        if removes {
+            declarations.routes.remove(0);
+            declarations.keys.remove(0);
+        }
+        let value = declarations.to_json();
+        let written_at = Instant::now();
+        self.store.put("op", "config", &value);
+        self.record(removes, written_at, Instant::now());
+        self.count += 1;
+    }
+
+    fn record(&self, removes: bool, written_at: Instant, confirmed_at: Instant) {
+        let mut history = lock(self.history);
+        history.parts.push(Part {
+            number: self.count,
+            added_at: confirmed_at,
+            removed: None,
+        });
+        if removes {
+            history.parts[self.count - self.lifetime].removed = Some((written_at, confirmed_at));
+        }
+    }
+}
+
 /// Writes versions until `end`: each adds a route and a key, removes the oldest ones, and grows by its
 /// part of the planned growth.
 pub(crate) async fn change(
     plan: GrowthPlan,
     store: &PlatformStore,
-    mut declarations: SoakDeclarations,
+    declarations: SoakDeclarations,
     history: &SharedHistory,
     end: Instant,
 ) {
-    let mut rng = SmallRng::seed_from_u64(plan.seed.wrapping_mul(31));
+    let mut versions = Versions {
+        store,
+        history,
+        declarations,
+        rng: SmallRng::seed_from_u64(plan.seed.wrapping_mul(31)),
+        lifetime: LIFETIME_VERSIONS,
+        count: 0,
+    };
     let (from, to) = plan.bytes;
-    let mut number = 0;
     while Instant::now() < end {
         let passed = 1.0 - (end - Instant::now()).as_secs_f64() / plan.time.as_secs_f64();
         // The growth leaves a quarter of the time for changes of the largest size.
         let share = (passed * 4.0 / 3.0).min(1.0);
         let bytes = from as f64 + (to as f64 - from as f64) * share;
-        declarations.idle_routes = bytes as usize / IDLE_ROUTE_BYTES;
-        declarations.version += rng.random_range(1..4);
-        declarations.routes.push(format!("new-{number}"));
-        declarations.keys.push(format!("new-key-{number}"));
-        let removes = declarations.routes.len() > LIFETIME_VERSIONS;
-        if removes {
-            declarations.routes.remove(0);
-            declarations.keys.remove(0);
-        }
-        let value = declarations.to_json();
-        let written_at = Instant::now();
-        store.put("op", "config", &value);
-        let confirmed_at = Instant::now();
-        record_version(history, number, removes, written_at, confirmed_at);
-        number += 1;
-        Timer::after(rng.random_range(plan.intervals.0..=plan.intervals.1)).await;
-    }
-}
-
-/// Records a version that adds the part with this number and may remove the one of a lifetime before.
-fn record_version(
-    history: &SharedHistory,
-    number: usize,
-    removes: bool,
-    written_at: Instant,
-    confirmed_at: Instant,
-) {
-    let mut history = lock(history);
-    history.parts.push(Part {
-        number,
-        added_at: confirmed_at,
-        removed: None,
-    });
-    if removes {
-        history.parts[number - LIFETIME_VERSIONS].removed = Some((written_at, confirmed_at));
+        versions.declarations.idle_routes = bytes as usize / IDLE_ROUTE_BYTES;
+        versions.write();
+        let (shortest, longest) = plan.intervals;
+        Timer::after(versions.rng.random_range(shortest..=longest)).await;
     }
 }
 
--- a/crates/trials/src/soak_fleet.rs
+++ b/crates/trials/src/soak_fleet.rs
@@ -23,7 +23,8 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Failure domains, in which gateways and servers are placed in turn.
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Time between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Run times of the plain servers, which they take in turn.
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -1,11 +1,12 @@
 //! Short soak tests of direct gateways; longer ones are run by hand with the example `direct-soak`.
 
 use runtime::Executor;
+use standins::QuietAnswer;
 use std::time::Duration;
 use trials::{
     APPLY_BOUND, FleetSize, GrowthPlan, LinkFault, RECOVERY_BOUND, SoakFigures, SoakPlan, StopPlan,
-    TrialError, TurnedAway, TurnedAwayPlan, run_growth_soak, run_soak, run_stop_soak,
-    run_turned_away_soak,
+    TrialError, TurnedAway, TurnedAwayPlan, UnreadPlan, run_growth_soak, run_soak, run_stop_soak,
+    run_turned_away_soak, run_unread_soak,
 };
 
 fn check(seed: u64, figures: Result<SoakFigures, TrialError>) {
@@ -143,6 +144,32 @@
     check(seed, figures);
 }
 
+/// Changes that watches of the store do not tell of.
+fn check_unread(seed: u64, server_changes: bool) {
+    let plan = UnreadPlan {
+        changes: GrowthPlan {
+            seed,
+            size: FleetSize {
+                gateways: 4,
+                engines: 0,
+                plain: 6,
+            },
+            time: Duration::from_secs(14),
+            bytes: (20_000, 20_000),
+            intervals: (Duration::from_millis(300), Duration::from_secs(4)),
+            apply_bound: APPLY_BOUND,
+            faults: false,
+        },
+        answer: Some(QuietAnswer::NewestVersion),
+        server_changes,
+        late: 0,
+    };
+    let run = |executor: Executor| async move { run_unread_soak(&executor, plan).await };
+    let figures = Executor::run(2, run);
+    assert!(figures.as_ref().is_ok_and(|figures| figures.faults > 0));
+    check(seed, figures);
+}
+
 macro_rules! soaks {
     ($($(#[$doc:meta])* $name:ident => $run:expr;)*) => {
         $(
@@ -166,4 +193,9 @@
     changes_are_in_force_under_faults => check_small_changes(2);
     /// Gateways that heard neither from the store nor of it from others answered 404 and 401.
     confirmed_routes_were_refused_while_the_store_turned_gateways_away => check_turned_away(1);
+    /// Polls went on from the version that an answer without rows bore, so that the change before it was never
+    /// read.
+    changes_that_watches_did_not_tell_of_stayed_unread => check_unread(1, false);
+    /// Listings of the servers' table come too late, as each watcher makes them at a time of its own.
+    servers_that_left_unseen_by_watches_were_used => check_unread(1, true);
 }
