Polls are held twice as long, and checks of servers compare one call's rows

What a silent watch hides until then is found by the checks. A check of servers compares at most 100 rows, each time the next ones, so that its calls do not grow with the number of servers.

--- a/crates/direct/src/server_rows_check.rs
+++ b/crates/direct/src/server_rows_check.rs
@@ -27,6 +27,7 @@
         shared,
         store,
         compares: true,
+        next_chunk: random(),
     };
     loop {
         let spread = 1.0 - SPREAD * random::<f64>();
@@ -47,6 +48,8 @@
     store: Store,
     /// Whether the store compares rows of this table.
     compares: bool,
+    /// Place of the rows that are compared next. Watchers begin anywhere, so that together they soon compare all.
+    next_chunk: u64,
 }
 
 impl ServerRowsCheck {
@@ -54,6 +57,7 @@
         let timeout = bound.mul_f64(INTERVAL);
         if self.compares {
             if self.is_unchanged(timeout).await? {
+                self.next_chunk = self.next_chunk.wrapping_add(1);
                 return Ok(());
             }
             Timer::after(WATCH_DELAY).await;
@@ -64,26 +68,26 @@
         self.read().await
     }
 
-    /// Whether the rows have the versions that are known. `false` where the store does not compare them.
+    /// Whether the rows of the next call have the versions that are known. `false` where the store does not compare them.
     async fn is_unchanged(&mut self, timeout: Duration) -> Result<bool, StoreError> {
         let expected = self.shared.store_cache.expected_servers();
-        for rows in expected.chunks(MAX_ROWS) {
-            let compared = self.store.compare(TABLE, rows, timeout).await?;
-            self.shared.metrics.store_call("compare", "ok");
-            match compared {
-                Comparison::Unchanged(_) => {}
-                Comparison::Changed => return Ok(false),
-                Comparison::Unsupported => {
-                    info!(
-                        self.shared.log,
-                        "store: compares no rows of servers, the table is read"
-                    );
-                    self.compares = false;
-                    return Ok(false);
-                }
-            }
+        let chunks = expected.len().div_ceil(MAX_ROWS).max(1);
+        let Some(rows) = expected
+            .chunks(MAX_ROWS)
+            .nth((self.next_chunk % chunks as u64) as usize)
+        else {
+            return Ok(true);
+        };
+        let compared = self.store.compare(TABLE, rows, timeout).await?;
+        self.shared.metrics.store_call("compare", "ok");
+        if compared == Comparison::Unsupported {
+            info!(
+                self.shared.log,
+                "store: compares no rows of servers, the table is read"
+            );
+            self.compares = false;
         }
-        Ok(true)
+        Ok(matches!(compared, Comparison::Unchanged(_)))
     }
 
     async fn read(&self) -> Result<(), StoreError> {
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 /// Longest time that the store holds a poll while nothing changes. A silent connection is noticed
-/// this much later than a broken one, and new declarations must be active within two seconds.
-const POLL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// this much later than a broken one; until then checks find changes.
+const POLL_TIMEOUT: Duration = Duration::from_millis(2_400);
 /// Pause between polls, which limits the rate of calls during frequent changes.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which a gateway that does not watch the store checks whether it has to. A small
