Checks leave large declarations to the watch while it receives and decodes them

After a comparison that differs, the check now waits for as long as the watch may need for declarations of the size in force, and while a row is being decoded; the time that a listing took counts for the next check whenever one was made.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// Whether declarations of the store are being decoded, so that a check of their row has to wait.
+    pub fn is_decoding(&self) -> bool {
+        self.lock().newer.is_decoding()
+    }
+
+    /// Size of the declarations in force, in bytes.
+    pub fn declarations_bytes(&self) -> usize {
+        self.declarations().map_or(0, |stored| stored.body.len())
+    }
+
     /// Rows of the operators' table with the versions that they have in the store if nothing has changed: that
     /// with the declarations, and the orders for these domains. `None` where some of them are not known.
     pub fn expected_rows(&self, domains: &[DomainName]) -> Option<Vec<(Box<str>, u64)>> {
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -33,7 +33,7 @@
     pub(crate) refused: Option<RefusedRow>,
     /// Whether some entries of those in force could not be decoded.
     has_skipped: bool,
-    newer: NewerDeclarations,
+    pub(crate) newer: NewerDeclarations,
     pub(crate) evacuations: Evacuations,
     pub(crate) servers: ServerSet,
     /// Versions of the last rows that were read, or of listings that have shown others.
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -20,6 +20,8 @@
 const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 /// Pause before rows are told again that could not be.
 const TELL_PAUSE: Duration = Duration::from_millis(500);
+/// Rate at which watches receive large declarations, on a link of 20 Mbit/s that others use too.
+const WATCH_BYTES_PER_SECOND: f64 = 1.5e6;
 /// Domains whose orders are compared. The store takes at most 100 rows in a call.
 const MAX_COMPARED_DOMAINS: usize = 90;
 
@@ -42,7 +44,8 @@
         }
         let at = Clock::boot_time();
         let checked = check.run().await;
-        check.shared.on_store_checked(at, !check.compares());
+        let is_listing = !matches!(checked, Ok(Read::Versions));
+        check.shared.on_store_checked(at, is_listing);
         if let Err(err) = checked {
             check.shared.metrics.store_call("check", "failed");
             info!(check.shared.log, "store: rows cannot be checked"; "err" => %err);
@@ -50,6 +53,12 @@
     }
 }
 
+/// What a check has read.
+enum Read {
+    Versions,
+    Table,
+}
+
 struct StoreCheck {
     shared: Arc<Shared>,
     store: Store,
@@ -71,13 +80,13 @@
         self.refused_at.is_none_or(|at| now >= at + REFUSED_PAUSE)
     }
 
-    async fn run(&mut self) -> Result<(), StoreError> {
+    async fn run(&mut self) -> Result<Read, StoreError> {
         let is_different = match self.compare().await? {
-            Some(Comparison::Unchanged(_)) => return Ok(()),
+            Some(Comparison::Unchanged(_)) => return Ok(Read::Versions),
             Some(Comparison::Changed) => {
-                Timer::after(WATCH_DELAY).await;
+                self.wait_for_watch().await;
                 match self.compare().await? {
-                    Some(Comparison::Unchanged(_)) => return Ok(()),
+                    Some(Comparison::Unchanged(_)) => return Ok(Read::Versions),
                     again => again == Some(Comparison::Changed),
                 }
             }
@@ -91,7 +100,18 @@
             }
             None => false,
         };
-        self.read(is_different).await
+        self.read(is_different).await?;
+        Ok(Read::Table)
+    }
+
+    /// Gives the watch time to tell of a change, in which it receives and decodes declarations.
+    async fn wait_for_watch(&self) {
+        let cache = &self.shared.store_cache;
+        let bytes = cache.declarations_bytes() as f64;
+        Timer::after(WATCH_DELAY + Duration::from_secs_f64(bytes / WATCH_BYTES_PER_SECOND)).await;
+        while cache.is_decoding() {
+            Timer::after(TICK).await;
+        }
     }
 
     /// Compares the rows; `None` where their versions are not known, or the store does not compare.
--- a/crates/policy/src/newer_declarations.rs
+++ b/crates/policy/src/newer_declarations.rs
@@ -41,6 +41,11 @@
         self.decoding = self.decoding.filter(|decoding| *decoding > row);
     }
 
+    /// Whether a row of the store is being decoded.
+    pub fn is_decoding(&self) -> bool {
+        self.decoding.is_some()
+    }
+
     /// Whether what the declarations of the version `own` do not allow may be allowed by newer ones.
     pub fn are_known(&self, own: u64) -> bool {
         self.decoding.is_some() || self.named.values().any(|version| *version > own)
