Trials: settings of gateways state the failure domains, as those of the deployments do

Cause: the settings files of the rigs lacked Zones, so that gateways in them compared only the declarations' row and no order of evacuation when they checked the store. Change: all rigs state the three domains of their fleets.

--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -126,7 +126,8 @@
         let (frontend_address, readiness_address) = (loopback(free_port()), loopback(free_port()));
         let peer_address = loopback(free_port());
         let mut settings = format!(
-            "NodeName: {name}\nIp: 127.0.0.1\nZone: {domain}\nBind:\n  \
+            "NodeName: {name}\nIp: 127.0.0.1\nZone: {domain}\n\
+             Zones:\n  a: region\n  b: region\n  c: region\nBind:\n  \
              Frontend: \"{frontend_address}\"\n  Ready: \"{readiness_address}\"\n\
              InternalPortRange:\n  - {port}\n  - {port}\n\
              Limits:\n  MemoryMb: {HOST_MEMORY_MB}\nPlatform:\n  Address: \"{store}\"\nBounds:\n",
