--- a/crates/direct/src/content_metrics.rs
+++ b/crates/direct/src/content_metrics.rs
@@ -28,7 +28,7 @@
         };
         let unread_changes = IntCounter::new(
             "bergamothold_direct_unread_changes_total",
-            "Changes of declarations or evacuations that a check has found and the watch did not tell of",
+            "Changes of rows of the store that a check has found and the watch did not tell of",
         )?;
         registry.register(Box::new(unread_changes.clone()))?;
         Ok(Self {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -341,7 +341,7 @@
         self.content.set_unconfirmed(age);
     }
 
-    /// Counts a change of the operators' or servers' table that the watch did not tell of.
+    /// Counts a change in the store that the watch did not tell of.
     pub fn unread_change(&self) {
         self.content.unread_change();
     }
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -133,7 +133,7 @@
              Zones:\n  a: region\n  b: region\n  c: region\nBind:\n  \
              Frontend: \"{frontend_address}\"\n  Ready: \"{readiness_address}\"\n\
              InternalPortRange:\n  - {port}\n  - {port}\n\
-             Limits:\n  MemoryMb: {HOST_MEMORY_MB}\nZones:\n  a: {{}}\n  b: {{}}\n\
+             Limits:\n  MemoryMb: {HOST_MEMORY_MB}\n\
              Platform:\n  Address: \"{store}\"\nBounds:\n",
             port = peer_address.port()
         );
