Own rows are checked whatever peers confirm, and a check that stood still delays the next one by half the bound at most

That wait is now half of the bound at most. And as peers confirm declarations only, a gateway that they confirm all the time did not compare the orders of evacuation: watchers now compare every 1.9 to 2.5 s, others once a second together. The case of a long check asks for the new wait; it asked for five times 600 ms at a bound of 2 s, in which the confirmation lapses.

--- a/crates/direct/src/server_rows_check.rs
+++ b/crates/direct/src/server_rows_check.rs
@@ -15,7 +15,7 @@
 /// Checks of different gateways spread by this part of the interval.
 const SPREAD: f64 = 0.25;
 /// Time for the watch to tell of a change that a comparison has found, so that the table is not read too.
-const WATCH_DELAY: Duration = Duration::from_millis(150);
+const WATCH_DELAY: Duration = Duration::from_millis(300);
 /// A call of the store takes at most 100 rows.
 const MAX_ROWS: usize = 100;
 
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -212,6 +212,14 @@
         let rows = rows.collect();
         let mut state = self.lock();
         let known = state.versions.servers;
+        if known > 0 {
+            for row in &listing.rows {
+                if state.servers.is_newer(&row.key, row.version) {
+                    info!(self.log, "servers: row changed"; "server" => &*row.key,
+                        "version" => row.version, "change" => ?decode_server_row(row).row);
+                }
+            }
+        }
         let has_news = state.servers.on_listing(rows, listing.version, now);
         for (server, started) in starts {
             state.servers.on_start(server, started);
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -15,7 +15,7 @@
 /// Interval at which a check may become due.
 const TICK: Duration = Duration::from_millis(100);
 /// Time for the watch to tell of a change that a comparison has found, so that the table is not read too.
-const WATCH_DELAY: Duration = Duration::from_millis(150);
+const WATCH_DELAY: Duration = Duration::from_millis(300);
 /// Time after which a store that has refused to compare rows is asked to again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 /// Pause before rows are told again that could not be.
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -1,5 +1,6 @@
 //! Until when the declarations in force are known to have been the newest.
 
+use crate::store_fallback::store_check_interval;
 use proto::{ClockReading, Confirmation, ConfirmationReport};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,13 +16,17 @@
 const CHECK_SPREAD: f64 = 0.35;
 /// The checks of watchers spread by up to this part, so that the first one confirms to the others.
 const WATCHER_SPREAD: f64 = 0.4;
+/// Gateways that watch the store check their own rows this often, whatever peers confirm. Half of the time within
+/// which an evacuation must be obeyed.
+const OWN_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 /// A check takes at most this part of the bound.
 const CHECK_TIMEOUT: f64 = 0.3;
 /// Shortest interval between checks of one gateway while they fail.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between checks of all gateways together, as the store handles such calls one after the other.
 const CHECK_INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(20);
-/// A check that reads the whole table takes at most this part of the time.
+/// After a check that reads the whole table, this many times as long passes until the next, half of the bound at
+/// most, as time in which the process stood still counts too.
 const LISTING_SHARE: u32 = 5;
 
 /// How the declarations in force were last confirmed as the newest.
@@ -167,7 +172,19 @@
             }
         };
         let is_old = self.age(own, now).is_none_or(|age| age > limit);
-        is_old && self.may_check(now, gateways, spread)
+        let is_due = is_old || self.is_own_check_due(now, gateways, watches, spread);
+        is_due && self.may_check(now, gateways, spread)
+    }
+
+    /// Whether to check the own rows although peers confirm the declarations: what they say does not cover
+    /// orders of evacuation.
+    fn is_own_check_due(&self, now: Duration, gateways: usize, watches: bool, spread: f64) -> bool {
+        let interval = match watches {
+            true => OWN_CHECK_INTERVAL,
+            false => store_check_interval(gateways, 500),
+        };
+        let interval = interval.mul_f64(0.75 + spread / 4.0);
+        self.last_check.is_some_and(|(at, _)| now >= at + interval)
     }
 
     fn may_check(&self, now: Duration, gateways: usize, spread: f64) -> bool {
@@ -181,6 +198,7 @@
         };
         let interval = interval.max(check_interval(gateways));
         let interval = interval.mul_f64(0.5 + spread);
+        let took = took.min(self.bound / (2 * LISTING_SHARE));
         now >= at + interval.max(took * LISTING_SHARE)
     }
 
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -74,6 +74,13 @@
         true
     }
 
+    /// Whether a row of this version is newer than what is known of the server.
+    pub fn is_newer(&self, id: &str, version: u64) -> bool {
+        self.known
+            .get(id)
+            .is_none_or(|known| version > known.version)
+    }
+
     /// Records when the process of a server started, as its row states. A later start than the last one
     /// that was stated is that of a new process, to which nothing applies that the former one said.
     pub fn on_start(&mut self, id: &str, started: Duration) {
--- a/crates/policy/tests/confirmed_declarations.rs
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -147,6 +147,22 @@
     assert!(due(6_701, false, 0));
 }
 
+/// A gateway whose peers confirmed the declarations all the time did not compare the orders of evacuation.
+#[test]
+fn own_rows_are_checked_though_peers_confirm() {
+    for (watches, earliest, latest) in [(true, 1_875, 2_500), (false, 19_500, 26_000)] {
+        let mut confirmed = gateway(1);
+        confirmed.on_checked(at(5_000), at(10));
+        let mut due = |ms: u64, random| {
+            confirmed.on_store_answer(at(5_000 + ms), ConfirmedBy::Peer);
+            confirmed.is_check_due(4, at(5_000 + ms), 26, watches, random)
+        };
+        assert!(!due(earliest - 1, 0));
+        assert!(due(earliest, 0));
+        assert!(due(latest, 999));
+    }
+}
+
 #[test]
 fn checks_that_fail_are_spread_over_the_gateways() {
     for (gateways, earliest) in [(3, 250_u64), (26, 260), (103, 1_030), (340, 3_400)] {
@@ -164,9 +180,13 @@
 fn a_check_that_takes_long_is_not_repeated_at_once() {
     let mut confirmed = gateway(1);
     confirmed.on_store_answer(at(10_000), LISTED);
-    confirmed.on_checked(at(10_000), at(600));
-    assert!(!confirmed.is_check_due(4, at(12_900), 3, true, 0));
-    assert!(confirmed.is_check_due(4, at(13_000), 3, true, 0));
+    confirmed.on_checked(at(10_000), at(160));
+    assert!(!confirmed.is_check_due(4, at(10_790), 3, true, 0));
+    assert!(confirmed.is_check_due(4, at(10_800), 3, true, 0));
+    // One that was frozen meanwhile confirms again within the bound.
+    confirmed.on_checked(at(10_000), at(9_000));
+    assert!(!confirmed.is_check_due(4, at(10_990), 3, true, 0));
+    assert!(confirmed.is_check_due(4, at(11_000), 3, true, 0));
 }
 
 /// What happens to gateway `.0` in a replay.
