--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -13,7 +13,7 @@
 
 /// Longest time that the store holds a poll while nothing changes. A silent connection is noticed
 /// this much later than a broken one; until then checks find changes.
-const POLL_TIMEOUT: Duration = Duration::from_millis(2_400);
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause between polls, which limits the rate of calls during frequent changes.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which a gateway that does not watch the store checks whether it has to. A small
@@ -99,8 +99,8 @@
 impl TableHandler for ServerTableHandler {
     const TABLE: StoreTable = StoreTable::Servers;
 
-    /// Those who watch the table list it about once a second together, so that a server that leaves is not used
-    /// for longer than its drain takes.
+    /// Those who watch the table list it about once a second together, which shows new servers; that one leaves is
+    /// found by comparisons.
     fn listing_interval(_gateways: usize) -> Option<Duration> {
         Some(WATCHER_LISTING_INTERVAL)
     }
--- a/crates/policy/src/store_watchers.rs
+++ b/crates/policy/src/store_watchers.rs
@@ -12,7 +12,7 @@
 
 /// A table counts as unanswered after this time without a response, which covers one poll and the pause
 /// after it.
-const TABLE_TIMEOUT: Duration = Duration::from_millis(3_100);
+const TABLE_TIMEOUT: Duration = Duration::from_millis(1_900);
 
 /// Another gateway, as this one sees it.
 #[derive(Debug, Clone, Copy)]
