--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,8 @@
 
 COPY_AGE_S = 8.0
 AWAY_S = 1.0
+CHANGES = (4, 5, 6)
+CHANGE_GAP_S = 1.0
 APPLY_S = BOUNDS["ConfigApplyMs"] / 1e3
 STABLE_S = BOUNDS["StableWindowMs"] / 1e3
 
@@ -26,16 +28,18 @@
     dropped.start()
     await asyncio.sleep(4.0)
     copy = store.copy()
-    await asyncio.sleep(COPY_AGE_S - 1.5)
-    # A change that leaves all keys and routes as they are.
-    config = manifest(5)
-    config["Routes"][1]["TimeoutMs"] = 2500
-    record.say(f"manifest 5 is in the store's row of version {store.put('op', 'config', config)}")
-    await asyncio.sleep(1.5)
+    await asyncio.sleep(COPY_AGE_S - len(CHANGES) * CHANGE_GAP_S)
+    # Changes of a time-out, which leave all keys and routes as they are.
+    for version in CHANGES:
+        config = manifest(version)
+        config["Routes"][1]["TimeoutMs"] = 2500 + version
+        record.say(f"manifest {version} is in the store's row of version {store.put('op', 'config', config)}")
+        await asyncio.sleep(CHANGE_GAP_S)
     if trouble():
         await store.restore(copy, AWAY_S)
         # What the operator and the servers wrote is written again.
-        record.say(f"manifest 5 is written again, in the row of version {store.put('op', 'config', config)}")
+        record.say(f"manifest {CHANGES[-1]} is written again, in the row of version "
+                   f"{store.put('op', 'config', config)}")
     await asyncio.sleep(STABLE_S + 0.3)
     version = store.put("op", "config", manifest(8, keys=(KEY,), route_service="varaus-2"))
     confirmed = time.monotonic()
