--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -31,6 +31,13 @@
 }
 ZONES = ["fi-south-a", "fi-south-b", "fi-south-c"]
 HEARTBEAT_S = 1.2
+# Figures of a model server of that site.
+ENGINE = {
+    "Slots": 16, "KvCapacityTokens": 450000, "KvTokenBytes": 327680, "LinkMbps": 400000.0, "Stride": 46,
+    "Models": [{"Name": "m"}], "step_ms": 0.925, "per_seq_ms": 0.00483, "context_per_k": 0.00254,
+    "read_per_s": 256000.0, "pairs_per_m": 0.0917, "chunk": 2048, "report_lag_ms": 200.0, "LoadsPerS": 0.0,
+    "loads_at_once": 8, "delays": [], "usual": {"prompt": 13199, "answer": 1541}, "HopMs": 0.1,
+}
 
 
 def trouble():
