Rows of the store are checked by transactions that write, and other reads prove nothing of what they do not show

Cause: what a listing showed counted as of the moment at which it was asked for. After a compaction reads are seconds behind and bear any version, so that a gateway whose store refuses to compare rows, or answers transactions without writes from what held before, confirmed old declarations, told all others so, and took rows that a listing lacked for removed.

Change: `ReadProof` in policy says what follows from a read, and all listings and checks of declarations, orders of evacuation and servers go through it. A check is one transaction with conditions on all of these rows that also writes a row of the gateway's own, so that it has a place in the order of all writes; where rows differ, its refusal brings them, without a listing. Where the store refuses this, a listing between two reads of a mark counts. Polls, listings and peers only add: a peer passes orders of evacuation on with their versions, also removed ones. Versions of rows are revisions, which carry the era that the store's responses state.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -1,11 +1,12 @@
 //! Rows of the store that checks compare with what is known, and rows that checks have found.
 
 use crate::store_cache::StoreCache;
-use adapter::{StoreTable, evacuation_key, keys};
+use adapter::{ExpectedRow, StoreRow, StoreTable, evacuation_key, keys};
 use policy::DomainName;
-use proto::BackendRow;
+use proto::{BackendRow, Revision};
+use std::time::Duration;
 
-/// Tables in which a listing has shown rows that are not newer than the version that others have, so that they
+/// Tables in which a check has shown rows that are not newer than the revision that others have, so that they
 /// would not ask for them.
 #[derive(Debug, Default)]
 pub(crate) struct Untold {
@@ -14,33 +15,59 @@
 }
 
 impl StoreCache {
-    /// Table in which a listing has shown rows that others do not see as newer than what they have.
-    pub fn untold_table(&self) -> Option<StoreTable> {
-        let state = self.lock();
-        match state.is_untold {
-            Untold {
-                operators: true, ..
-            } => Some(StoreTable::Operators),
-            Untold { servers: true, .. } => Some(StoreTable::Servers),
-            Untold { .. } => None,
+    /// Records that all rows that are known were checked as of this revision. Rows that others may not have are
+    /// then told as those of this revision; returns whether there are any.
+    pub fn tell_untold(&self, revision: Revision) -> bool {
+        let mut state = self.lock();
+        let untold = std::mem::take(&mut state.is_untold);
+        if untold.operators {
+            state.advance_operators(revision);
         }
+        if untold.servers {
+            state.servers.end_history(revision);
+            state.versions.servers = state.versions.servers.max(revision);
+        }
+        untold.operators || untold.servers
     }
 
-    /// Records that a table is known up to `version`, which is newer than what others have.
-    pub fn tell(&self, table: StoreTable, version: u64) {
+    /// Records that the operators' rows are known as of this revision.
+    pub fn on_confirmed(&self, revision: Revision) {
         let mut state = self.lock();
-        match table {
-            StoreTable::Operators => {
-                state.is_untold.operators = false;
-                state.advance_operators(version);
-            }
-            StoreTable::Servers => {
-                state.is_untold.servers = false;
-                state.servers.end_history(version);
-                state.versions.servers = state.versions.servers.max(version);
-            }
-            StoreTable::Gateways => {}
-        }
+        state.confirmed = state.confirmed.max(revision);
+    }
+
+    /// Revision from which polls of the operators' table can go on.
+    pub fn known_operators(&self) -> Revision {
+        let state = self.lock();
+        state.versions.operators.max(state.confirmed)
+    }
+
+    /// Applies operators' rows as a transaction has found them; returns the same as
+    /// [`Self::on_operator_rows`].
+    pub async fn on_read_operators(&self, rows: Vec<StoreRow>) -> Option<&'static str> {
+        let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
+        let (known, before) = {
+            let state = self.lock();
+            (state.versions.operators, state.operator_rows())
+        };
+        let refusal = self.on_operator_rows(rows, newest).await;
+        let mut state = self.lock();
+        state.is_untold.operators |= newest <= known && state.operator_rows() != before;
+        refusal
+    }
+
+    /// Applies servers' rows as a transaction has found them.
+    pub fn on_read_servers(&self, rows: &[StoreRow], now: Duration) {
+        let (known, has_news) = {
+            let state = self.lock();
+            let known = state.versions.servers;
+            let mut hidden = rows.iter().filter(|row| row.version <= known);
+            let has_news = hidden.any(|row| state.servers.is_newer(&row.key, row.version));
+            (known, has_news)
+        };
+        let newest = rows.iter().map(|row| row.version).max();
+        self.on_server_rows(rows, newest.unwrap_or(known), now);
+        self.lock().is_untold.servers |= has_news;
     }
 
     /// Whether declarations of the store are being decoded, so that a check of their row has to wait.
@@ -53,27 +80,39 @@
         self.declarations().map_or(0, |stored| stored.body.len())
     }
 
-    /// Rows of the operators' table with the versions that they have in the store if nothing has changed: that
-    /// with the declarations, and the orders for these domains. `None` where some of them are not known.
-    pub fn expected_rows(&self, domains: &[DomainName]) -> Option<Vec<(Box<str>, u64)>> {
+    /// Rows of the operators' table with the revisions that they have if nothing has changed: that with the
+    /// declarations, which comes first, and the orders for these domains. A row whose revision is not known is
+    /// expected to be as no row is.
+    pub fn expected_rows(&self, domains: &[DomainName]) -> Vec<ExpectedRow> {
         let state = self.lock();
         let refused = state.refused.as_ref().map_or(0, |refused| refused.version);
+        let expect = |key: Box<str>, revision| ExpectedRow {
+            table: StoreTable::Operators,
+            key,
+            revision,
+        };
         let row = state.declarations_row().max(refused);
-        let mut rows = vec![(keys::DECLARATIONS.into(), row)];
-        for domain in domains {
-            rows.push((evacuation_key(domain), state.evacuations.row(domain)?));
-        }
-        (row > 0).then_some(rows)
+        let mut rows = vec![expect(keys::DECLARATIONS.into(), row)];
+        let orders = domains
+            .iter()
+            .map(|domain| expect(evacuation_key(domain), state.evacuations.row(domain)));
+        rows.extend(orders);
+        rows
     }
 
-    /// Rows of the servers that are not known to be gone, with the versions that they have in the store if
-    /// nothing has changed.
-    pub fn expected_servers(&self) -> Vec<(Box<str>, u64)> {
+    /// Rows of the servers that are not known to be gone, with the revisions that they have if nothing has
+    /// changed.
+    pub fn expected_servers(&self) -> Vec<ExpectedRow> {
         let state = self.lock();
         let rows = state.servers.rows();
         let rows = rows.filter(|(_, row, _)| **row != BackendRow::Absent);
-        let mut rows: Vec<_> = rows.map(|(id, _, version)| (id.clone(), version)).collect();
-        rows.sort_unstable();
+        let rows = rows.map(|(id, _, revision)| ExpectedRow {
+            table: StoreTable::Servers,
+            key: id.clone(),
+            revision,
+        });
+        let mut rows: Vec<_> = rows.collect();
+        rows.sort_unstable_by(|a, b| a.key.cmp(&b.key));
         rows
     }
 
--- a/crates/direct/src/content_stream.rs
+++ b/crates/direct/src/content_stream.rs
@@ -90,6 +90,7 @@
         rows: snapshot.servers.len() as u64,
         is_difference: snapshot.is_difference,
         declarations,
+        orders: Some(shared.store_cache.orders()),
     };
     tx.send(&ContentFrame::Head(head)).await?;
     for page in snapshot.servers.chunks(CONTENT_PAGE_ROWS) {
@@ -219,7 +220,7 @@
     ) -> Result<(), FetchError> {
         // Orders come first, as large declarations take time.
         let cache = &self.shared.store_cache;
-        cache.on_peer_evacuations(&head.evacuated, head.versions.operators);
+        cache.on_peer_orders(head.orders.unwrap_or_default());
         let mut rows = Vec::new();
         while (rows.len() as u64) < head.rows {
             match self.frame(rx, "rows").await? {
@@ -249,7 +250,7 @@
                 servers: 0,
             },
             declarations,
-            evacuated: head.evacuated,
+            evacuated: Vec::new(),
             servers: Vec::new(),
             is_difference: true,
         };
@@ -349,7 +350,7 @@
         let now = self.shared.clock.now();
         let cache = &self.shared.store_cache;
         cache.merge_from_peer(self.peer, snapshot, row, now).await?;
-        self.shared.update_declarations_metric();
+        self.shared.on_declarations_read();
         Ok(())
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -52,7 +52,6 @@
 mod server_failure;
 mod server_pause;
 mod server_probe;
-mod server_rows_check;
 mod shared;
 mod signal;
 mod stalls;
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -3,8 +3,8 @@
 use crate::declarations_row::{StoredDeclarations, decode_body};
 use crate::store_cache::{State, StoreCache};
 use adapter::DeclarationError;
-use policy::{BackendId, DomainName};
-use proto::{BackendRow, StoreSnapshot, StoreVersions};
+use policy::{BackendId, ReadProof};
+use proto::{BackendRow, EvacuationOrder, StoreSnapshot, StoreVersions};
 use slog::info;
 use std::time::Duration;
 
@@ -62,7 +62,6 @@
             if let Some(decoded) = declarations {
                 self.put_in_force(&mut state, decoded, row, peer);
             }
-            state.set_evacuations(&snapshot.evacuated, versions.operators);
             state.advance_operators(versions.operators);
         } else if let Some(decoded) = declarations {
             // Where the newest are refused here, those that peers have in force are older.
@@ -76,7 +75,9 @@
             if snapshot.is_difference {
                 state.servers.on_difference(rows, known, now);
             } else {
-                state.servers.on_listing(rows, versions.servers, now);
+                // The peer may have been behind when it listed them.
+                let (version, proof) = (versions.servers, ReadProof::Behind);
+                state.servers.on_listing(rows, version, proof, now);
             }
             state.versions.servers = versions.servers;
             self.log_restarted(&mut state);
@@ -84,13 +85,24 @@
         Ok(())
     }
 
-    /// Applies the evacuations that a peer knows as of a version of the operators' table, whose
-    /// declarations are still to come.
-    pub fn on_peer_evacuations(&self, domains: &[DomainName], version: u64) {
+    /// Applies the orders of evacuation that a peer knows, whose declarations are still to come.
+    pub fn on_peer_orders(&self, orders: Vec<EvacuationOrder>) {
         let mut state = self.lock();
-        if version > state.versions.operators {
-            state.set_evacuations(domains, version);
+        for order in orders {
+            let EvacuationOrder {
+                domain,
+                is_active,
+                version,
+            } = order;
+            state.evacuations.on_order(domain, is_active, version);
         }
+        let evacuated = state.evacuations.active();
+        state.servers.set_evacuated(evacuated);
+    }
+
+    /// Orders of evacuation with their revisions, for a peer.
+    pub fn orders(&self) -> Vec<EvacuationOrder> {
+        self.lock().evacuations.orders()
     }
 }
 
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -5,7 +5,6 @@
 use crate::peers::{GatewayTableHandler, Peers};
 use crate::prompt_queue::PromptQueue;
 use crate::server_failure;
-use crate::server_rows_check::check_server_rows;
 use crate::shared::Shared;
 use crate::stalls::watch_stalls;
 use crate::store_check::check_store;
@@ -120,7 +119,6 @@
     executor.detach(watch(shared.clone(), store.clone(), OperatorTableHandler));
     executor.detach(watch(shared.clone(), store.clone(), ServerTableHandler));
     executor.detach(check_store(shared.clone(), store.clone()));
-    executor.detach(check_server_rows(shared.clone(), store.clone()));
     executor.detach(watch_stalls(shared.clone()));
     executor.detach(PromptQueue::run(shared.clone()));
     executor.detach(blocked_rows::maintain(shared.clone()));
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -13,8 +13,8 @@
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
 use policy::{
-    CallTimes, ConfirmedDeclarations, Drain, RunningChecks, StoreFallback, answer_bytes,
-    buffer_bytes, is_store_reached,
+    CallTimes, ConfirmedDeclarations, Drain, RunningChecks, StoreFallback, StoreReads,
+    answer_bytes, buffer_bytes, is_store_reached,
 };
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
@@ -72,6 +72,7 @@
     servers_answered_ms: AtomicU64,
     failing_tables: AtomicUsize,
     relies_on_peers: AtomicBool,
+    store_reads: Mutex<StoreReads>,
     confirmed: Mutex<ConfirmedDeclarations>,
     /// Whether the last check found the declarations confirmed.
     is_confirmed: AtomicBool,
@@ -116,10 +117,11 @@
             servers_answered_ms: AtomicU64::new(0),
             failing_tables: AtomicUsize::new(0),
             relies_on_peers: AtomicBool::new(false),
-            confirmed: Mutex::new(ConfirmedDeclarations::new(
-                rand::random(),
-                settings.bounds.declarations_apply,
-            )),
+            store_reads: Mutex::default(),
+            confirmed: Mutex::new(
+                ConfirmedDeclarations::new(rand::random(), settings.bounds.declarations_apply)
+                    .with_drain_bound(settings.bounds.drain),
+            ),
             is_confirmed: AtomicBool::new(true),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
@@ -134,7 +136,7 @@
         let answered_ms = match table {
             StoreTable::Operators => &self.operators_answered_ms,
             StoreTable::Servers => &self.servers_answered_ms,
-            StoreTable::Gateways => return,
+            StoreTable::Gateways | StoreTable::Checks => return,
         };
         answered_ms.store(now.as_millis().max(1) as u64, Ordering::Relaxed);
     }
@@ -216,6 +218,12 @@
         checks.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Decides how rows of the store are checked.
+    pub fn lock_store_reads(&self) -> MutexGuard<'_, StoreReads> {
+        let reads = self.store_reads.lock();
+        reads.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Decides for how long declarations may be the reason to turn requests away.
     pub fn lock_confirmed(&self) -> MutexGuard<'_, ConfirmedDeclarations> {
         let confirmed = self.confirmed.lock();
@@ -252,11 +260,17 @@
         self.failing_tables() > 0
     }
 
-    /// Sets the metrics of the declarations that are in force or refused.
-    pub fn update_declarations_metric(&self) {
+    /// Sets the metrics of the declarations that are in force or refused, and compares them with what checks
+    /// have found.
+    pub fn on_declarations_read(&self) {
         if let Some(table) = self.store_cache.route_table() {
             self.metrics.set_declarations(table.version);
         }
+        let row = self.store_cache.declarations_row();
+        if self.lock_store_reads().on_row(row) {
+            warn!(self.log, "store: a comparison has passed over a newer row, the tables are read instead";
+                "row" => row);
+        }
         let refused = self.store_cache.declarations_refusal().is_some();
         self.metrics.set_declarations_refused(refused);
     }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -5,13 +5,14 @@
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
 use crate::evacuations::Evacuations;
-use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, keys};
+use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys};
 use policy::{
-    BackendId, ContentHistory, DomainName, NewerDeclarations, RouteTable, ServerSet, server_key,
+    BackendId, ContentHistory, DomainName, NewerDeclarations, ReadProof, RouteTable, ServerSet,
+    server_key,
 };
-use proto::{BackendEntry, ContentDigest, EditScript, ServerKey, StoreVersions};
+use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions};
 use slog::{Logger, info, warn};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
     /// Versions of the last rows that were read, or of listings that have shown others.
     pub(crate) versions: StoreVersions,
     pub(crate) is_untold: Untold,
+    /// Revision as of which a check has found the operators' rows as they are known.
+    pub(crate) confirmed: Revision,
 }
 
 #[derive(Debug)]
@@ -95,6 +98,13 @@
         state.has_skipped || refused.is_some_and(|row| !is_lowered(row))
     }
 
+    /// Whether newer declarations than those in force are known to exist.
+    pub fn knows_newer_declarations_than_in_force(&self) -> bool {
+        let state = self.lock();
+        let in_force = state.route_table.as_ref().map_or(0, |table| table.version);
+        state.newer.are_known(in_force)
+    }
+
     /// Version of the declarations in force, 0 for none, while the newest ones of the store are refused.
     pub fn refused_above(&self) -> Option<u64> {
         let state = self.lock();
@@ -163,26 +173,22 @@
         refusal
     }
 
-    /// Applies the whole operators' table; returns the same as [`Self::on_operator_rows`].
-    pub async fn on_operator_listing(&self, listing: Listing) -> Option<&'static str> {
-        let listed = listing.rows.iter().filter_map(|row| {
-            let domain = evacuated_domain(&row.key)?;
-            Some((domain.into(), row.version))
-        });
-        let listed: HashMap<DomainName, u64> = listed.collect();
-        let (known, before) = {
-            let mut state = self.lock();
-            let before = state.operator_rows();
-            state.evacuations.on_listing(&listed, listing.version);
-            (state.versions.operators, before)
-        };
-        let refusal = self.on_operator_rows(listing.rows, 0).await;
-        let mut state = self.lock();
-        if state.operator_rows() != before || known == 0 {
-            state.is_untold.operators |= known > 0 && listing.version <= known;
-            state.advance_operators(listing.version);
+    /// Applies a listing of the operators' table; returns the same as [`Self::on_operator_rows`].
+    pub async fn on_operator_listing(
+        &self,
+        listing: Listing,
+        proof: ReadProof,
+    ) -> Option<&'static str> {
+        let mut rows = listing.rows;
+        if proof.shows_absence() {
+            let missing = self.lock().evacuations.missing(|domain| {
+                let key = evacuation_key(domain);
+                rows.iter().any(|row| row.key == key)
+            });
+            let removed = missing.iter().map(|domain| evacuation_key(domain));
+            rows.extend(removed.map(|key| StoreRow::removed(&key, listing.version)));
         }
-        refusal
+        self.on_read_operators(rows).await
     }
 
     /// Applies changed rows of the servers' table, which is then known up to `version`.
@@ -201,15 +207,19 @@
         state.versions.servers = state.versions.servers.max(version);
     }
 
-    /// Applies the whole servers' table.
-    pub fn on_server_listing(&self, listing: &Listing, now: Duration) {
+    /// Applies a listing of the servers' table.
+    pub fn on_server_listing(&self, listing: &Listing, proof: ReadProof, now: Duration) {
         let mut starts = Vec::new();
         let rows = listing.rows.iter().map(|row| {
             let decoded = decode_server_row(row);
             starts.extend(decoded.started.map(|started| (&row.key, started)));
             (row.key.clone(), decoded.row, row.version)
         });
-        let rows = rows.collect();
+        let rows: Vec<_> = rows.collect();
+        let mut newest = rows.iter().map(|row| row.2).max().unwrap_or_default();
+        if proof.shows_absence() {
+            newest = newest.max(listing.version);
+        }
         let mut state = self.lock();
         let known = state.versions.servers;
         if known > 0 {
@@ -220,13 +230,14 @@
                 }
             }
         }
-        let has_news = state.servers.on_listing(rows, listing.version, now);
+        let has_news = state.servers.on_listing(rows, listing.version, proof, now);
         for (server, started) in starts {
             state.servers.on_start(server, started);
         }
         if has_news || known == 0 {
-            state.is_untold.servers |= known > 0 && listing.version <= known;
-            state.versions.servers = known.max(listing.version);
+            state.is_untold.servers |= known > 0 && newest <= known;
+            // An empty table was read too.
+            state.versions.servers = known.max(newest).max(1);
         }
         self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
@@ -391,12 +402,6 @@
         }
     }
 
-    /// Sets the evacuations as of `version`, but for those known from newer rows.
-    pub(crate) fn set_evacuations(&mut self, domains: &[DomainName], version: u64) {
-        self.evacuations.set(domains, version);
-        self.servers.set_evacuated(self.evacuations.active());
-    }
-
     pub(crate) fn advance_operators(&mut self, version: u64) {
         self.versions.operators = self.versions.operators.max(version);
         self.servers.set_evacuated(self.evacuations.active());
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -1,204 +1,253 @@
-//! Checks of the operators' rows in the store, which find what watches do not tell of.
+//! Checks of the rows in the store, which find what watches do not tell of and confirm the rest.
 
 use crate::shared::Shared;
 use crate::store_watch::report_declarations;
-use adapter::{Comparison, Listing, Store, StoreError, StoreTable, keys};
+use adapter::{Comparison, CurrentRow, ExpectedRow, Mark, Store, StoreError, StoreRow, StoreTable};
 use async_io::Timer;
-use policy::{ConfirmedBy, DomainName};
+use policy::{CheckWay, ConfirmedBy, DomainName, ReadProof, StoreReads};
+use proto::Revision;
+use rand::random;
 use runtime::Clock;
 use slog::{info, warn};
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-const TABLE: StoreTable = StoreTable::Operators;
 /// Interval at which a check may become due.
 const TICK: Duration = Duration::from_millis(100);
-/// Time for the watch to tell of a change that a comparison has found, so that the table is not read too.
-const WATCH_DELAY: Duration = Duration::from_millis(300);
-/// Time after which a store that has refused to compare rows is asked to again.
-const REFUSED_PAUSE: Duration = Duration::from_secs(30);
-/// Pause before rows are told again that could not be.
-const TELL_PAUSE: Duration = Duration::from_millis(500);
-/// Rate at which watches receive large declarations, on a link of 20 Mbit/s that others use too.
-const WATCH_BYTES_PER_SECOND: f64 = 1.5e6;
-/// Domains whose orders are compared. The store takes at most 100 rows in a call.
-const MAX_COMPARED_DOMAINS: usize = 90;
-
-/// Checks the operators' rows whenever nobody has confirmed them lately, until the process ends. A check
-/// compares the versions of the rows, and reads the table where they differ.
+/// The same until the first one, as a gateway that starts serves nothing before it.
+const FIRST_TICK: Duration = Duration::from_millis(10);
+/// Domains whose orders are compared.
+const MAX_DOMAINS: usize = 30;
+/// Rows that are compared in one call. The store takes at most 100 entries, of which one is the mark.
+const MAX_ROWS: usize = 99;
+/// Transactions of one check: one that finds changed rows, one that finds removed ones, and one that confirms.
+const MAX_ROUNDS: usize = 4;
+/// Declarations of more bytes are left to peers while these have newer ones.
+const LARGE_DECLARATIONS: usize = 256 << 10;
+
+/// Checks the operators' and servers' rows whenever that is due, until the process ends.
 pub async fn check_store(shared: Arc<Shared>, store: Store) {
     let mut check = StoreCheck {
         shared,
         store,
-        refused_at: None,
+        next_chunk: random(),
     };
+    let mut tick = FIRST_TICK;
     loop {
-        Timer::after(TICK).await;
-        if let Some(table) = check.shared.store_cache.untold_table() {
-            check.tell(table).await;
-        }
-        let knows_rows = check.shared.store_cache.versions().operators > 0;
-        if !knows_rows || !check.shared.is_store_check_due() {
+        Timer::after(tick).await;
+        if !check.is_due() {
             continue;
         }
         let at = Clock::boot_time();
         let checked = check.run().await;
-        let is_listing = !matches!(checked, Ok(Read::Versions));
+        let is_listing = !matches!(checked, Ok(CheckWay::Transaction));
         check.shared.on_store_checked(at, is_listing);
-        if let Err(err) = checked {
-            check.shared.metrics.store_call("check", "failed");
-            info!(check.shared.log, "store: rows cannot be checked"; "err" => %err);
+        match checked {
+            Ok(_) => tick = TICK,
+            Err(err) => {
+                check.shared.metrics.store_call("check", "failed");
+                info!(check.shared.log, "store: rows cannot be checked"; "err" => %err);
+            }
         }
     }
 }
 
-/// What a check has read.
-enum Read {
-    Versions,
-    Table,
-}
-
 struct StoreCheck {
     shared: Arc<Shared>,
     store: Store,
-    /// When the store last refused to compare rows of this table.
-    refused_at: Option<Duration>,
+    /// Place of the servers' rows that are compared next. Gateways begin anywhere, so that together they soon
+    /// compare all.
+    next_chunk: u64,
 }
 
 impl StoreCheck {
+    fn is_due(&self) -> bool {
+        let cache = &self.shared.store_cache;
+        let knows_rows = cache.versions().operators > 0;
+        if !knows_rows || cache.is_decoding() {
+            return false;
+        }
+        let is_on_the_way = cache.declarations_bytes() > LARGE_DECLARATIONS
+            && !self.shared.watches_store()
+            && cache.knows_newer_declarations_than_in_force();
+        !is_on_the_way && self.shared.is_store_check_due()
+    }
+
     /// Domains that can be evacuated: those of the settings, which may state none, and those of servers.
     fn domains(&self) -> Vec<DomainName> {
         let mut domains: BTreeSet<_> = self.shared.settings.domains.iter().cloned().collect();
         domains.extend(self.shared.store_cache.server_domains());
-        domains.into_iter().take(MAX_COMPARED_DOMAINS).collect()
+        domains.into_iter().take(MAX_DOMAINS).collect()
+    }
+
+    /// Rows that the next call compares: the operators', and a part of the servers'.
+    fn expected(&self) -> Vec<ExpectedRow> {
+        let cache = &self.shared.store_cache;
+        let mut rows = cache.expected_rows(&self.domains());
+        let servers = cache.expected_servers();
+        let room = MAX_ROWS - rows.len();
+        let chunks = servers.len().div_ceil(room).max(1);
+        let chunk = (self.next_chunk % chunks as u64) as usize;
+        rows.extend(
+            servers
+                .chunks(room)
+                .nth(chunk)
+                .into_iter()
+                .flatten()
+                .cloned(),
+        );
+        rows
+    }
+
+    fn mark<'a>(&'a self, value: &'a [u8]) -> Mark<'a> {
+        let key = &self.shared.settings.name;
+        Mark { key, value }
     }
 
-    /// Whether the store compares rows, as far as it is known.
-    fn compares(&self) -> bool {
+    /// Checks the rows once, and returns how.
+    async fn run(&mut self) -> Result<CheckWay, StoreError> {
         let now = self.shared.clock.now();
-        self.refused_at.is_none_or(|at| now >= at + REFUSED_PAUSE)
+        if self.shared.lock_store_reads().way(now) == CheckWay::Transaction {
+            if self.compare().await? {
+                self.next_chunk = self.next_chunk.wrapping_add(1);
+                return Ok(CheckWay::Transaction);
+            }
+            info!(
+                self.shared.log,
+                "store: compares no rows, the tables are read to check them"
+            );
+            self.shared.lock_store_reads().on_refused(now);
+        }
+        self.list().await?;
+        Ok(CheckWay::MarkedListing)
     }
 
-    async fn run(&mut self) -> Result<Read, StoreError> {
-        let is_different = match self.compare().await? {
-            Some(Comparison::Unchanged(_)) => return Ok(Read::Versions),
-            Some(Comparison::Changed) => {
-                self.wait_for_watch().await;
-                match self.compare().await? {
-                    Some(Comparison::Unchanged(_)) => return Ok(Read::Versions),
-                    again => again == Some(Comparison::Changed),
+    /// Compares the rows until they are as they are known; `false` where the store does not compare them.
+    async fn compare(&self) -> Result<bool, StoreError> {
+        for _ in 0..MAX_ROUNDS {
+            let expected = self.expected();
+            let timeout = self.shared.store_check_timeout();
+            let at = Clock::boot_time();
+            let compared = self.store.compare(&expected, self.mark(b""), timeout);
+            let current = match compared.await? {
+                Comparison::Unchanged(revision) => {
+                    self.on_unchanged(at, &expected, revision);
+                    return Ok(true);
                 }
+                Comparison::Unsupported => return Ok(false),
+                Comparison::Changed(current) => current,
+            };
+            self.shared.metrics.store_call("compare", "changed");
+            let unsent = unsent(&expected, &current);
+            if self.apply(current).await {
+                continue;
             }
-            Some(Comparison::Unsupported) => {
-                info!(
-                    self.shared.log,
-                    "store: compares no rows, the table is read to check it"
-                );
-                self.refused_at = Some(self.shared.clock.now());
-                false
+            let read = self.store.read(&unsent, self.mark(b""), timeout).await?;
+            let Some(current) = read else {
+                return Ok(false);
+            };
+            self.shared.metrics.store_call("read", "ok");
+            if !self.apply(current).await {
+                break;
             }
-            None => false,
-        };
-        self.read(is_different).await?;
-        Ok(Read::Table)
-    }
-
-    /// Gives the watch time to tell of a change, in which it receives and decodes declarations.
-    async fn wait_for_watch(&self) {
-        let cache = &self.shared.store_cache;
-        let bytes = cache.declarations_bytes() as f64;
-        Timer::after(WATCH_DELAY + Duration::from_secs_f64(bytes / WATCH_BYTES_PER_SECOND)).await;
-        while cache.is_decoding() {
-            Timer::after(TICK).await;
         }
+        Ok(true)
     }
 
-    /// Compares the rows; `None` where their versions are not known, or the store does not compare.
-    async fn compare(&self) -> Result<Option<Comparison>, StoreError> {
-        let expected = self.shared.store_cache.expected_rows(&self.domains());
-        let Some(expected) = expected.filter(|_| self.compares()) else {
-            return Ok(None);
-        };
-        let at = Clock::boot_time();
-        let timeout = self.shared.store_check_timeout();
-        let compared = self.store.compare(TABLE, &expected, timeout).await?;
+    fn on_unchanged(&self, at: Duration, expected: &[ExpectedRow], revision: Revision) {
         self.shared.metrics.store_call("compare", "ok");
-        if let Comparison::Unchanged(version) = compared {
-            let by = ConfirmedBy::Comparison(version);
-            self.shared.on_store_confirmed(at, by);
-        }
-        Ok(Some(compared))
+        let row = expected.first().map_or(0, |row| row.revision);
+        let proof = self
+            .shared
+            .lock_store_reads()
+            .on_unchanged(at, row, revision);
+        self.on_proof(proof, ConfirmedBy::Comparison(revision), revision);
     }
 
-    /// Reads the table; `is_different` tells whether a comparison has found that it is not as it is known.
-    async fn read(&self, is_different: bool) -> Result<(), StoreError> {
+    /// Records that all rows are as they are known, as far as `proof` says.
+    fn on_proof(&self, proof: ReadProof, by: ConfirmedBy, revision: Revision) {
+        let ReadProof::At(at) = proof else {
+            return;
+        };
+        self.shared.on_store_confirmed(at, by);
         let cache = &self.shared.store_cache;
-        let at = Clock::boot_time();
-        let listing = self.store.list(TABLE).await?;
-        self.shared.metrics.store_call("list", "ok");
-        let version = listing.version;
-        let listed = listing
-            .rows
-            .iter()
-            .find(|row| &*row.key == keys::DECLARATIONS);
-        let listed = listed.map(|row| row.version);
-        let known = cache.versions().operators;
-        let before = cache.expected_rows(&self.domains());
-        let changed = self.apply(listing).await;
-        if version < known || is_different && !changed {
-            warn!(self.shared.log, "store: a listing is older than what is known";
-                "version" => version, "known" => known, "row" => cache.declarations_row());
-            return Ok(());
-        }
-        let expected = cache.expected_rows(&self.domains());
-        let is_known = expected.is_some_and(|rows| rows.first().map(|row| row.1) == listed);
-        if changed && before.is_some() {
-            self.shared.metrics.unread_change();
-            warn!(self.shared.log, "store: a check has found a change that the watch did not tell of";
-                "version" => version, "known" => known, "row" => cache.declarations_row());
-        }
-        if is_known {
-            let by = ConfirmedBy::Listing(version);
-            self.shared.on_store_confirmed(at, by);
+        cache.on_confirmed(revision);
+        if cache.tell_untold(revision) {
+            self.shared.fleet.urgent().notify();
+            info!(self.shared.log, "store: rows that others may not have are told as newer";
+                "version" => revision);
         }
-        Ok(())
     }
 
-    /// Lists a table as of a version that others see as newer than what they have, and tells them of it.
-    async fn tell(&self, table: StoreTable) {
+    /// Applies rows as a transaction has found them, and returns whether that has shown anything new.
+    async fn apply(&self, current: Vec<CurrentRow>) -> bool {
+        let (operators, servers) = (
+            by_table(&current, StoreTable::Operators),
+            by_table(&current, StoreTable::Servers),
+        );
         let cache = &self.shared.store_cache;
-        match self.store.list_anew(table).await {
-            Ok(listing) => {
-                let version = listing.version;
-                if table == StoreTable::Servers {
-                    cache.on_server_listing(&listing, self.shared.clock.now());
-                } else {
-                    self.apply(listing).await;
-                }
-                cache.tell(table, version);
-                self.shared.fleet.urgent().notify();
-                info!(self.shared.log, "store: rows that others may not have are told as newer";
-                    "table" => ?table, "version" => version);
-            }
-            Err(err) => {
-                info!(self.shared.log, "store: rows cannot be told as newer, trying again";
-                    "table" => ?table, "err" => %err);
-                Timer::after(TELL_PAUSE).await;
-            }
+        let before = self.expected();
+        cache.on_read_servers(&servers, self.shared.clock.now());
+        let refusal = cache.on_read_operators(operators).await;
+        report_declarations(&self.shared, refusal);
+        let is_new = self.expected() != before;
+        if is_new {
+            self.on_found();
         }
+        is_new
     }
 
-    /// Applies a listing, and returns whether it has shown anything new.
-    async fn apply(&self, listing: Listing) -> bool {
+    fn on_found(&self) {
+        self.shared.metrics.unread_change();
+        self.shared.fleet.urgent().notify();
+        info!(self.shared.log, "store: a check has found a change before the watch told of it";
+            "row" => self.shared.store_cache.declarations_row());
+    }
+
+    /// Lists the tables between two reads of a mark.
+    async fn list(&self) -> Result<(), StoreError> {
         let cache = &self.shared.store_cache;
-        let before = cache.expected_rows(&self.domains());
-        let refusal = cache.on_operator_listing(listing).await;
+        let value = random::<u64>().to_le_bytes();
+        let at = Clock::boot_time();
+        let marked = self.store.put_mark(self.mark(&value)).await?;
+        let is_shown = self.store.shows_mark(self.mark(&value)).await?;
+        let operators = self.store.list(StoreTable::Operators).await?;
+        let servers = self.store.list(StoreTable::Servers).await?;
+        let is_shown_after = self.store.shows_mark(self.mark(&value)).await?;
+        self.shared.metrics.store_call("list", "ok");
+        let proof = StoreReads::marked(at, [is_shown, is_shown_after]);
+        let version = operators.version;
+        let before = self.expected();
+        cache.on_server_listing(&servers, proof, self.shared.clock.now());
+        let refusal = cache.on_operator_listing(operators, proof).await;
         report_declarations(&self.shared, refusal);
-        let changed = cache.expected_rows(&self.domains()) != before;
-        if changed {
-            self.shared.fleet.urgent().notify();
+        if self.expected() != before {
+            self.on_found();
+        }
+        if proof == ReadProof::Behind {
+            self.shared.metrics.store_call("list", "behind");
+            warn!(self.shared.log, "store: reads are behind, they confirm nothing";
+                "version" => version, "marked" => marked, "row" => cache.declarations_row());
         }
-        changed
+        self.on_proof(proof, ConfirmedBy::Listing(version), marked);
+        Ok(())
     }
 }
+
+/// Rows that were expected to exist and that the store did not send: they are as expected, or do not exist.
+fn unsent(expected: &[ExpectedRow], current: &[CurrentRow]) -> Vec<(StoreTable, Box<str>)> {
+    let sent: HashSet<_> = current
+        .iter()
+        .map(|row| (row.table, &*row.row.key))
+        .collect();
+    let unsent = expected
+        .iter()
+        .filter(|row| row.revision > 0 && !sent.contains(&(row.table, &*row.key)));
+    unsent.map(|row| (row.table, row.key.clone())).collect()
+}
+
+fn by_table(rows: &[CurrentRow], table: StoreTable) -> Vec<StoreRow> {
+    let rows = rows.iter().filter(|row| row.table == table);
+    rows.map(|row| row.row.clone()).collect()
+}
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -4,7 +4,7 @@
 use adapter::{Changes, Listing, ListingProgress, ReceivedBytes, Store, StoreError, StoreTable};
 use async_io::Timer;
 use futures_lite::future::or;
-use policy::{STORE_WATCHER_COUNT, store_check_interval};
+use policy::{ReadProof, STORE_WATCHER_COUNT, store_check_interval};
 use rand::random;
 use slog::{info, warn};
 use std::future::Future;
@@ -80,11 +80,12 @@
     const ASKED_BESIDE_PEERS: bool = false;
 
     fn cached_version(&self, shared: &Shared) -> u64 {
-        shared.store_cache.versions().operators
+        shared.store_cache.known_operators()
     }
 
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
-        let refusal = shared.store_cache.on_operator_listing(listing).await;
+        let cache = &shared.store_cache;
+        let refusal = cache.on_operator_listing(listing, ReadProof::Behind).await;
         report_declarations(shared, refusal);
     }
 
@@ -112,7 +113,7 @@
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
         shared
             .store_cache
-            .on_server_listing(&listing, shared.clock.now());
+            .on_server_listing(&listing, ReadProof::Behind, shared.clock.now());
     }
 
     async fn on_changes(&self, shared: &Shared, changes: Changes) {
@@ -128,7 +129,7 @@
     if let Some(reason) = refusal {
         shared.metrics.refused_declarations(reason);
     }
-    shared.update_declarations_metric();
+    shared.on_declarations_read();
 }
 
 /// Watches one table until the process ends: lists it once, then polls for changes.
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -19,6 +19,8 @@
 /// Gateways that watch the store check their own rows this often, whatever peers confirm. Half of the time within
 /// which an evacuation must be obeyed.
 const OWN_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The same as a part of the time within which a server that leaves must get nothing new.
+const DRAIN_CHECK: f64 = 0.5;
 /// A check takes at most this part of the bound.
 const CHECK_TIMEOUT: f64 = 0.3;
 /// Shortest interval between checks of one gateway while they fail.
@@ -52,6 +54,7 @@
 pub struct ConfirmedDeclarations {
     process: u64,
     bound: Duration,
+    own_check_interval: Duration,
     /// When a version up to the one in force was last known to be the newest.
     confirmed_at: Option<Duration>,
     confirmed_by: Option<ConfirmedBy>,
@@ -70,6 +73,7 @@
         Self {
             process,
             bound: bound.max(MIN_BOUND),
+            own_check_interval: OWN_CHECK_INTERVAL,
             confirmed_at: None,
             confirmed_by: None,
             last_check: None,
@@ -78,6 +82,15 @@
         }
     }
 
+    /// Sets the time within which a server that leaves must get nothing new, which checks find too.
+    pub fn with_drain_bound(self, bound: Duration) -> Self {
+        let interval = bound.max(MIN_BOUND).mul_f64(DRAIN_CHECK);
+        Self {
+            own_check_interval: self.own_check_interval.min(interval),
+            ..self
+        }
+    }
+
     /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
     /// a read of their row has shown.
     pub fn on_store_answer(&mut self, at: Duration, by: ConfirmedBy) {
@@ -180,7 +193,7 @@
     /// orders of evacuation.
     fn is_own_check_due(&self, now: Duration, gateways: usize, watches: bool, spread: f64) -> bool {
         let interval = match watches {
-            true => OWN_CHECK_INTERVAL,
+            true => self.own_check_interval,
             false => store_check_interval(gateways, 500),
         };
         let interval = interval.mul_f64(0.75 + spread / 4.0);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -107,6 +107,7 @@
 mod span_plan;
 mod span_types;
 mod store_fallback;
+mod store_reads;
 mod store_watchers;
 mod team_shares;
 mod trace;
@@ -231,6 +232,7 @@
 };
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_fallback::{StoreFallback, store_check_interval};
+pub use store_reads::{CheckWay, ReadProof, StoreReads};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, is_store_reached, should_watch_store};
 pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -1,6 +1,7 @@
 //! The backend servers, and which of them may get new requests.
 
-use proto::{BackendEntry, BackendRow};
+use crate::store_reads::ReadProof;
+use proto::{BackendEntry, BackendRow, Revision};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -94,30 +95,35 @@
         }
     }
 
-    /// Records a complete listing as of `version`. Servers that it does not contain are removed. Returns whether
-    /// it has shown anything new.
+    /// Records a listing that bears `version`. Servers that it does not contain are removed if that is proved.
+    /// Returns whether it has shown anything new.
     pub fn on_listing(
         &mut self,
-        rows: Vec<(BackendId, BackendRow, u64)>,
-        version: u64,
+        rows: Vec<(BackendId, BackendRow, Revision)>,
+        version: Revision,
+        proof: ReadProof,
         now: Duration,
     ) -> bool {
         let is_first = self.known.is_empty();
         let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
-        let known = self.known.iter();
-        let missing = known
-            .filter(|(id, known)| !listed.contains(*id) && known.row != BackendRow::Absent)
-            .map(|(id, _)| id.clone());
+        let mut last = rows.iter().map(|(.., row)| *row).max().unwrap_or_default();
         let mut has_news = false;
-        for id in missing.collect::<Vec<BackendId>>() {
-            has_news |= self.on_row(&id, BackendRow::Absent, version, now);
+        if proof.shows_absence() {
+            last = last.max(version);
+            let known = self.known.iter();
+            let missing = known
+                .filter(|(id, known)| !listed.contains(*id) && known.row != BackendRow::Absent)
+                .map(|(id, _)| id.clone());
+            for id in missing.collect::<Vec<BackendId>>() {
+                has_news |= self.on_row(&id, BackendRow::Absent, version, now);
+            }
         }
         for (id, row, row_version) in rows {
             has_news |= self.on_row(&id, row, row_version, now);
         }
         if has_news || is_first {
             // Servers that came and went since the last known version are in no listing.
-            self.end_history(version);
+            self.end_history(last);
         }
         self.remove_tombstones(now);
         has_news
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -1,6 +1,6 @@
 //! Which backend servers get new requests while rows change and the store fails.
 
-use policy::{EXPIRED_ROW_GRACE, ServerSet};
+use policy::{EXPIRED_ROW_GRACE, ReadProof, ServerSet};
 use proto::{BackendEntry, BackendRow};
 use std::time::Duration;
 
@@ -8,6 +8,9 @@
     Duration::from_millis(millis)
 }
 
+/// A listing that shows what holds.
+const NOW: ReadProof = ReadProof::At(Duration::ZERO);
+
 fn entry(id: &str, draining: bool) -> BackendRow {
     BackendRow::Present(BackendEntry {
         id: id.into(),
@@ -47,7 +50,7 @@
 fn entries_that_lapsed_with_the_store_are_waited_for() {
     let mut set = set();
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), 9, at(1_000));
+    set.on_listing(Vec::new(), 9, NOW, at(1_000));
     assert!(set.is_usable("x", at(1_000)));
     assert!(!set.is_usable("x", at(1_000) + EXPIRED_ROW_GRACE));
     set.on_row("x", entry("x", false), 10, at(2_000));
@@ -59,7 +62,7 @@
     let mut set = set();
     set.on_row("x", entry("x", true), 6, at(10));
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), 9, at(1_000));
+    set.on_listing(Vec::new(), 9, NOW, at(1_000));
     assert!(!set.is_usable("x", at(1_000)));
 }
 
@@ -127,7 +130,7 @@
         let id = format!("gone-{n}");
         set.on_row(&id, entry(&id, false), version, at(10));
     }
-    set.on_listing(Vec::new(), 6_000, at(20));
+    set.on_listing(Vec::new(), 6_000, NOW, at(20));
     assert!(set.rows().count() < 5_000, "the others are dropped");
     set.on_row("x", entry("x", false), 6_001, at(60_000));
     assert!(!set.is_usable("x", at(60_000)));
@@ -177,7 +180,7 @@
 #[test]
 fn a_difference_is_refused_where_removals_may_be_unknown() {
     let mut sender = ServerSet::default();
-    sender.on_listing(vec![("y".into(), entry("y", false), 6)], 8, at(0));
+    sender.on_listing(vec![("y".into(), entry("y", false), 6)], 8, NOW, at(0));
     assert_eq!(changed_since(&sender, 5), None);
     assert_eq!(changed_since(&sender, 8), Some(Vec::new()));
     assert_eq!(
@@ -209,6 +212,18 @@
 #[test]
 fn a_listing_without_news_leaves_differences_possible() {
     let mut sender = set();
-    sender.on_listing(vec![("x".into(), entry("x", false), 5)], 8, at(0));
+    sender.on_listing(vec![("x".into(), entry("x", false), 5)], 8, NOW, at(0));
     assert_eq!(changed_since(&sender, 5), Some(Vec::new()));
 }
+
+/// A listing that was seconds behind and bore the newest version took away servers that had started
+/// meanwhile, until their rows changed.
+#[test]
+fn a_listing_that_may_be_behind_takes_no_server_away() {
+    let mut set = set();
+    let rows = vec![("y".into(), entry("y", false), 4)];
+    assert!(set.on_listing(rows, 9, ReadProof::Behind, at(10)));
+    assert!(set.is_usable("x", at(10)) && set.is_usable("y", at(10)));
+    set.on_listing(vec![("x".into(), entry("x", false), 5)], 9, NOW, at(20));
+    assert!(set.is_usable("x", at(20)) && !set.is_usable("y", at(20)));
+}
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -23,6 +23,7 @@
 mod opening;
 pub mod prelude;
 mod request;
+mod revision;
 mod server_failure;
 mod span;
 mod store_content;
@@ -51,12 +52,13 @@
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
+pub use revision::{MAX_VERSION, Revision, era, revision, version};
 pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport, ServerState};
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use store_content::{
     CONTENT_PAGE_ROWS, CONTENT_PIECE_BYTES, ContentDigest, ContentFrame, ContentHead,
-    ContentRequest, DeclarationsForm, DeclarationsHead, Edit, EditScript, PartialDeclarations,
-    ServerRow, content_digest, decode_scripts, encode_scripts,
+    ContentRequest, DeclarationsForm, DeclarationsHead, Edit, EditScript, EvacuationOrder,
+    PartialDeclarations, ServerRow, content_digest, decode_scripts, encode_scripts,
 };
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
 pub use waiting::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, TeamPrefill, WaitingFrame};
--- a/crates/proto/src/store_content.rs
+++ b/crates/proto/src/store_content.rs
@@ -3,6 +3,7 @@
 
 use crate::codec::CodecError;
 use crate::load::{BackendRow, StoreVersions};
+use crate::revision::Revision;
 use serde::{Deserialize, Deserializer, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -68,6 +69,20 @@
     pub is_difference: bool,
     /// Declarations that follow the rows; `None` if the requester has the latest or there are none.
     pub declarations: Option<DeclarationsHead>,
+    /// Orders of evacuation with their revisions, also removed ones. Frames of earlier builds end before them.
+    #[serde(deserialize_with = "none_if_absent")]
+    pub orders: Option<Vec<EvacuationOrder>>,
+}
+
+/// An order of operators to evacuate a failure domain, or its removal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// The failure domain.
+    pub domain: Box<str>,
+    /// Whether it is evacuated.
+    pub is_active: bool,
+    /// Revision of the store's row, or of its removal.
+    pub version: Revision,
 }
 
 /// How declarations are sent.
@@ -84,7 +99,9 @@
     pub row: Option<u64>,
 }
 
-fn none_if_absent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+fn none_if_absent<'de, D: Deserializer<'de>, T: Deserialize<'de>>(
+    deserializer: D,
+) -> Result<Option<T>, D::Error> {
     Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
--- a/crates/runtime/src/paced_fetch.rs
+++ b/crates/runtime/src/paced_fetch.rs
@@ -3,8 +3,9 @@
 use crate::body::Body;
 use crate::http_client::{HttpClient, HttpError};
 use http_body_util::BodyExt as _;
+use hyper::Request;
 use hyper::body::Incoming;
-use hyper::{Request, StatusCode};
+use hyper::http::response::Parts;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -21,15 +22,15 @@
 }
 
 impl HttpClient {
-    /// Sends a request and passes the body of the response to `on_piece`, piece by piece. Fails
-    /// where the response falls behind `limits`, or with the error of `on_piece`.
+    /// Sends a request and passes the body of the response to `on_piece`, piece by piece; returns its
+    /// head. Fails where the response falls behind `limits`, or with the error of `on_piece`.
     pub async fn fetch_paced(
         &self,
         peer: SocketAddr,
         req: Request<Body>,
         limits: PaceLimits,
         mut on_piece: impl FnMut(&[u8]) -> Result<(), Box<str>>,
-    ) -> Result<StatusCode, HttpError> {
+    ) -> Result<Parts, HttpError> {
         let response = crate::timeout(limits.head, self.send(peer, req)).await;
         let response = response.map_err(|_| HttpError::Timeout(peer))??;
         let (head, mut body) = response.into_parts();
@@ -41,7 +42,7 @@
             let left = longest.saturating_sub(started.elapsed());
             let piece = crate::timeout(left.min(limits.pause), next_piece(&mut body)).await;
             let Some(piece) = piece.map_err(|_| HttpError::Timeout(peer))? else {
-                return Ok(head.status);
+                return Ok(head);
             };
             let piece = piece.map_err(|err| body_error(err.to_string().into()))?;
             received += piece.len() as u64;
