Gateways that a listing lacks are gone only once a transaction has shown it

Cause: as for servers, the absence in a read was taken for a removal. Change: the rows that a listing lacks are read by a transaction, and only those that it does not find are removed.

--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -61,6 +61,7 @@
 mod stream;
 mod stream_buffers;
 mod unknown_peers;
+mod unlisted_gateways;
 mod waiting_news;
 
 pub use command::{NAME, command, run};
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -16,6 +16,7 @@
 use crate::shared::Shared;
 use crate::store_watch::TableHandler;
 use crate::unknown_peers::UnknownPeers;
+use crate::unlisted_gateways::remove_unlisted;
 use crate::waiting_news::WaitingNews;
 use adapter::{Changes, Listing, Store, StoreRow, StoreTable, keys};
 use async_channel::{Receiver, Sender};
@@ -26,7 +27,7 @@
 use rand::random;
 use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role};
 use slog::info;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -271,7 +272,8 @@
         unregister(&self.shared, &self.store, &row, version).await;
     }
 
-    fn on_row(self: &Arc<Self>, row: &StoreRow) {
+    /// Applies a row of the gateways' table.
+    pub fn on_row(self: &Arc<Self>, row: &StoreRow) {
         let Some(name) = row.key.strip_prefix(keys::GATEWAY_PREFIX) else {
             blocked_rows::on_row(&self.shared, row);
             return;
@@ -337,25 +339,6 @@
         self.send_news::<WaitingNews>(found.address, waiting_rx);
     }
 
-    /// Removes the gateways whose rows a listing no longer has.
-    fn remove_unlisted(self: &Arc<Self>, listing: &Listing) {
-        let listed = listing.rows.iter().map(|row| &*row.key);
-        let listed: HashSet<&str> = listed.collect();
-        let names: Vec<Box<str>> = self.lock().keys().cloned().collect();
-        for name in names {
-            let key = format!("{}{name}", keys::GATEWAY_PREFIX);
-            if !listed.contains(&*key) {
-                self.on_row(&StoreRow {
-                    key: key.into(),
-                    value: None,
-                    version: listing.version,
-                    removed: true,
-                    oversized: false,
-                });
-            }
-        }
-    }
-
     fn send_news<N: PeerNews>(&self, peer: SocketAddr, wake: Receiver<()>) {
         let (link, shared) = (self.link.clone(), self.shared.clone());
         let stream = send_news::<N>(shared, link, peer, wake);
@@ -412,6 +395,11 @@
         self.lock_roster().knows(name)
     }
 
+    /// Names of all known peers.
+    pub fn names(&self) -> Vec<Box<str>> {
+        self.lock().keys().cloned().collect()
+    }
+
     /// State shared by the tasks of the process.
     pub fn shared(&self) -> &Shared {
         &self.shared
@@ -451,7 +439,7 @@
         for row in &listing.rows {
             self.0.on_row(row);
         }
-        self.0.remove_unlisted(&listing);
+        remove_unlisted(&self.0, &listing).await;
         let own_key = gateway_key(shared);
         if listing.rows.iter().all(|row| *row.key != *own_key) {
             self.0.on_own_row(None);
