--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -60,6 +60,16 @@
         self.with_confirmed(ConfirmedDeclarations::may_refuse)
     }
 
+    /// Whether declarations are in force that nobody has confirmed yet, since the first read after a start may be
+    /// behind. They are used if that takes as long as a change of them may.
+    pub fn is_held_at_start(&self) -> bool {
+        let Some(since) = self.first_in_force() else {
+            return false;
+        };
+        let end = since + self.settings.bounds.declarations_apply;
+        self.clock.now() < end && !self.lock_confirmed().is_ever_confirmed()
+    }
+
     /// Whether to check the operators' rows in the store now.
     pub fn is_store_check_due(&self) -> bool {
         let gateways = self.fleet.gateways();
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -78,7 +78,8 @@
     /// Finds route, team and service of a request. Fails with the reply for a request that is not
     /// admitted.
     fn admit(&self, head: &RequestHead) -> Result<Admission, LocalReply> {
-        let Some(table) = self.shared.store_cache.route_table() else {
+        let table = self.shared.store_cache.route_table();
+        let Some(table) = table.filter(|_| !self.shared.is_held_at_start()) else {
             return Err(self.reject(head, LocalReply::NotRun(DECLARATIONS_RETRY_AFTER), 0));
         };
         let Some(route) = table.route(&head.hostname, &head.path) else {
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -248,6 +248,7 @@
             (None, Some(refusal)) => return Some(format!("declarations refused: {refusal}")),
             (None, None) => "no declarations yet",
             // Without servers, each request would be refused that peers could serve.
+            (Some(_), _) if shared.is_held_at_start() => "declarations not confirmed yet",
             (Some(_), _) if cache.versions().servers == 0 => "servers not read yet",
             (Some(_), _) => return None,
         };
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -19,7 +19,7 @@
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Callers which read slowly may use this part of the memory for buffered bodies, so that they leave room
@@ -76,6 +76,8 @@
     confirmed: Mutex<ConfirmedDeclarations>,
     /// Whether the last check found the declarations confirmed.
     is_confirmed: AtomicBool,
+    /// When the first declarations came into force.
+    first_in_force: OnceLock<Duration>,
     store_fallback: Mutex<StoreFallback>,
     /// Whether this gateway reads the store although it relies on peers.
     falls_back: AtomicBool,
@@ -123,6 +125,7 @@
                     .with_drain_bound(settings.bounds.drain),
             ),
             is_confirmed: AtomicBool::new(true),
+            first_in_force: OnceLock::new(),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
             settings,
@@ -260,10 +263,16 @@
         self.failing_tables() > 0
     }
 
+    /// When the first declarations came into force; `None` before.
+    pub fn first_in_force(&self) -> Option<Duration> {
+        self.first_in_force.get().copied()
+    }
+
     /// Sets the metrics of the declarations that are in force or refused, and compares them with what checks
     /// have found.
     pub fn on_declarations_read(&self) {
         if let Some(table) = self.store_cache.route_table() {
+            self.first_in_force.get_or_init(|| self.clock.now());
             self.metrics.set_declarations(table.version);
         }
         let row = self.store_cache.declarations_row();
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// Whether anybody has confirmed declarations since the start.
+    pub fn is_ever_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
     /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
     /// a read of their row has shown.
     pub fn on_store_answer(&mut self, at: Duration, by: ConfirmedBy) {
