A store that comes back from a copy brings no server back and takes none away

Cause: rows of a newer era replaced known ones at once, though a copy lacks what was written since. A server that drains or is gone was used again, and ready ones were dropped, until their rows were written again. Change: for two seconds from the first revision of a newer era, rows that would do either are passed over and keep their former revision, so that checks read them again. Rows that only restrict, and unknown servers, hold at once. Removed servers are kept for that time.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -79,6 +79,7 @@
 mod request_key;
 mod request_limits;
 mod reservation_renewal;
+mod restored_store;
 mod retry;
 mod retry_turn;
 mod return_schedule;
@@ -191,6 +192,7 @@
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
 pub use reservation_renewal::{RenewalStep, ReservationRenewal};
+pub use restored_store::{REWRITE_TIME, RestoredStore};
 pub use retry::{
     FailedAttempt, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry,
     predicted_response_time,
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -1,5 +1,6 @@
 //! The backend servers, and which of them may get new requests.
 
+use crate::restored_store::RestoredStore;
 use crate::store_reads::ReadProof;
 use proto::{BackendEntry, BackendRow, Revision};
 use std::collections::{HashMap, HashSet};
@@ -32,9 +33,15 @@
 const MAX_TOMBSTONES: usize = 4_096;
 
 /// The backend servers, by the latest row of each.
+///
+/// Load pattern: the store comes back from a copy that is some seconds old. Until operators and servers have
+/// written again what it lacks, rows that would bring a server back or take a usable one away are passed over.
 #[derive(Debug, Default)]
 pub struct ServerSet {
     known: HashMap<BackendId, KnownServer>,
+    store: RestoredStore,
+    /// Servers with rows that were passed over, and the newest such row of each.
+    passed_over: HashMap<BackendId, Revision>,
     evacuated: HashSet<DomainName>,
     /// Version since which all changes of rows are known, also those of servers that came and went.
     history_start: u64,
@@ -49,8 +56,11 @@
         self.store_returned_at = Some(now);
     }
 
-    /// Records a row, unless a newer one of that server is known. Returns whether it was newer.
+    /// Records a row, unless a newer one of that server is known or it is passed over. Returns whether it was
+    /// recorded.
     pub fn on_row(&mut self, id: &str, row: BackendRow, version: u64, now: Duration) -> bool {
+        let knows_rows = !self.known.is_empty();
+        self.store.on_revision(version, knows_rows, now);
         let grace = self.expiry_grace_end(now);
         let known = self.known.entry(id.into()).or_insert_with(|| KnownServer {
             row: BackendRow::Absent,
@@ -63,6 +73,12 @@
         if version <= known.version {
             return false;
         }
+        let may_be_older = self.store.may_be_older(version, known.version, now);
+        if may_be_older && known.would_be_unlearned(&row, now) {
+            self.passed_over.insert(id.into(), version);
+            return false;
+        }
+        self.passed_over.remove(id);
         known.version = version;
         known.usable_until = match (&known.row, &row) {
             (BackendRow::Present(entry), BackendRow::Absent) if !entry.draining => grace,
@@ -75,6 +91,18 @@
         true
     }
 
+    /// Whether a row of this server was passed over and none was recorded since, so that it has to be read again.
+    pub fn is_passed_over(&self, id: &str) -> bool {
+        self.passed_over.contains_key(id)
+    }
+
+    /// Revision up to which the set has all rows that were recorded as known up to `version`: rows that were
+    /// passed over are not among them.
+    pub fn known_up_to(&self, version: Revision) -> Revision {
+        let first = self.passed_over.values().min();
+        first.map_or(version, |first| version.min(first.saturating_sub(1)))
+    }
+
     /// Whether a row of this version is newer than what is known of the server.
     pub fn is_newer(&self, id: &str, version: u64) -> bool {
         self.known
@@ -105,6 +133,7 @@
         now: Duration,
     ) -> bool {
         let is_first = self.known.is_empty();
+        self.store.on_revision(version, !is_first, now);
         let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
         let mut last = rows.iter().map(|(.., row)| *row).max().unwrap_or_default();
         let mut has_news = false;
@@ -218,7 +247,8 @@
     }
 
     fn remove_tombstones(&mut self, now: Duration) {
-        if self.known.len() <= MAX_TOMBSTONES {
+        // A store that has come back from a copy may show removed servers.
+        if self.known.len() <= MAX_TOMBSTONES || self.store.lacks_rows(now) {
             return;
         }
         let removed = self.known.values();
@@ -229,14 +259,28 @@
             let left_at = known.left_at.filter(|at| now < *at + LEFT_RETENTION);
             known.row != BackendRow::Absent || left_at.is_some()
         });
+        let known = &self.known;
+        self.passed_over.retain(|id, _| known.contains_key(id));
     }
 }
 
 impl KnownServer {
     fn usable(&self, now: Duration) -> Option<&BackendEntry> {
-        if self.left_at.is_some() {
-            return None;
+        self.ready(now).filter(|_| self.left_at.is_none())
+    }
+
+    /// Whether `row` would bring the server back, or take it away although it is not known to leave.
+    fn would_be_unlearned(&self, row: &BackendRow, now: Duration) -> bool {
+        match (self.ready(now), row) {
+            (None, BackendRow::Present(entry)) => !entry.draining,
+            (None, _) => false,
+            (Some(ready), BackendRow::Present(entry)) => !entry.draining && entry != ready,
+            (Some(_), _) => true,
         }
+    }
+
+    /// Entry of the server, if its row is that of a ready one.
+    fn ready(&self, now: Duration) -> Option<&BackendEntry> {
         match &self.row {
             BackendRow::Present(entry) => (!entry.draining).then_some(entry),
             BackendRow::Absent => {
