An evacuation that a restored store lacks is not taken back at once

Cause: a store that comes back from a copy lacks the orders since, and their absence took them back.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -44,13 +44,17 @@
 
     /// Applies operators' rows as a transaction has found them; returns the same as
     /// [`Self::on_operator_rows`].
-    pub async fn on_read_operators(&self, rows: Vec<StoreRow>) -> Option<&'static str> {
+    pub async fn on_read_operators(
+        &self,
+        rows: Vec<StoreRow>,
+        now: Duration,
+    ) -> Option<&'static str> {
         let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
         let (known, before) = {
             let state = self.lock();
             (state.versions.operators, state.operator_rows())
         };
-        let refusal = self.on_operator_rows(rows, newest).await;
+        let refusal = self.on_operator_rows(rows, newest, now).await;
         let mut state = self.lock();
         state.is_untold.operators |= newest <= known && state.operator_rows() != before;
         refusal
--- a/crates/direct/src/content_stream.rs
+++ b/crates/direct/src/content_stream.rs
@@ -220,7 +220,7 @@
     ) -> Result<(), FetchError> {
         // Orders come first, as large declarations take time.
         let cache = &self.shared.store_cache;
-        cache.on_peer_orders(head.orders.unwrap_or_default());
+        cache.on_peer_orders(head.orders.unwrap_or_default(), self.shared.clock.now());
         let mut rows = Vec::new();
         while (rows.len() as u64) < head.rows {
             match self.frame(rx, "rows").await? {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -26,7 +26,6 @@
 mod crash_guard;
 mod declarations_row;
 mod engine_stream;
-mod evacuations;
 mod event_splitter;
 pub mod explain_command;
 mod fleet;
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -86,7 +86,7 @@
     }
 
     /// Applies the orders of evacuation that a peer knows, whose declarations are still to come.
-    pub fn on_peer_orders(&self, orders: Vec<EvacuationOrder>) {
+    pub fn on_peer_orders(&self, orders: Vec<EvacuationOrder>, now: Duration) {
         let mut state = self.lock();
         for order in orders {
             let EvacuationOrder {
@@ -94,7 +94,7 @@
                 is_active,
                 version,
             } = order;
-            state.evacuations.on_order(domain, is_active, version);
+            state.evacuations.on_order(domain, is_active, version, now);
         }
         let evacuated = state.evacuations.active();
         state.servers.set_evacuated(evacuated);
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -4,11 +4,10 @@
 use crate::declarations_row::{
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
-use crate::evacuations::Evacuations;
 use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys};
 use policy::{
-    BackendId, ContentHistory, DomainName, NewerDeclarations, ReadProof, RouteTable, ServerSet,
-    server_key,
+    BackendId, ContentHistory, DomainName, Evacuations, NewerDeclarations, ReadProof, RouteTable,
+    ServerSet, server_key,
 };
 use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions};
 use slog::{Logger, info, warn};
@@ -162,9 +161,10 @@
         &self,
         rows: Vec<StoreRow>,
         version: u64,
+        now: Duration,
     ) -> Option<&'static str> {
         // Orders come first, as large declarations take time.
-        let declarations = self.on_orders(rows);
+        let declarations = self.on_orders(rows, now);
         let refusal = match declarations {
             Some(row) => self.on_declarations_row(row).await,
             None => None,
@@ -178,6 +178,7 @@
         &self,
         listing: Listing,
         proof: ReadProof,
+        now: Duration,
     ) -> Option<&'static str> {
         let mut rows = listing.rows;
         if proof.shows_absence() {
@@ -188,7 +189,7 @@
             let removed = missing.iter().map(|domain| evacuation_key(domain));
             rows.extend(removed.map(|key| StoreRow::removed(&key, listing.version)));
         }
-        self.on_read_operators(rows).await
+        self.on_read_operators(rows, now).await
     }
 
     /// Applies changed rows of the servers' table, which is then known up to `version`.
@@ -270,7 +271,7 @@
     }
 
     /// Applies the rows that order evacuations, and returns the newest one with declarations.
-    fn on_orders(&self, rows: Vec<StoreRow>) -> Option<StoreRow> {
+    fn on_orders(&self, rows: Vec<StoreRow>, now: Duration) -> Option<StoreRow> {
         let mut state = self.lock();
         let mut declarations = None;
         for row in rows {
@@ -281,7 +282,7 @@
                     "out" => !row.removed, "version" => row.version);
                 state
                     .evacuations
-                    .on_order(domain.into(), !row.removed, row.version);
+                    .on_order(domain.into(), !row.removed, row.version, now);
             }
         }
         let evacuated = state.evacuations.active();
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -189,7 +189,9 @@
         let cache = &self.shared.store_cache;
         let before = self.expected();
         cache.on_read_servers(&servers, self.shared.clock.now());
-        let refusal = cache.on_read_operators(operators).await;
+        let refusal = cache
+            .on_read_operators(operators, self.shared.clock.now())
+            .await;
         report_declarations(&self.shared, refusal);
         let is_new = self.expected() != before;
         if is_new {
@@ -220,7 +222,9 @@
         let version = operators.version;
         let before = self.expected();
         cache.on_server_listing(&servers, proof, self.shared.clock.now());
-        let refusal = cache.on_operator_listing(operators, proof).await;
+        let refusal = cache
+            .on_operator_listing(operators, proof, self.shared.clock.now())
+            .await;
         report_declarations(&self.shared, refusal);
         if self.expected() != before {
             self.on_found();
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -85,14 +85,17 @@
 
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
         let cache = &shared.store_cache;
-        let refusal = cache.on_operator_listing(listing, ReadProof::Behind).await;
+        let refusal = cache
+            .on_operator_listing(listing, ReadProof::Behind, shared.clock.now())
+            .await;
         report_declarations(shared, refusal);
     }
 
     async fn on_changes(&self, shared: &Shared, changes: Changes) {
-        let changed = shared
-            .store_cache
-            .on_operator_rows(changes.rows, changes.version);
+        let changed =
+            shared
+                .store_cache
+                .on_operator_rows(changes.rows, changes.version, shared.clock.now());
         report_declarations(shared, changed.await);
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,6 +52,7 @@
 mod engine_profile;
 mod engine_queue;
 mod estimate;
+mod evacuations;
 mod fairness;
 mod fleet_load;
 mod fleet_queue;
@@ -160,6 +161,7 @@
     suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
+pub use evacuations::Evacuations;
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
 pub use fleet_queue::{
     FleetPlacement, FleetQueue, LocalPrompt, MAX_REPORTED_PROMPTS, MAX_REPORTED_SERVICES,
