A store that comes back from a copy confirms no declarations at once

Cause: the copy may lack a version that was acknowledged, and a comparison with it confirms older declarations. After that each gateway checks its own rows once, in turn, as peers do not confirm rows that were passed over.

--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -1,5 +1,6 @@
 //! Until when the declarations in force are known to have been the newest.
 
+use crate::restored_store::REWRITE_TIME;
 use crate::store_fallback::store_check_interval;
 use proto::{ClockReading, Confirmation, ConfirmationReport};
 use std::collections::HashMap;
@@ -58,6 +59,8 @@
     /// When a version up to the one in force was last known to be the newest.
     confirmed_at: Option<Duration>,
     confirmed_by: Option<ConfirmedBy>,
+    /// When the store holds again what it lacked after it had come back from a copy.
+    rewritten_at: Option<Duration>,
     /// When the store was last checked, and how long that took.
     last_check: Option<(Duration, Duration)>,
     /// The same for a version that is not in force yet.
@@ -76,6 +79,7 @@
             own_check_interval: OWN_CHECK_INTERVAL,
             confirmed_at: None,
             confirmed_by: None,
+            rewritten_at: None,
             last_check: None,
             pending: None,
             readings: HashMap::new(),
@@ -99,12 +103,17 @@
     /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
     /// a read of their row has shown.
     pub fn on_store_answer(&mut self, at: Duration, by: ConfirmedBy) {
-        if self.confirmed_at < Some(at) {
+        if self.confirmed_at < Some(at) && self.rewritten_at <= Some(at) {
             self.confirmed_at = Some(at);
             self.confirmed_by = Some(by);
         }
     }
 
+    /// Records that the store has come back from a copy, which may lack declarations until they are written again.
+    pub fn on_era(&mut self, now: Duration) {
+        self.rewritten_at = Some(now + REWRITE_TIME);
+    }
+
     /// How the declarations were last confirmed.
     pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
         self.confirmed_by
@@ -195,8 +204,13 @@
     }
 
     /// Whether to check the own rows although peers confirm the declarations: what they say does not cover
-    /// orders of evacuation.
+    /// orders of evacuation, nor rows that were passed over while the store lacked some.
     fn is_own_check_due(&self, now: Duration, gateways: usize, watches: bool, spread: f64) -> bool {
+        let turn = check_interval(gateways).mul_f64(self.place());
+        let is_unread = |end| now >= end + turn && self.last_check.is_some_and(|(at, _)| at < end);
+        if self.rewritten_at.is_some_and(is_unread) {
+            return true;
+        }
         let interval = match watches {
             true => self.own_check_interval,
             false => store_check_interval(gateways, 500),
