The era of the store is seen in every answer and told by peers

Cause: the policy of restored stores had no driver. Change: a later era in a response or in a peer's frame starts the time in which nothing is confirmed, gateways that a listing lacks are not removed in it, and a line and a counter say that the store has come back from a copy.

--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -23,6 +23,11 @@
         });
     }
 
+    /// Records that the store has come back from a copy.
+    pub(crate) fn on_era(&self) {
+        self.with_confirmed(|confirmed, _, now| confirmed.on_era(now));
+    }
+
     /// How the declarations in force were last confirmed as the newest.
     pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
         self.lock_confirmed().confirmed_by()
--- a/crates/direct/src/content_metrics.rs
+++ b/crates/direct/src/content_metrics.rs
@@ -11,6 +11,7 @@
     behind: Gauge,
     unconfirmed: Gauge,
     unread_changes: IntCounter,
+    store_restored: IntCounter,
 }
 
 impl ContentMetrics {
@@ -26,11 +27,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let unread_changes = IntCounter::new(
-            "bergamothold_direct_unread_changes_total",
-            "Changes of rows of the store that a check has found and the watch did not tell of",
-        )?;
-        registry.register(Box::new(unread_changes.clone()))?;
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         Ok(Self {
             bytes: counter_vec(
                 "bergamothold_direct_content_bytes_total",
@@ -46,7 +47,14 @@
                 "bergamothold_direct_behind_peers_seconds",
                 "Time since which peers have content of the store that this gateway does not have",
             )?,
-            unread_changes,
+            unread_changes: counter(
+                "bergamothold_direct_unread_changes_total",
+                "Changes of rows of the store that a check has found before the watch told of them",
+            )?,
+            store_restored: counter(
+                "bergamothold_direct_store_restored_total",
+                "Times that the store has come back from a copy",
+            )?,
             unconfirmed: gauge(
                 "bergamothold_direct_declarations_unconfirmed_seconds",
                 "Time for which nobody has confirmed that the declarations are the newest; infinite if nobody has",
@@ -69,11 +77,16 @@
         self.behind.set(behind.as_secs_f64());
     }
 
-    /// Counts a change that the watch did not tell of.
+    /// Counts a change that a check has found before the watch told of it.
     pub fn unread_change(&self) {
         self.unread_changes.inc();
     }
 
+    /// Counts a return of the store from a copy.
+    pub fn store_restored(&self) {
+        self.store_restored.inc();
+    }
+
     /// Sets for how long the declarations have not been confirmed; `None` if they never were.
     pub fn set_unconfirmed(&self, age: Option<Duration>) {
         let seconds = age.map_or(f64::INFINITY, |age| age.as_secs_f64());
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -341,11 +341,16 @@
         self.content.set_unconfirmed(age);
     }
 
-    /// Counts a change in the store that the watch did not tell of.
+    /// Counts a change in the store that a check has found before the watch told of it.
     pub fn unread_change(&self) {
         self.content.unread_change();
     }
 
+    /// Counts a return of the store from a copy.
+    pub fn store_restored(&self) {
+        self.content.store_restored();
+    }
+
     /// Counts a stall of the executor.
     pub fn stall(&self, length: Duration) {
         self.stalls.record(length);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -23,7 +23,7 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use policy::{ContentReport, GatewayRoster, PeerGateway, should_watch_store};
-use proto::{Confirmed, LoadFrame};
+use proto::{Confirmed, LoadFrame, era};
 use rand::random;
 use runtime::{Identity, LinkConfig, LinkEndpoint, LinkError, Role};
 use slog::info;
@@ -350,6 +350,9 @@
         let now = self.shared.clock.now();
         self.shared.on_peer_confirmation(peer, &frame.report);
         let frame = frame.message;
+        let versions = &frame.versions;
+        self.shared
+            .see_era(era(versions.operators.max(versions.servers)));
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
         if !self.lock_roster().on_heard(peer, now) {
             self.unknown.on_heard(self, peer);
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -13,9 +13,10 @@
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
 use policy::{
-    CallTimes, ConfirmedDeclarations, Drain, RunningChecks, StoreFallback, StoreReads,
-    answer_bytes, buffer_bytes, is_store_reached,
+    CallTimes, ConfirmedDeclarations, Drain, RestoredStore, RunningChecks, StoreFallback,
+    StoreReads, answer_bytes, buffer_bytes, is_store_reached,
 };
+use proto::revision;
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -78,6 +79,7 @@
     is_confirmed: AtomicBool,
     /// When the first declarations came into force.
     first_in_force: OnceLock<Duration>,
+    restored: Mutex<RestoredStore>,
     store_fallback: Mutex<StoreFallback>,
     /// Whether this gateway reads the store although it relies on peers.
     falls_back: AtomicBool,
@@ -126,6 +128,7 @@
             ),
             is_confirmed: AtomicBool::new(true),
             first_in_force: OnceLock::new(),
+            restored: Mutex::default(),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
             settings,
@@ -263,6 +266,34 @@
         self.failing_tables() > 0
     }
 
+    /// Records an era of the store that a response or a peer has named. After a later one than before, the store
+    /// may lack what it had acknowledged.
+    pub fn see_era(&self, era: u64) {
+        let mut restored = self.lock_restored();
+        let known = restored.era();
+        if era <= known {
+            return;
+        }
+        let knows_rows = self.first_in_force().is_some();
+        restored.on_revision(revision(era, 1), knows_rows, self.clock.now());
+        drop(restored);
+        if knows_rows {
+            self.on_era();
+            self.metrics.store_restored();
+            warn!(self.log, "store: has come back from a copy"; "era" => era, "before" => known);
+        }
+    }
+
+    /// Whether the store may lack rows that it had acknowledged before it came back from a copy.
+    pub fn lacks_rows(&self) -> bool {
+        self.lock_restored().lacks_rows(self.clock.now())
+    }
+
+    fn lock_restored(&self) -> MutexGuard<'_, RestoredStore> {
+        let restored = self.restored.lock();
+        restored.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// When the first declarations came into force; `None` before.
     pub fn first_in_force(&self) -> Option<Duration> {
         self.first_in_force.get().copied()
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -41,6 +41,7 @@
         }
         let at = Clock::boot_time();
         let checked = check.run().await;
+        check.shared.see_era(check.store.era());
         let is_listing = !matches!(checked, Ok(CheckWay::Transaction));
         check.shared.on_store_checked(at, is_listing);
         match checked {
@@ -130,7 +131,10 @@
             let timeout = self.shared.store_check_timeout();
             let at = Clock::boot_time();
             let compared = self.store.compare(&expected, self.mark(b""), timeout);
-            let current = match compared.await? {
+            let compared = compared.await?;
+            // Before a confirmation, as that of a later era does not count at first.
+            self.shared.see_era(self.store.era());
+            let current = match compared {
                 Comparison::Unchanged(revision) => {
                     self.on_unchanged(at, &expected, revision);
                     return Ok(true);
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -178,6 +178,7 @@
             }
         };
         let result = or(call, reports).await;
+        watch.shared.see_era(watch.store.era());
         match result {
             Ok(version) => {
                 known_version = Some(version);
--- a/crates/direct/src/unlisted_gateways.rs
+++ b/crates/direct/src/unlisted_gateways.rs
@@ -11,8 +11,12 @@
 const MAX_READ_ROWS: usize = 99;
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Removes the gateways that a listing does not have, once a transaction has shown that they have no rows.
+/// Removes the gateways that a listing does not have, once a transaction has shown that they have no rows. Those
+/// that a restored store lacks write theirs again.
 pub async fn remove_unlisted(peers: &Arc<Peers>, listing: &Listing) {
+    if peers.shared().lacks_rows() {
+        return;
+    }
     let listed: HashSet<&str> = listing.rows.iter().map(|row| &*row.key).collect();
     let names = peers.names().into_iter();
     let keys = names.map(|name| format!("{}{name}", keys::GATEWAY_PREFIX));
