Marks show the moment up to which reads have got

Cause: a listing counted only if the mark written right before it was shown, so that an earlier mark, which is shown, told nothing. Change: the last marks are remembered with the time and revision at which they were written; a listing shows what the earlier of the marks read before and after it does, which can be some seconds old. A gateway that starts waits while reads are known to be behind.

--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -66,13 +66,14 @@
     }
 
     /// Whether declarations are in force that nobody has confirmed yet, since the first read after a start may be
-    /// behind. They are used if that takes as long as a change of them may.
+    /// behind. They are used if that takes as long as a change of them may, unless reads are known to be behind.
     pub fn is_held_at_start(&self) -> bool {
         let Some(since) = self.first_in_force() else {
             return false;
         };
         let end = since + self.settings.bounds.declarations_apply;
-        self.clock.now() < end && !self.lock_confirmed().is_ever_confirmed()
+        let may_be_old = self.clock.now() < end || self.are_reads_behind();
+        may_be_old && !self.lock_confirmed().is_ever_confirmed()
     }
 
     /// Whether to check the operators' rows in the store now.
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -76,8 +76,7 @@
                 state.servers.on_difference(rows, known, now);
             } else {
                 // The peer may have been behind when it listed them.
-                let (version, proof) = (versions.servers, ReadProof::Behind);
-                state.servers.on_listing(rows, version, proof, now);
+                state.servers.on_listing(rows, ReadProof::Unknown, now);
             }
             state.versions.servers = versions.servers;
             self.log_restarted(&mut state);
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -80,6 +80,8 @@
     /// When the first declarations came into force.
     first_in_force: OnceLock<Duration>,
     restored: Mutex<RestoredStore>,
+    /// Whether reads of the store are known to be behind.
+    reads_behind: AtomicBool,
     store_fallback: Mutex<StoreFallback>,
     /// Whether this gateway reads the store although it relies on peers.
     falls_back: AtomicBool,
@@ -129,6 +131,7 @@
             is_confirmed: AtomicBool::new(true),
             first_in_force: OnceLock::new(),
             restored: Mutex::default(),
+            reads_behind: AtomicBool::new(false),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
             settings,
@@ -284,6 +287,16 @@
         }
     }
 
+    /// Sets whether reads of the store are known to be behind.
+    pub fn set_reads_behind(&self, is_behind: bool) {
+        self.reads_behind.store(is_behind, Ordering::Relaxed);
+    }
+
+    /// Whether reads of the store are known to be behind.
+    pub fn are_reads_behind(&self) -> bool {
+        self.reads_behind.load(Ordering::Relaxed)
+    }
+
     /// Whether the store may lack rows that it had acknowledged before it came back from a copy.
     pub fn lacks_rows(&self) -> bool {
         self.lock_restored().lacks_rows(self.clock.now())
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -181,14 +181,15 @@
         now: Duration,
     ) -> Option<&'static str> {
         let mut rows = listing.rows;
-        if proof.shows_absence() {
-            let missing = self.lock().evacuations.missing(|domain| {
-                let key = evacuation_key(domain);
-                rows.iter().any(|row| row.key == key)
-            });
-            let removed = missing.iter().map(|domain| evacuation_key(domain));
-            rows.extend(removed.map(|key| StoreRow::removed(&key, listing.version)));
-        }
+        let missing = self.lock().evacuations.missing(|domain| {
+            let key = evacuation_key(domain);
+            rows.iter().any(|row| row.key == key)
+        });
+        let gone = missing
+            .iter()
+            .filter(|(_, known)| proof.shows_absence(*known));
+        let gone = gone.map(|(domain, _)| evacuation_key(domain));
+        rows.extend(gone.map(|key| StoreRow::removed(&key, proof.revision())));
         self.on_read_operators(rows, now).await
     }
 
@@ -217,10 +218,8 @@
             (row.key.clone(), decoded.row, row.version)
         });
         let rows: Vec<_> = rows.collect();
-        let mut newest = rows.iter().map(|row| row.2).max().unwrap_or_default();
-        if proof.shows_absence() {
-            newest = newest.max(listing.version);
-        }
+        let newest = rows.iter().map(|row| row.2).max().unwrap_or_default();
+        let newest = newest.max(proof.revision());
         let mut state = self.lock();
         let known = state.versions.servers;
         if known > 0 {
@@ -231,7 +230,7 @@
                 }
             }
         }
-        let has_news = state.servers.on_listing(rows, listing.version, proof, now);
+        let has_news = state.servers.on_listing(rows, proof, now);
         for (server, started) in starts {
             state.servers.on_start(server, started);
         }
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -4,7 +4,7 @@
 use crate::store_watch::report_declarations;
 use adapter::{Comparison, CurrentRow, ExpectedRow, Mark, Store, StoreError, StoreRow, StoreTable};
 use async_io::Timer;
-use policy::{CheckWay, ConfirmedBy, DomainName, ReadProof, StoreReads};
+use policy::{CheckWay, ConfirmedBy, DomainName, MarkNumber, ReadProof};
 use proto::Revision;
 use rand::random;
 use runtime::Clock;
@@ -32,6 +32,7 @@
         shared,
         store,
         next_chunk: random(),
+        process: random(),
     };
     let mut tick = FIRST_TICK;
     loop {
@@ -60,6 +61,8 @@
     /// Place of the servers' rows that are compared next. Gateways begin anywhere, so that together they soon
     /// compare all.
     next_chunk: u64,
+    /// Random number of this process, which its marks bear.
+    process: u64,
 }
 
 impl StoreCheck {
@@ -161,17 +164,18 @@
 
     fn on_unchanged(&self, at: Duration, expected: &[ExpectedRow], revision: Revision) {
         self.shared.metrics.store_call("compare", "ok");
+        self.shared.set_reads_behind(false);
         let row = expected.first().map_or(0, |row| row.revision);
         let proof = self
             .shared
             .lock_store_reads()
             .on_unchanged(at, row, revision);
-        self.on_proof(proof, ConfirmedBy::Comparison(revision), revision);
+        self.on_proof(proof, ConfirmedBy::Comparison(revision));
     }
 
     /// Records that all rows are as they are known, as far as `proof` says.
-    fn on_proof(&self, proof: ReadProof, by: ConfirmedBy, revision: Revision) {
-        let ReadProof::At(at) = proof else {
+    fn on_proof(&self, proof: ReadProof, by: ConfirmedBy) {
+        let ReadProof::UpTo { at, revision } = proof else {
             return;
         };
         self.shared.on_store_confirmed(at, by);
@@ -211,35 +215,68 @@
             "row" => self.shared.store_cache.declarations_row());
     }
 
-    /// Lists the tables between two reads of a mark.
+    /// Writes a mark, and lists the tables between two reads that show which one reads have got to.
     async fn list(&self) -> Result<(), StoreError> {
         let cache = &self.shared.store_cache;
-        let value = random::<u64>().to_le_bytes();
-        let at = Clock::boot_time();
-        let marked = self.store.put_mark(self.mark(&value)).await?;
-        let is_shown = self.store.shows_mark(self.mark(&value)).await?;
+        self.write_mark().await?;
+        let before = self.shown_mark().await?;
         let operators = self.store.list(StoreTable::Operators).await?;
         let servers = self.store.list(StoreTable::Servers).await?;
-        let is_shown_after = self.store.shows_mark(self.mark(&value)).await?;
+        let after = self.shown_mark().await?;
         self.shared.metrics.store_call("list", "ok");
-        let proof = StoreReads::marked(at, [is_shown, is_shown_after]);
+        let proof = self.shared.lock_store_reads().marked([before, after]);
         let version = operators.version;
-        let before = self.expected();
-        cache.on_server_listing(&servers, proof, self.shared.clock.now());
-        let refusal = cache
-            .on_operator_listing(operators, proof, self.shared.clock.now())
-            .await;
+        let known = self.expected();
+        let now = self.shared.clock.now();
+        cache.on_server_listing(&servers, proof, now);
+        let refusal = cache.on_operator_listing(operators, proof, now).await;
         report_declarations(&self.shared, refusal);
-        if self.expected() != before {
+        if self.expected() != known {
             self.on_found();
         }
-        if proof == ReadProof::Behind {
+        self.on_proof(proof, ConfirmedBy::Listing(version));
+        self.report_behind(proof);
+        Ok(())
+    }
+
+    async fn write_mark(&self) -> Result<(), StoreError> {
+        let number = self.shared.lock_store_reads().next_mark();
+        let at = Clock::boot_time();
+        let value = [self.process.to_le_bytes(), number.to_le_bytes()].concat();
+        let revision = self.store.put_mark(self.mark(&value)).await?;
+        self.shared
+            .lock_store_reads()
+            .on_marked(number, at, revision);
+        Ok(())
+    }
+
+    /// The mark of this process that reads show at present.
+    async fn shown_mark(&self) -> Result<Option<MarkNumber>, StoreError> {
+        let shown = self.store.shown_mark(&self.shared.settings.name).await?;
+        let number = shown.and_then(|value| {
+            let (process, number) = value.split_at_checked(size_of::<u64>())?;
+            let is_own = process == self.process.to_le_bytes();
+            let number = MarkNumber::from_le_bytes(number.try_into().ok()?);
+            is_own.then_some(number)
+        });
+        Ok(number)
+    }
+
+    /// Says so if reads have shown an earlier mark than the last one, or none.
+    fn report_behind(&self, proof: ReadProof) {
+        let behind = match proof {
+            ReadProof::Unknown => None,
+            ReadProof::UpTo { at, .. } => Some(Clock::boot_time().saturating_sub(at)),
+        };
+        let bound = self.shared.settings.bounds.declarations_apply;
+        let is_behind = behind.is_none_or(|behind| behind > bound);
+        self.shared.set_reads_behind(is_behind);
+        if is_behind {
             self.shared.metrics.store_call("list", "behind");
-            warn!(self.shared.log, "store: reads are behind, they confirm nothing";
-                "version" => version, "marked" => marked, "row" => cache.declarations_row());
+            warn!(self.shared.log, "store: reads are behind";
+                "behind_ms" => behind.map(|behind| behind.as_millis() as u64),
+                "row" => self.shared.store_cache.declarations_row());
         }
-        self.on_proof(proof, ConfirmedBy::Listing(version), marked);
-        Ok(())
     }
 }
 
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -86,7 +86,7 @@
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
         let cache = &shared.store_cache;
         let refusal = cache
-            .on_operator_listing(listing, ReadProof::Behind, shared.clock.now())
+            .on_operator_listing(listing, ReadProof::Unknown, shared.clock.now())
             .await;
         report_declarations(shared, refusal);
     }
@@ -116,7 +116,7 @@
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
         shared
             .store_cache
-            .on_server_listing(&listing, ReadProof::Behind, shared.clock.now());
+            .on_server_listing(&listing, ReadProof::Unknown, shared.clock.now());
     }
 
     async fn on_changes(&self, shared: &Shared, changes: Changes) {
--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -46,10 +46,13 @@
         true
     }
 
-    /// Domains with an order that is not `listed`.
-    pub fn missing(&self, listed: impl Fn(&str) -> bool) -> Vec<DomainName> {
-        let active = self.active().into_iter();
-        active.filter(|domain| !listed(domain)).collect()
+    /// Domains with an order that is not `listed`, and the revision of each.
+    pub fn missing(&self, listed: impl Fn(&str) -> bool) -> Vec<(DomainName, Revision)> {
+        let active = self.known.iter().filter(|(_, known)| known.is_active);
+        let missing = active.filter(|(domain, _)| !listed(domain));
+        missing
+            .map(|(domain, known)| (domain.clone(), known.version))
+            .collect()
     }
 
     /// Revision of the store's row for a domain, 0 for none.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -236,7 +236,7 @@
 };
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_fallback::{StoreFallback, store_check_interval};
-pub use store_reads::{CheckWay, ReadProof, StoreReads};
+pub use store_reads::{CheckWay, MarkNumber, ReadProof, StoreReads};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, is_store_reached, should_watch_store};
 pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -123,29 +123,26 @@
         }
     }
 
-    /// Records a listing that bears `version`. Servers that it does not contain are removed if that is proved.
-    /// Returns whether it has shown anything new.
+    /// Records a listing. Servers that it does not contain are removed if that is proved. Returns whether it has
+    /// shown anything new.
     pub fn on_listing(
         &mut self,
         rows: Vec<(BackendId, BackendRow, Revision)>,
-        version: Revision,
         proof: ReadProof,
         now: Duration,
     ) -> bool {
         let is_first = self.known.is_empty();
-        self.store.on_revision(version, !is_first, now);
         let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
         let mut last = rows.iter().map(|(.., row)| *row).max().unwrap_or_default();
         let mut has_news = false;
-        if proof.shows_absence() {
-            last = last.max(version);
-            let known = self.known.iter();
-            let missing = known
-                .filter(|(id, known)| !listed.contains(*id) && known.row != BackendRow::Absent)
-                .map(|(id, _)| id.clone());
-            for id in missing.collect::<Vec<BackendId>>() {
-                has_news |= self.on_row(&id, BackendRow::Absent, version, now);
-            }
+        last = last.max(proof.revision());
+        let known = self.known.iter();
+        let missing = known.filter(|(id, known)| {
+            let is_shown = listed.contains(*id) || known.row == BackendRow::Absent;
+            !is_shown && proof.shows_absence(known.version)
+        });
+        for id in missing.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            has_news |= self.on_row(&id, BackendRow::Absent, proof.revision(), now);
         }
         for (id, row, row_version) in rows {
             has_news |= self.on_row(&id, row, row_version, now);
--- a/crates/policy/src/store_reads.rs
+++ b/crates/policy/src/store_reads.rs
@@ -1,25 +1,56 @@
 //! What reads of the store prove of the rows that they show, and of those that they do not.
 
 use proto::Revision;
+use std::collections::VecDeque;
 use std::time::Duration;
 
+/// Number of a mark that a gateway has written, from 1.
+pub type MarkNumber = u64;
+
 /// Time after which a store that has refused to compare rows is asked to again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(30);
+/// Marks that are remembered. They are at least 0.1 s apart.
+const MAX_MARKS: usize = 512;
 
 /// What follows from a read of rows. A read can be seconds behind whatever version it bears, so that only the
 /// order of writes tells which moment it shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadProof {
     /// The rows were written at some time. Rows that it does not show may exist, and newer ones may.
-    Behind,
-    /// All that was written before this time of the own clock is shown.
-    At(Duration),
+    Unknown,
+    /// All that was written before the time `at` of the own clock, or up to a revision, is shown.
+    UpTo {
+        /// The time.
+        at: Duration,
+        /// The revision.
+        revision: Revision,
+    },
 }
 
 impl ReadProof {
-    /// Whether a row that is not shown does not exist.
-    pub fn shows_absence(self) -> bool {
-        matches!(self, Self::At(_))
+    /// Whether a row that was known with this revision, and is not shown, does not exist any more.
+    pub fn shows_absence(self, known: Revision) -> bool {
+        match self {
+            Self::Unknown => false,
+            Self::UpTo { revision, .. } => known <= revision,
+        }
+    }
+
+    /// Revision up to which all is shown; 0 where that is not known.
+    pub fn revision(self) -> Revision {
+        match self {
+            Self::Unknown => 0,
+            Self::UpTo { revision, .. } => revision,
+        }
+    }
+
+    /// What two reads prove together.
+    fn earlier(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::UpTo { revision: a, .. }, Self::UpTo { revision: b, .. }) if b < a => other,
+            (Self::UpTo { .. }, Self::UpTo { .. }) => self,
+            _ => Self::Unknown,
+        }
     }
 }
 
@@ -42,6 +73,9 @@
     is_distrusted: bool,
     /// The last comparison that found the rows unchanged: revision of the operators' row, and of the answer.
     unchanged: Option<(Revision, Revision)>,
+    last_mark: MarkNumber,
+    /// The last marks that were written, with what a read that shows them proves.
+    marks: VecDeque<(MarkNumber, ReadProof)>,
 }
 
 impl StoreReads {
@@ -59,11 +93,40 @@
         self.refused_at = Some(now);
     }
 
-    /// Records that a transaction sent at `at` has found all rows unchanged as of the revision `answered`, among
-    /// them the operators' row of the revision `row`. Returns what that proves.
-    pub fn on_unchanged(&mut self, at: Duration, row: Revision, answered: Revision) -> ReadProof {
-        self.unchanged = Some((row, answered));
-        ReadProof::At(at)
+    /// Records that a transaction sent at `at` has found all rows unchanged as of a revision, among them the
+    /// operators' row of the revision `row`. Returns what that proves.
+    pub fn on_unchanged(&mut self, at: Duration, row: Revision, revision: Revision) -> ReadProof {
+        self.unchanged = Some((row, revision));
+        ReadProof::UpTo { at, revision }
+    }
+
+    /// Number of the next mark.
+    pub fn next_mark(&mut self) -> MarkNumber {
+        self.last_mark += 1;
+        self.last_mark
+    }
+
+    /// Records that a mark that was sent at `at` was written as of this revision.
+    pub fn on_marked(&mut self, mark: MarkNumber, at: Duration, revision: Revision) {
+        self.marks
+            .push_back((mark, ReadProof::UpTo { at, revision }));
+        if self.marks.len() > MAX_MARKS {
+            self.marks.pop_front();
+        }
+    }
+
+    /// What a listing proves before and after which reads have shown these marks.
+    pub fn marked(&self, shown: [Option<MarkNumber>; 2]) -> ReadProof {
+        let [before, after] = shown.map(|shown| self.proof_of(shown?));
+        match (before, after) {
+            (Some(before), Some(after)) => before.earlier(after),
+            _ => ReadProof::Unknown,
+        }
+    }
+
+    fn proof_of(&self, shown: MarkNumber) -> Option<ReadProof> {
+        let written = self.marks.iter().find(|(mark, _)| *mark == shown);
+        written.map(|(_, proof)| *proof)
     }
 
     /// Records that the operators' row has this revision. Comparisons are not trusted any more if the last one
@@ -74,12 +137,4 @@
             .is_some_and(|(row, answered)| row < found && found <= answered);
         is_passed_over && !std::mem::replace(&mut self.is_distrusted, true)
     }
-
-    /// What a listing proves before and after which the mark of the time `written_at` was read, and shown or not.
-    pub fn marked(written_at: Duration, shown: [bool; 2]) -> ReadProof {
-        match shown {
-            [true, true] => ReadProof::At(written_at),
-            _ => ReadProof::Behind,
-        }
-    }
 }
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -49,7 +49,8 @@
 fn an_order_that_was_passed_over_is_read_again() {
     let mut evacuations = Evacuations::default();
     evacuations.on_order("a".into(), true, revision(1, 11), Duration::ZERO);
-    assert_eq!(evacuations.missing(|_| false), ["a".into()]);
+    let missing = evacuations.missing(|_| false);
+    assert_eq!(missing, [("a".into(), revision(1, 11))]);
     assert!(!evacuations.on_order("a".into(), false, revision(2, 5), SEEN));
     assert_eq!(evacuations.row("a"), revision(1, 11));
 }
--- a/crates/policy/tests/server_eras.rs
+++ b/crates/policy/tests/server_eras.rs
@@ -10,7 +10,10 @@
 /// When what the store says holds.
 const REWRITTEN: Duration = SEEN.saturating_add(REWRITE_TIME);
 /// A listing that shows what holds.
-const NOW: ReadProof = ReadProof::At(Duration::ZERO);
+fn up_to(revision: u64) -> ReadProof {
+    let at = Duration::ZERO;
+    ReadProof::UpTo { at, revision }
+}
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -132,10 +135,10 @@
     let mut set = set(ready());
     let list = |set: &mut ServerSet, now| {
         let rows = vec![("y".into(), other(false), revision(2, 4))];
-        set.on_listing(rows, revision(2, 7), NOW, now);
+        set.on_listing(rows, up_to(revision(2, 7)), now);
     };
     // An empty table is a copy too.
-    set.on_listing(Vec::new(), revision(2, 3), NOW, SEEN);
+    set.on_listing(Vec::new(), up_to(revision(2, 3)), SEEN);
     assert!(set.is_usable("x", SEEN) && set.is_usable("y", SEEN));
     list(&mut set, REWRITTEN - at(1));
     assert!(set.is_usable("x", REWRITTEN - at(1)) && set.is_passed_over("x"));
@@ -178,12 +181,11 @@
     let mut set = ServerSet::default();
     set.on_listing(
         vec![("x".into(), ready(), revision(2, 5))],
-        revision(2, 7),
-        NOW,
+        up_to(revision(2, 7)),
         SEEN,
     );
     assert!(set.is_usable("x", SEEN));
-    set.on_listing(Vec::new(), revision(2, 8), NOW, SEEN);
+    set.on_listing(Vec::new(), up_to(revision(2, 8)), SEEN);
     assert!(!set.is_usable("x", SEEN));
 }
 
@@ -204,7 +206,7 @@
     set.on_row("x", BackendRow::Absent, revision(2, 5), REWRITTEN);
     let rows: Rows = vec![("x".into(), ready(), revision(1, 90))];
     set.on_difference(rows.clone(), revision(1, 50), REWRITTEN);
-    set.on_listing(rows, revision(1, 95), ReadProof::Behind, REWRITTEN);
+    set.on_listing(rows, ReadProof::Unknown, REWRITTEN);
     assert!(!set.is_usable("x", REWRITTEN));
 }
 
@@ -226,7 +228,7 @@
 fn no_difference_reaches_over_a_listing_of_a_newer_era() {
     let mut sender = set(ready());
     let rows = vec![("x".into(), draining(), revision(2, 3))];
-    sender.on_listing(rows, revision(2, 7), NOW, SEEN);
+    sender.on_listing(rows, up_to(revision(2, 7)), SEEN);
     assert_eq!(changed_since(&sender, revision(1, 11)), None);
     assert!(changed_since(&sender, revision(2, 7)).is_some());
 }
@@ -256,7 +258,7 @@
     set.on_difference(rows.collect(), revision(1, 11), SEEN);
     set.on_row("x", ready(), revision(2, 6), SEEN);
     assert!(!set.is_usable("x", SEEN));
-    set.on_listing(Vec::new(), revision(2, 6_000), NOW, REWRITTEN);
+    set.on_listing(Vec::new(), up_to(revision(2, 6_000)), REWRITTEN);
     assert!(set.rows().count() < 100, "they are dropped after that");
     assert!(!set.is_passed_over("x"));
 }
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -8,8 +8,11 @@
     Duration::from_millis(millis)
 }
 
-/// A listing that shows what holds.
-const NOW: ReadProof = ReadProof::At(Duration::ZERO);
+/// A listing that shows all that was written up to a revision.
+fn up_to(revision: u64) -> ReadProof {
+    let at = Duration::ZERO;
+    ReadProof::UpTo { at, revision }
+}
 
 fn entry(id: &str, draining: bool) -> BackendRow {
     BackendRow::Present(BackendEntry {
@@ -50,7 +53,7 @@
 fn entries_that_lapsed_with_the_store_are_waited_for() {
     let mut set = set();
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), 9, NOW, at(1_000));
+    set.on_listing(Vec::new(), up_to(9), at(1_000));
     assert!(set.is_usable("x", at(1_000)));
     assert!(!set.is_usable("x", at(1_000) + EXPIRED_ROW_GRACE));
     set.on_row("x", entry("x", false), 10, at(2_000));
@@ -62,7 +65,7 @@
     let mut set = set();
     set.on_row("x", entry("x", true), 6, at(10));
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), 9, NOW, at(1_000));
+    set.on_listing(Vec::new(), up_to(9), at(1_000));
     assert!(!set.is_usable("x", at(1_000)));
 }
 
@@ -130,7 +133,7 @@
         let id = format!("gone-{n}");
         set.on_row(&id, entry(&id, false), version, at(10));
     }
-    set.on_listing(Vec::new(), 6_000, NOW, at(20));
+    set.on_listing(Vec::new(), up_to(6_000), at(20));
     assert!(set.rows().count() < 5_000, "the others are dropped");
     set.on_row("x", entry("x", false), 6_001, at(60_000));
     assert!(!set.is_usable("x", at(60_000)));
@@ -180,7 +183,7 @@
 #[test]
 fn a_difference_is_refused_where_removals_may_be_unknown() {
     let mut sender = ServerSet::default();
-    sender.on_listing(vec![("y".into(), entry("y", false), 6)], 8, NOW, at(0));
+    sender.on_listing(vec![("y".into(), entry("y", false), 6)], up_to(8), at(0));
     assert_eq!(changed_since(&sender, 5), None);
     assert_eq!(changed_since(&sender, 8), Some(Vec::new()));
     assert_eq!(
@@ -212,7 +215,7 @@
 #[test]
 fn a_listing_without_news_leaves_differences_possible() {
     let mut sender = set();
-    sender.on_listing(vec![("x".into(), entry("x", false), 5)], 8, NOW, at(0));
+    sender.on_listing(vec![("x".into(), entry("x", false), 5)], up_to(8), at(0));
     assert_eq!(changed_since(&sender, 5), Some(Vec::new()));
 }
 
@@ -222,8 +225,8 @@
 fn a_listing_that_may_be_behind_takes_no_server_away() {
     let mut set = set();
     let rows = vec![("y".into(), entry("y", false), 4)];
-    assert!(set.on_listing(rows, 9, ReadProof::Behind, at(10)));
+    assert!(set.on_listing(rows, ReadProof::Unknown, at(10)));
     assert!(set.is_usable("x", at(10)) && set.is_usable("y", at(10)));
-    set.on_listing(vec![("x".into(), entry("x", false), 5)], 9, NOW, at(20));
+    set.on_listing(vec![("x".into(), entry("x", false), 5)], up_to(9), at(20));
     assert!(set.is_usable("x", at(20)) && !set.is_usable("y", at(20)));
 }
