Only a transaction that succeeds shows that a row does not exist

Found by the review, by reading: a refused transaction writes nothing, so that it has no place in the order of writes, and the rows that it left out were taken for removed as of the newest version of any answer; a check that lost a race against the watch took the store for one that compares nothing, and listed for 30 s; what checks read of servers moved polls past servers that they do not show; a gateway listed without a pause while listings were older than the history; a store whose row was once passed over was never asked again.

Change: absence is shown by a transaction that succeeds under the condition that the rows do not exist. A check whose rows have been told meanwhile compares again; one that gets no further lists, without taking the store for one that compares nothing. Checks and versions that peers claim do not move polls of servers. Pauses grow while the history is gone again and again. A listing that leaves rows out proves nothing.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -42,6 +42,11 @@
         state.versions.operators.max(state.confirmed)
     }
 
+    /// Revision from which polls of the servers' table can go on: checks do not show all servers.
+    pub fn known_servers(&self) -> Revision {
+        self.lock().sent_servers
+    }
+
     /// Applies operators' rows as a transaction has found them; returns the same as
     /// [`Self::on_operator_rows`].
     pub async fn on_read_operators(
--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -7,6 +7,9 @@
 use slog::{info, warn};
 use std::time::Duration;
 
+/// Longest time for which a gateway that starts waits for reads that are behind.
+const MAX_HOLD: Duration = Duration::from_secs(30);
+
 impl Shared {
     /// Records that a read of the operators' rows has shown nothing newer at this time of
     /// [`Clock::boot_time`].
@@ -71,8 +74,9 @@
         let Some(since) = self.first_in_force() else {
             return false;
         };
-        let end = since + self.settings.bounds.declarations_apply;
-        let may_be_old = self.clock.now() < end || self.are_reads_behind();
+        let (now, bound) = (self.clock.now(), self.settings.bounds.declarations_apply);
+        let is_behind = self.are_reads_behind() && now < since + MAX_HOLD;
+        let may_be_old = now < since + bound || is_behind;
         may_be_old && !self.lock_confirmed().is_ever_confirmed()
     }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(command.get_name(), direct::NAME);
 //! ```
 
+mod absent_rows;
 mod answer_body;
 mod answer_memory;
 mod assignment_pass;
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -72,6 +72,8 @@
         let known = state.versions.servers;
         if versions.servers > known {
             let rows = snapshot.servers;
+            let last = rows.iter().map(|row| row.2).max().unwrap_or_default();
+            state.sent_servers = state.sent_servers.max(last);
             if snapshot.is_difference {
                 state.servers.on_difference(rows, known, now);
             } else {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -320,7 +320,8 @@
             self.metrics.set_declarations(table.version);
         }
         let row = self.store_cache.declarations_row();
-        if self.lock_store_reads().on_row(row) {
+        let now = self.clock.now();
+        if self.lock_store_reads().on_row(row, now) {
             warn!(self.log, "store: a comparison has passed over a newer row, the tables are read instead";
                 "row" => row);
         }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -9,7 +9,7 @@
     BackendId, ContentHistory, DomainName, Evacuations, NewerDeclarations, ReadProof, RouteTable,
     ServerSet, server_key,
 };
-use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions};
+use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions, era};
 use slog::{Logger, info, warn};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -41,6 +41,8 @@
     pub(crate) is_untold: Untold,
     /// Revision as of which a check has found the operators' rows as they are known.
     pub(crate) confirmed: Revision,
+    /// Revision of the last row of a server that a peer has sent.
+    pub(crate) sent_servers: Revision,
 }
 
 #[derive(Debug)]
@@ -336,7 +338,13 @@
         }
         let table = decoded.table;
         let current = state.route_table.as_ref().map(|table| table.version);
-        if current.is_some_and(|current| current >= table.version) {
+        let in_force = state.declarations.as_ref();
+        // A restored store may be given other declarations of the same version.
+        let is_rewritten = current == Some(table.version)
+            && in_force.is_some_and(|in_force| {
+                era(version) > era(in_force.row) && decoded.stored.digest != in_force.digest
+            });
+        if current.is_some_and(|current| current >= table.version) && !is_rewritten {
             // The same declarations can be written again, or have come without the version of their row.
             let in_force = state.declarations.as_mut();
             if let Some(in_force) = in_force.filter(|_| current == Some(table.version)) {
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -1,5 +1,6 @@
 //! Checks of the rows in the store, which find what watches do not tell of and confirm the rest.
 
+use crate::absent_rows::{AbsentRows, find_absent};
 use crate::shared::Shared;
 use crate::store_watch::report_declarations;
 use adapter::{Comparison, CurrentRow, ExpectedRow, Mark, Store, StoreError, StoreRow, StoreTable};
@@ -23,6 +24,8 @@
 const MAX_ROWS: usize = 99;
 /// Transactions of one check: one that finds changed rows, one that finds removed ones, and one that confirms.
 const MAX_ROUNDS: usize = 4;
+/// Reads that wait for a mark to be shown.
+const MARK_READS: usize = 3;
 /// Declarations of more bytes are left to peers while these have newer ones.
 const LARGE_DECLARATIONS: usize = 256 << 10;
 
@@ -55,6 +58,16 @@
     }
 }
 
+/// How a comparison of rows ended.
+enum Compared {
+    /// They are as they are known.
+    Unchanged,
+    /// Some are not, and the store does not tell which.
+    Differs,
+    /// The store does not compare them.
+    Unsupported,
+}
+
 struct StoreCheck {
     shared: Arc<Shared>,
     store: Store,
@@ -113,22 +126,34 @@
     async fn run(&mut self) -> Result<CheckWay, StoreError> {
         let now = self.shared.clock.now();
         if self.shared.lock_store_reads().way(now) == CheckWay::Transaction {
-            if self.compare().await? {
-                self.next_chunk = self.next_chunk.wrapping_add(1);
-                return Ok(CheckWay::Transaction);
+            match self.compare().await? {
+                Compared::Unchanged => {
+                    self.next_chunk = self.next_chunk.wrapping_add(1);
+                    return Ok(CheckWay::Transaction);
+                }
+                // Rows of a restored store are passed over at first.
+                Compared::Differs if self.shared.lacks_rows() => return Ok(CheckWay::Transaction),
+                Compared::Differs => {
+                    info!(
+                        self.shared.log,
+                        "store: rows differ and do not come, the tables are read"
+                    );
+                }
+                Compared::Unsupported => {
+                    info!(
+                        self.shared.log,
+                        "store: compares no rows, the tables are read to check them"
+                    );
+                    self.shared.lock_store_reads().on_refused(now);
+                }
             }
-            info!(
-                self.shared.log,
-                "store: compares no rows, the tables are read to check them"
-            );
-            self.shared.lock_store_reads().on_refused(now);
         }
         self.list().await?;
         Ok(CheckWay::MarkedListing)
     }
 
-    /// Compares the rows until they are as they are known; `false` where the store does not compare them.
-    async fn compare(&self) -> Result<bool, StoreError> {
+    /// Compares the rows until they are as they are known.
+    async fn compare(&self) -> Result<Compared, StoreError> {
         for _ in 0..MAX_ROUNDS {
             let expected = self.expected();
             let timeout = self.shared.store_check_timeout();
@@ -140,26 +165,27 @@
             let current = match compared {
                 Comparison::Unchanged(revision) => {
                     self.on_unchanged(at, &expected, revision);
-                    return Ok(true);
+                    return Ok(Compared::Unchanged);
                 }
-                Comparison::Unsupported => return Ok(false),
+                Comparison::Unsupported => return Ok(Compared::Unsupported),
                 Comparison::Changed(current) => current,
             };
             self.shared.metrics.store_call("compare", "changed");
             let unsent = unsent(&expected, &current);
-            if self.apply(current).await {
+            // The watch may have told of the change by now.
+            if self.apply(current).await || self.expected() != expected {
                 continue;
             }
-            let read = self.store.read(&unsent, self.mark(b""), timeout).await?;
-            let Some(current) = read else {
-                return Ok(false);
+            let found = find_absent(&self.store, unsent, self.mark(b""), timeout).await?;
+            self.shared.metrics.store_call("find", "ok");
+            let AbsentRows::Found(current) = found else {
+                break;
             };
-            self.shared.metrics.store_call("read", "ok");
             if !self.apply(current).await {
                 break;
             }
         }
-        Ok(true)
+        Ok(Compared::Differs)
     }
 
     fn on_unchanged(&self, at: Duration, expected: &[ExpectedRow], revision: Revision) {
@@ -218,13 +244,18 @@
     /// Writes a mark, and lists the tables between two reads that show which one reads have got to.
     async fn list(&self) -> Result<(), StoreError> {
         let cache = &self.shared.store_cache;
-        self.write_mark().await?;
-        let before = self.shown_mark().await?;
+        let mark = self.write_mark().await?;
+        let before = self.shown_mark(mark).await?;
         let operators = self.store.list(StoreTable::Operators).await?;
         let servers = self.store.list(StoreTable::Servers).await?;
-        let after = self.shown_mark().await?;
+        let after = self.shown_mark(mark).await?;
         self.shared.metrics.store_call("list", "ok");
-        let proof = self.shared.lock_store_reads().marked([before, after]);
+        let is_complete = operators.skipped + servers.skipped == 0;
+        let proof = match is_complete {
+            true => self.shared.lock_store_reads().marked([before, after]),
+            // A row that cannot be decoded is not absent.
+            false => ReadProof::Unknown,
+        };
         let version = operators.version;
         let known = self.expected();
         let now = self.shared.clock.now();
@@ -239,7 +270,7 @@
         Ok(())
     }
 
-    async fn write_mark(&self) -> Result<(), StoreError> {
+    async fn write_mark(&self) -> Result<MarkNumber, StoreError> {
         let number = self.shared.lock_store_reads().next_mark();
         let at = Clock::boot_time();
         let value = [self.process.to_le_bytes(), number.to_le_bytes()].concat();
@@ -247,11 +278,22 @@
         self.shared
             .lock_store_reads()
             .on_marked(number, at, revision);
-        Ok(())
+        Ok(number)
+    }
+
+    /// The mark of this process that reads show at present, which soon is the `last` one if they are hardly behind.
+    async fn shown_mark(&self, last: MarkNumber) -> Result<Option<MarkNumber>, StoreError> {
+        for _ in 1..MARK_READS {
+            let shown = self.read_mark().await?;
+            if shown == Some(last) {
+                return Ok(shown);
+            }
+            Timer::after(TICK).await;
+        }
+        self.read_mark().await
     }
 
-    /// The mark of this process that reads show at present.
-    async fn shown_mark(&self) -> Result<Option<MarkNumber>, StoreError> {
+    async fn read_mark(&self) -> Result<Option<MarkNumber>, StoreError> {
         let shown = self.store.shown_mark(&self.shared.settings.name).await?;
         let number = shown.and_then(|value| {
             let (process, number) = value.split_at_checked(size_of::<u64>())?;
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -30,6 +30,8 @@
 /// Backoff after failed calls.
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
+/// Longest pause before a table is listed again because the history is gone.
+const MAX_GONE_PAUSE: Duration = Duration::from_secs(2);
 /// Many gateways that the store turns away together repeat their calls less often each.
 const BACKOFF_PER_GATEWAY: Duration = Duration::from_millis(3);
 
@@ -110,7 +112,7 @@
     }
 
     fn cached_version(&self, shared: &Shared) -> u64 {
-        shared.store_cache.versions().servers
+        shared.store_cache.known_servers()
     }
 
     async fn on_listing(&self, shared: &Shared, listing: Listing) {
@@ -147,6 +149,7 @@
         last_check: Duration::ZERO,
         check_spread: random(),
         listing_due: None,
+        gone_in_a_row: 0,
     };
     let mut known_version = None;
     loop {
@@ -181,11 +184,15 @@
         watch.shared.see_era(watch.store.era());
         match result {
             Ok(version) => {
+                if known_version.is_some() {
+                    watch.gone_in_a_row = 0;
+                }
                 known_version = Some(version);
                 watch.on_contact();
                 Timer::after(H::PAUSE).await;
             }
             Err(err @ (StoreError::HistoryGone | StoreError::CutTransaction)) => {
+                watch.pause_before_listing().await;
                 info!(watch.shared.log, "store: listing again";
                     "table" => ?H::TABLE, "since" => known_version, "err" => %err);
                 known_version = None;
@@ -222,6 +229,8 @@
     check_spread: u64,
     /// When the table is listed again.
     listing_due: Option<Duration>,
+    /// Polls in a row that the history did not reach back for, as where listings are behind.
+    gone_in_a_row: u32,
 }
 
 struct Outage {
@@ -273,6 +282,18 @@
         );
     }
 
+    /// Waits before the table is listed because the history is gone, longer each time in a row.
+    async fn pause_before_listing(&mut self) {
+        if self.gone_in_a_row > 0 {
+            let pause = MIN_BACKOFF * 2_u32.saturating_pow(self.gone_in_a_row);
+            let pause = pause
+                .min(MAX_GONE_PAUSE)
+                .mul_f64(random::<f64>().mul_add(0.5, 0.5));
+            Timer::after(pause).await;
+        }
+        self.gone_in_a_row += 1;
+    }
+
     fn cached_version(&self) -> u64 {
         self.handler.cached_version(&self.shared)
     }
--- a/crates/direct/src/unlisted_gateways.rs
+++ b/crates/direct/src/unlisted_gateways.rs
@@ -1,5 +1,6 @@
 //! Gateways whose rows a listing does not have.
 
+use crate::absent_rows::{AbsentRows, find_absent};
 use crate::peers::Peers;
 use adapter::{Listing, Mark, StoreTable, keys};
 use slog::info;
@@ -30,12 +31,15 @@
             key: &shared.settings.name,
             value: b"",
         };
-        match shared.store.read(rows, mark, READ_TIMEOUT).await {
-            Ok(current) => {
-                for current in current.into_iter().flatten() {
+        match find_absent(&shared.store, rows.to_vec(), mark, READ_TIMEOUT).await {
+            Ok(AbsentRows::Found(current)) => {
+                for current in current {
                     peers.on_row(&current.row);
                 }
             }
+            Ok(AbsentRows::Unknown) => {
+                info!(shared.log, "peers: rows that are not listed may exist"; "rows" => rows.len());
+            }
             Err(err) => {
                 info!(shared.log, "peers: rows that are not listed cannot be read"; "err" => %err);
             }
--- a/crates/policy/src/store_reads.rs
+++ b/crates/policy/src/store_reads.rs
@@ -70,6 +70,8 @@
 pub struct StoreReads {
     refused_at: Option<Duration>,
     /// Whether a comparison has passed over a newer row.
+    has_passed_over: bool,
+    /// Whether two have.
     is_distrusted: bool,
     /// The last comparison that found the rows unchanged: revision of the operators' row, and of the answer.
     unchanged: Option<(Revision, Revision)>,
@@ -129,12 +131,18 @@
         written.map(|(_, proof)| *proof)
     }
 
-    /// Records that the operators' row has this revision. Comparisons are not trusted any more if the last one
-    /// has passed over it. Returns whether that is so now for the first time.
-    pub fn on_row(&mut self, found: Revision) -> bool {
-        let is_passed_over = self
+    /// Records that the operators' row has this revision. If the last comparison has passed over it, the store is not
+    /// asked to compare for a while, and after the second time not at all. Returns whether it has.
+    pub fn on_row(&mut self, found: Revision, now: Duration) -> bool {
+        let passed_over = self
             .unchanged
-            .is_some_and(|(row, answered)| row < found && found <= answered);
-        is_passed_over && !std::mem::replace(&mut self.is_distrusted, true)
+            .take_if(|(row, answered)| *row < found && found <= *answered);
+        if passed_over.is_none() {
+            return false;
+        }
+        self.is_distrusted = self.has_passed_over;
+        self.has_passed_over = true;
+        self.on_refused(now);
+        true
     }
 }
--- a/crates/policy/tests/store_reads.rs
+++ b/crates/policy/tests/store_reads.rs
@@ -72,12 +72,16 @@
 
 /// A store that answers all comparisons alike confirmed declarations beside newer ones.
 #[test]
-fn a_store_that_has_passed_over_a_newer_row_is_not_asked_to_compare_again() {
+fn a_store_that_passes_over_newer_rows_is_not_asked_to_compare_again() {
     let mut reads = StoreReads::default();
     reads.on_unchanged(at(40), 5, 9);
-    assert!(!reads.on_row(5), "the row that was compared");
-    assert!(!reads.on_row(10), "written after the answer");
+    assert!(!reads.on_row(5, at(50)), "the row that was compared");
+    assert!(!reads.on_row(10, at(50)), "written after the answer");
     assert_eq!(reads.way(at(50)), CheckWay::Transaction);
-    assert!(reads.on_row(7) && !reads.on_row(7));
+    assert!(reads.on_row(7, at(50)) && !reads.on_row(7, at(50)));
+    assert_eq!(reads.way(at(60)), CheckWay::MarkedListing);
+    assert_eq!(reads.way(at(31_000)), CheckWay::Transaction);
+    reads.on_unchanged(at(31_000), 7, 20);
+    assert!(reads.on_row(12, at(32_000)));
     assert_eq!(reads.way(at(1_000_000)), CheckWay::MarkedListing);
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -52,7 +52,7 @@
 pub use request::{
     AnswerChecksum, AnswerFrame, Execution, Offer, Outcome, Refusal, RefusalReason, RequestFrame,
 };
-pub use revision::{MAX_VERSION, Revision, era, revision, version};
+pub use revision::{MAX_ERA, MAX_VERSION, Revision, era, revision, version};
 pub use server_failure::{DomainKey, ServerFailureFrame, ServerReport, ServerState};
 pub use span::{SpanAnswer, SpanImport, SpanRequest, SpanTicket};
 pub use store_content::{
--- a/crates/proto/src/revision.rs
+++ b/crates/proto/src/revision.rs
@@ -8,7 +8,8 @@
 const VERSION_BITS: u32 = u64::BITS - 16;
 /// The greatest version within an era. The store gives out no such version.
 pub const MAX_VERSION: u64 = (1 << VERSION_BITS) - 1;
-const MAX_ERA: u64 = u64::MAX >> VERSION_BITS;
+/// The latest era that revisions tell from others.
+pub const MAX_ERA: u64 = u64::MAX >> VERSION_BITS;
 
 /// The revision of a version in an era; greater ones count as the greatest that there are.
 pub fn revision(era: u64, version: u64) -> Revision {
