--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -38,6 +38,7 @@
 mod service_standin;
 mod stale_reads;
 mod standin_server;
+mod store_drill;
 mod store_transaction;
 mod table_sim;
 mod table_standin;
@@ -66,6 +67,7 @@
 pub use service_standin::{ServiceCounts, ServiceResponse, ServiceSpec, ServiceStandin};
 pub use stale_reads::{Comparisons, StaleReads};
 pub use standin_server::{Call, CallError, Standin, StandinServer};
+pub use store_drill::StoreCopy;
 pub use table_sim::{
     TableCondition, TableCounts, TableRefusal, TableRow, TableSim, TableSpec, TableWrite,
 };
