A server whose row was passed over is read again

Cause: checks leave servers that are known to be gone out, so that one which had started again while the restored store lacked rows came into use with the next listing only, some 6 s later. Besides, the set offered a revision up to which peers could rely on it, which would have held back newer rows of other servers; nothing used it. Change: checks compare such rows too.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -110,11 +110,13 @@
     }
 
     /// Rows of the servers that are not known to be gone, with the revisions that they have if nothing has
-    /// changed.
+    /// changed, and of those whose rows were passed over.
     pub fn expected_servers(&self) -> Vec<ExpectedRow> {
         let state = self.lock();
-        let rows = state.servers.rows();
-        let rows = rows.filter(|(_, row, _)| **row != BackendRow::Absent);
+        let servers = &state.servers;
+        let rows = servers
+            .rows()
+            .filter(|(id, row, _)| **row != BackendRow::Absent || servers.is_passed_over(id));
         let rows = rows.map(|(id, _, revision)| ExpectedRow {
             table: StoreTable::Servers,
             key: id.clone(),
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -40,8 +40,8 @@
 pub struct ServerSet {
     known: HashMap<BackendId, KnownServer>,
     store: RestoredStore,
-    /// Servers with rows that were passed over, and the newest such row of each.
-    passed_over: HashMap<BackendId, Revision>,
+    /// Servers with rows that were passed over.
+    passed_over: HashSet<BackendId>,
     evacuated: HashSet<DomainName>,
     /// Version since which all changes of rows are known, also those of servers that came and went.
     history_start: u64,
@@ -75,7 +75,7 @@
         }
         let may_be_older = self.store.may_be_older(version, known.version, now);
         if may_be_older && known.would_be_unlearned(&row, now) {
-            self.passed_over.insert(id.into(), version);
+            self.passed_over.insert(id.into());
             return false;
         }
         self.passed_over.remove(id);
@@ -93,14 +93,7 @@
 
     /// Whether a row of this server was passed over and none was recorded since, so that it has to be read again.
     pub fn is_passed_over(&self, id: &str) -> bool {
-        self.passed_over.contains_key(id)
-    }
-
-    /// Revision up to which the set has all rows that were recorded as known up to `version`: rows that were
-    /// passed over are not among them.
-    pub fn known_up_to(&self, version: Revision) -> Revision {
-        let first = self.passed_over.values().min();
-        first.map_or(version, |first| version.min(first.saturating_sub(1)))
+        self.passed_over.contains(id)
     }
 
     /// Whether a row of this version is newer than what is known of the server.
@@ -257,7 +250,7 @@
             known.row != BackendRow::Absent || left_at.is_some()
         });
         let known = &self.known;
-        self.passed_over.retain(|id, _| known.contains_key(id));
+        self.passed_over.retain(|id| known.contains_key(id));
     }
 }
 
