--- a/crates/policy/src/route_table.rs
+++ b/crates/policy/src/route_table.rs
@@ -39,7 +39,7 @@
 pub struct Route {
     /// Name of the route, for logs.
     pub name: Box<str>,
-    /// Host name in the request.
+    /// Host name in the request, in any case.
     pub host: Box<str>,
     /// Prefix of the request path, with a slash at both ends.
     pub prefix: Box<str>,
@@ -144,6 +144,7 @@
     pub limits: CallerLimits,
     /// The services by their names.
     pub services: HashMap<ServiceName, Arc<ServiceSpec>>,
+    /// By host names in lower case.
     routes: HashMap<Box<str>, Vec<Arc<Route>>>,
     teams: Option<HashMap<Box<str>, Arc<TeamEntry>>>,
 }
@@ -171,7 +172,7 @@
         let mut by_host: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host
-                .entry(route.host.clone())
+                .entry(route.host.to_ascii_lowercase().into())
                 .or_default()
                 .push(Arc::new(route));
         }
@@ -190,9 +191,10 @@
         }
     }
 
-    /// The route of the host with the longest prefix of the path; `None` if there is none.
+    /// The route of the host with the longest prefix of the path; `None` if there is none. Host names
+    /// are compared without case.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes.get(host)?;
+        let routes = self.routes.get(&*host.to_ascii_lowercase())?;
         routes.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
--- a/crates/policy/tests/direct_decisions.rs
+++ b/crates/policy/tests/direct_decisions.rs
@@ -55,6 +55,26 @@
     assert!(table.route("h", "/b/").is_none() && table.route("i", "/a/").is_none());
 }
 
+/// A route whose host name has a capital letter never matched.
+#[test]
+fn host_names_are_compared_without_case() {
+    let route = |prefix: &str, host: &str| Route {
+        host: host.into(),
+        ..route(prefix, true)
+    };
+    let routes = [
+        route("/a/", "Consumer.Example"),
+        route("/a/b/", "consumer.example"),
+    ];
+    let table = RouteTable::new(1, CallerLimits::default(), routes, Vec::new(), None);
+    for host in ["consumer.example", "Consumer.Example", "CONSUMER.EXAMPLE"] {
+        let prefix = |path| table.route(host, path).map(|route| &*route.prefix);
+        assert_eq!(prefix("/a/x"), Some("/a/"), "{host}");
+        assert_eq!(prefix("/a/b/x"), Some("/a/b/"), "{host}");
+    }
+    assert!(table.route("other.example", "/a/x").is_none());
+}
+
 #[test]
 fn keys_name_teams_and_unknown_ones_are_told_from_none() {
     let table = table();
