--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -1,8 +1,9 @@
 //! Decides for each waiting prompt of a service whether it starts, waits on or is refused.
 
+use crate::assignment::{Assignment, EngineForecast, NoServer};
 use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after, is_blocked, server_in_turn};
 use crate::job::Job;
-use crate::prompt_queue::{Assignment, NoEngines, PAUSED_REASON, WaitingPrompt};
+use crate::prompt_queue::{PAUSED_REASON, WaitingPrompt};
 use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::waiting_news::place_in_fleet_order;
@@ -57,10 +58,10 @@
         prompt: &QueuedPrompt,
         waiting: &WaitingPrompt,
         ahead: &[Duration],
-    ) -> Option<Result<Assignment, NoEngines>> {
+    ) -> Option<Result<Assignment, NoServer>> {
         let request = &waiting.request;
         if !request.is_trial && is_blocked(self.shared, &request.suspects) {
-            return Some(Err(NoEngines {
+            return Some(Err(NoServer {
                 reason: BLOCKED_REASON,
                 retry_after: blocked_retry_after(self.shared, &request.suspects),
             }));
@@ -191,11 +192,11 @@
             || late_forecast(self.profile, &limited, engines, ahead, self.now).is_some()
     }
 
-    fn refuse_in_drain(&self, waiting: &WaitingPrompt) -> NoEngines {
+    fn refuse_in_drain(&self, waiting: &WaitingPrompt) -> NoServer {
         info!(self.shared.log, "queue: prompt refused"; "req" => &*waiting.request.req,
             "reason" => DRAINING_REASON,
             "waited_ms" => self.now.saturating_sub(waiting.request.since).as_millis() as u64);
-        NoEngines {
+        NoServer {
             reason: DRAINING_REASON,
             retry_after: DRAIN_RETRY_AFTER,
         }
@@ -218,7 +219,7 @@
     }
 
     /// Refuses a prompt that the servers would take too late because of the limits that they state.
-    fn refuse_beyond_limits(&self, prompt: &QueuedPrompt, ahead: usize) -> Option<NoEngines> {
+    fn refuse_beyond_limits(&self, prompt: &QueuedPrompt, ahead: usize) -> Option<NoServer> {
         let send_times = self.send_times.as_ref()?;
         let start = send_times.after(ahead);
         // Engines with a limit do not help each other.
@@ -227,7 +228,7 @@
         }
         let time = send_times.time_to_return(ahead);
         let wait = time.map(|time| time.saturating_sub(self.now));
-        Some(NoEngines {
+        Some(NoServer {
             reason: "servers at their limits",
             retry_after: suggest_retry_after_limit(wait, rand::random()),
         })
@@ -235,9 +236,9 @@
 
     /// Refuses a prompt while all servers are in pauses of which the first ends at `end`; `None` where
     /// that is soon, so that the prompt waits.
-    fn refuse_until(&self, end: Duration) -> Option<Result<Assignment, NoEngines>> {
+    fn refuse_until(&self, end: Duration) -> Option<Result<Assignment, NoServer>> {
         let wait = end.saturating_sub(self.now);
-        let refusal = NoEngines {
+        let refusal = NoServer {
             reason: PAUSED_REASON,
             retry_after: suggest_retry_after_limit(Some(wait), rand::random()),
         };
@@ -262,7 +263,7 @@
         reason: &'static str,
         prompt: &QueuedPrompt,
         engines: &[EngineCandidate],
-    ) -> NoEngines {
+    ) -> NoServer {
         let prefill_time = self.profile.prefill_time(prompt.request.prompt_tokens);
         let backlogs = engines.iter().map(|engine| engine.load.prefill_remaining);
         let forecast = CapacityForecast {
@@ -282,7 +283,7 @@
         let schedule = returns
             .entry(self.spec.name.clone())
             .or_insert_with(|| ReturnSchedule::new(Duration::ZERO));
-        NoEngines {
+        NoServer {
             reason,
             retry_after: schedule.assign(refused, forecast, self.now, rand::random()),
         }
@@ -317,9 +318,11 @@
             helpers,
             permit,
             job,
-            part_prefill_time: placement.part_prefill_time,
-            forecast: placement.first_event_forecast,
-            published_forecast: placement.first_event_forecast.div_f64(slowdown),
+            forecast: Some(EngineForecast {
+                part_prefill_time: placement.part_prefill_time,
+                first_event: placement.first_event_forecast,
+                published_first_event: placement.first_event_forecast.div_f64(slowdown),
+            }),
             stream,
         })
     }
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -72,9 +72,9 @@
     }
 }
 
-/// What the send of a prompt needs beside what each call does.
+/// What the send of a call whose response is a stream needs beside what each call does.
 #[derive(Debug)]
-pub struct PromptSend<'a> {
+pub struct StreamSend<'a> {
     /// Engines that prefill parts of the prompt.
     pub helpers: &'a [Helper],
     /// Event after which the engine resumes the stream.
@@ -92,7 +92,7 @@
     call: &Call,
     server: &BackendEntry,
     permit: &mut SendPermit,
-    prompt: Option<PromptSend<'_>>,
+    prompt: Option<StreamSend<'_>>,
     gives_up: impl Future<Output = ()>,
     tried: &mut Vec<BackendId>,
 ) -> Result<SingleResponse, AttemptError> {
@@ -174,7 +174,7 @@
     call: &Call,
     server: &BackendEntry,
     permit: &mut SendPermit,
-    prompt: Option<PromptSend<'_>>,
+    prompt: Option<StreamSend<'_>>,
     gives_up: impl Future<Output = ()>,
 ) -> Result<SingleResponse, AttemptError> {
     let shared = &call.shared;
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -293,12 +293,7 @@
 }
 
 impl Call {
-    /// Whether it is a prompt whose answer is streamed, which starts only if the queue of prompts lets it.
-    pub fn is_streamed(&self) -> bool {
-        self.admitted.route.kind.is_stream() && self.admitted.service.engine.is_some()
-    }
-
-    /// Whether a call of a plain service can be expected to end before the process does.
+    /// Whether a call with one whole answer can be expected to end before the process does.
     pub fn may_start(&self) -> bool {
         let Some(drain) = self.shared.draining.times() else {
             return true;
@@ -313,7 +308,18 @@
         drain.may_start(&call, self.shared.clock.now())
     }
 
-    /// Whether the stream of a prompt can be expected to end before the process does.
+    /// The stream of a plain server. Where none of the route was measured, it may last as long as the call.
+    pub fn late_stream(&self) -> LateStream {
+        let measured = self.shared.lock_call_times();
+        let measured = measured.expected_stream(&self.admitted.route.name);
+        LateStream {
+            forecast: measured.unwrap_or(Duration::MAX).min(self.remaining()),
+            queued_at: self.arrived,
+            is_retry: self.sends() > 0,
+        }
+    }
+
+    /// Whether a stream can be expected to end before the process does.
     pub fn may_stream(&self, stream: &LateStream) -> bool {
         let drain = self.shared.draining.times();
         drain.is_none_or(|drain| drain.may_stream(stream, self.shared.clock.now()))
@@ -326,6 +332,12 @@
         times.record(route, service, taken);
     }
 
+    /// Records how long a stream of a plain server took.
+    pub fn record_stream_time(&self, taken: Duration) {
+        let mut times = self.shared.lock_call_times();
+        times.record_stream(&self.admitted.route.name, taken);
+    }
+
     /// Ends the call with a reply that says whether it may have run, as the process ends.
     pub fn end_in_drain(&self) -> Response<Body> {
         self.end_without_response(DRAIN_RETRY_AFTER, DRAINING_REASON)
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -67,7 +67,7 @@
     shared
         .fleet
         .record_request(&call.admitted.service.name, shared.clock.now());
-    if call.is_streamed() {
+    if call.admitted.route.kind.is_stream() {
         stream::run(call).await
     } else {
         plain::run(&call).await
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -2,8 +2,9 @@
 //! beside the servers.
 //!
 //! A request passes these modules: `front` (finds route and team, reads the body) → `stream` or
-//! `plain` (retries and failover) → `prompt_queue` (waits for engines) → `attempt` (sends to one
-//! server) → `engine_stream` (reads one engine's stream) → `stream` (relays to the caller). The
+//! `plain` (retries and failover) → `prompt_queue` (waits for engines) or
+//! `plain_server` (chooses among other servers) → `attempt` (sends to one
+//! server) → `server_stream` (reads one server's stream) → `stream` (relays to the caller). The
 //! decisions are made by `policy`; `adapter` implements the protocols of the platform.
 //!
 //! ```
@@ -13,6 +14,7 @@
 
 mod answer_body;
 mod answer_memory;
+mod assignment;
 mod assignment_pass;
 mod attempt;
 mod blocked_rows;
@@ -25,7 +27,6 @@
 mod content_sync;
 mod crash_guard;
 mod declarations_row;
-mod engine_stream;
 mod evacuations;
 mod event_splitter;
 pub mod explain_command;
@@ -43,6 +44,7 @@
 mod peer_streams;
 mod peers;
 mod plain;
+mod plain_server;
 mod process;
 mod prompt_queue;
 mod request_limit;
@@ -53,6 +55,7 @@
 mod server_pause;
 mod server_probe;
 mod server_rows_check;
+mod server_stream;
 mod shared;
 mod signal;
 mod stalls;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -1,33 +1,26 @@
-//! Calls of plain services, which respond with one complete body.
+//! Calls whose response is one complete body.
 
 use crate::answer_body::read_body;
 use crate::attempt::{AttemptError, send};
 use crate::call::Call;
-use crate::crash_guard::{
-    BLOCKED_REASON, GuardedRun, admit, await_turn, blocked_retry_after, server_in_turn,
-};
+use crate::crash_guard::{BLOCKED_REASON, GuardedRun, admit, await_turn, blocked_retry_after};
 use crate::job::Job;
 use crate::local_reply::LocalReply;
-use crate::prompt_queue::PAUSED_REASON;
+use crate::plain_server::{choose_server, no_server};
 use crate::send_permit::SendPermit;
 use crate::server_probe::{detect_crashed_server, may_run_again};
 use adapter::{promises_not_run, response_headers};
 use async_io::Timer;
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use policy::{
-    AttemptResult, BackendId, DRAIN_RETRY_AFTER, DRAINING_REASON, RetryTurn, choose_plain_server,
-    suggest_retry_after_limit,
-};
+use policy::{AttemptResult, BackendId, DRAIN_RETRY_AFTER, DRAINING_REASON};
 use proto::BackendEntry;
 use runtime::{Body, SingleResponse, timeout};
 use slog::info;
 use std::time::Duration;
 
-/// `Retry-After` of refused requests, such as where no server could be reached.
+/// `Retry-After` of refused requests, such as where no server gave an answer.
 const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Callers are not told to come back later than this where servers are at their limits.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(15);
 /// An attempt that may be retried times out after this fraction of the time left, or after
 /// `ATTEMPT_TARGET_FACTOR` times the target latency, whichever is longer.
 const ATTEMPT_TIME_FRACTION: f64 = 1.0 / 3.0;
@@ -53,7 +46,8 @@
             break (DRAINING_REASON, DRAIN_RETRY_AFTER);
         }
         let Some((server, mut permit)) = choose_server(call, &tried, turn) else {
-            break no_server(call, &tried);
+            let refusal = no_server(call, &tried);
+            break (refusal.reason, refusal.retry_after);
         };
         if !call.claim_try() {
             break ("tried enough", REFUSAL_RETRY_AFTER);
@@ -85,69 +79,6 @@
     (BLOCKED_REASON, retry_after)
 }
 
-fn choose_server(
-    call: &Call,
-    tried: &[BackendId],
-    turn: Option<RetryTurn>,
-) -> Option<(BackendEntry, SendPermit)> {
-    let shared = &call.shared;
-    let service = &call.admitted.service;
-    loop {
-        let now = shared.clock.now();
-        let mut servers = shared.store_cache.usable_servers(&service.name, now);
-        servers.retain(|server| {
-            !tried.contains(&server.id) && shared.fleet.may_send(service, &server.id, now)
-        });
-        let mut candidates = shared.fleet.plain_candidates(&servers, now);
-        let in_turn = turn.and_then(|turn| {
-            server_in_turn(shared, turn, &servers, |index| candidates[index].suspect)
-        });
-        if let Some(preferred) = in_turn {
-            // The other servers are left for the case that this one refuses.
-            for (index, candidate) in candidates.iter_mut().enumerate() {
-                candidate.suspect = index != preferred;
-            }
-        }
-        let chosen = choose_plain_server(&candidates)?;
-        let server = servers.swap_remove(chosen);
-        // Another request may have taken the last permit in the meantime.
-        if let Some(permit) = SendPermit::take(shared, service, &server.id) {
-            info!(shared.log, "plain: server chosen"; "req" => &*call.head.id,
-                "server" => &*server.id, "jobs" => candidates[chosen].jobs,
-                "suspect" => candidates[chosen].suspect, "of" => candidates.len());
-            return Some((server, permit));
-        }
-    }
-}
-
-/// Why no server could be chosen, and when the caller should retry.
-fn no_server(call: &Call, tried: &[BackendId]) -> (&'static str, Duration) {
-    let shared = &call.shared;
-    let service = &call.admitted.service;
-    let now = shared.clock.now();
-    let mut servers = shared.store_cache.usable_servers(&service.name, now);
-    servers.retain(|server| !tried.contains(&server.id));
-    if let Some(end) = shared.fleet.remove_paused(&mut servers, now)
-        && servers.is_empty()
-    {
-        let wait = Some(end.saturating_sub(now));
-        return (
-            PAUSED_REASON,
-            suggest_retry_after_limit(wait, rand::random()),
-        );
-    }
-    let end = now + MAX_RETRY_AFTER;
-    match shared.fleet.send_times(service, &servers, now, end) {
-        Some(times) => {
-            let time = times.time_to_return(0);
-            let wait = time.map(|time| time.saturating_sub(now));
-            let retry_after = suggest_retry_after_limit(wait, rand::random());
-            ("servers at their limits", retry_after)
-        }
-        None => ("no server", REFUSAL_RETRY_AFTER),
-    }
-}
-
 async fn attempt(
     call: &Call,
     server: &BackendEntry,
--- a/crates/direct/src/prompt_queue.rs
+++ b/crates/direct/src/prompt_queue.rs
@@ -1,19 +1,18 @@
 //! Queue of prompts that wait for engines, and the assignment of engines to them.
 
+use crate::assignment::{Assignment, NoServer};
 use crate::assignment_pass::AssignmentPass;
 use crate::hold_notices::HoldNotices;
-use crate::job::Job;
-use crate::send_permit::SendPermit;
 use crate::shared::Shared;
 use crate::signal::Signal;
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::or;
 use policy::{
-    BackendId, EngineProfile, LateStream, PromptRequirements, QueuedPrompt, RankDemand, RetryTurn,
+    BackendId, EngineProfile, PromptRequirements, QueuedPrompt, RankDemand, RetryTurn,
     ReturnSchedule, ServiceName, ServiceSpec, next_check_after, service_key, sort_queue,
 };
-use proto::{BackendEntry, Suspect, TeamKey};
+use proto::{Suspect, TeamKey};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -53,43 +52,12 @@
     pub turn: Option<RetryTurn>,
 }
 
-/// Engines that are assigned to a prompt.
-#[derive(Debug)]
-pub struct Assignment {
-    /// Engine that gets the request.
-    pub server: BackendEntry,
-    /// Engines that prefill parts of the prompt, with the number of tokens for which memory must be
-    /// reserved there; 0 for none.
-    pub helpers: Vec<(BackendEntry, u64)>,
-    /// Permit to send the request to `server`.
-    pub permit: SendPermit,
-    /// Counts the prompt in the load of these engines until it is dropped.
-    pub job: Job,
-    /// Time that each engine takes to prefill its part.
-    pub part_prefill_time: Duration,
-    /// Forecast of the time to the first event.
-    pub forecast: Duration,
-    /// The same forecast from the engine's published figures, without its measured slowdown.
-    pub published_forecast: Duration,
-    /// Its stream, by which it is decided whether it still starts while the process ends.
-    pub stream: LateStream,
-}
-
-/// Refusal of a prompt that gets no engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct NoEngines {
-    /// Reason for logs and metrics.
-    pub reason: &'static str,
-    /// Time after which the caller should retry.
-    pub retry_after: Duration,
-}
-
 #[derive(Debug)]
 pub(crate) struct WaitingPrompt {
     pub(crate) queued: QueuedPrompt,
     pub(crate) request: PlacementRequest,
     pub(crate) notices: HoldNotices,
-    pub(crate) tx: Sender<Result<Assignment, NoEngines>>,
+    pub(crate) tx: Sender<Result<Assignment, NoServer>>,
 }
 
 /// Prompts of all services that wait for engines.
@@ -111,7 +79,7 @@
         &self,
         shared: &Arc<Shared>,
         request: PlacementRequest,
-    ) -> Result<Assignment, NoEngines> {
+    ) -> Result<Assignment, NoServer> {
         let (tx, rx) = async_channel::bounded(1);
         let queued = QueuedPrompt {
             id: self.next_id.fetch_add(1, Ordering::Relaxed),
@@ -130,7 +98,7 @@
         });
         self.assign_waiting(shared);
         self.wake_signal.notify();
-        rx.recv().await.unwrap_or(Err(NoEngines {
+        rx.recv().await.unwrap_or(Err(NoServer {
             reason: "shutdown",
             retry_after: Duration::ZERO,
         }))
--- a/crates/direct/src/engine_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -1,17 +1,22 @@
-//! One engine's part of a response stream.
+//! One server's part of a response stream.
 
-use crate::attempt::{AttemptError, PromptSend, send};
+use crate::assignment::{Assignment, NoServer};
+use crate::attempt::{AttemptError, StreamSend, send};
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, GuardedRun, admit, await_turn};
 use crate::event_splitter::EventSplitter;
-use crate::prompt_queue::{Assignment, NoEngines, PlacementRequest};
+use crate::plain_server::assign_stream;
+use crate::prompt_queue::PlacementRequest;
 use crate::reservation::{Reservations, ReserveError};
 use crate::server_probe::{check_server, detect_crashed_server};
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
-use policy::{AttemptResult, BackendId, DataEvidence, PromptRequirements, RetryTurn, team_key};
+use policy::{
+    AttemptResult, BackendId, DataEvidence, PromptRequirements, RetryTurn, first_event_wait,
+    silence_limit, team_key,
+};
 use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
@@ -19,17 +24,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The first event may take this many times its forecast, plus `FIRST_EVENT_SLACK`. The slack
-/// covers the forward pass in progress and an engine's stall on a lost helper.
-const FIRST_EVENT_FACTOR: f64 = 2.5;
-const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700);
-/// An engine without a first event is abandoned at the latest after this fraction of the time that
-/// a caller waits, so that another one can still respond.
-const FIRST_EVENT_WAIT_FRACTION: f64 = 0.5;
-/// A stream counts as silent after this many times the target gap of the route, but not before
-/// `MIN_SILENCE`, which covers a forward pass that includes a long prefill.
-const SILENCE_FACTOR: u32 = 3;
-const MIN_SILENCE: Duration = Duration::from_millis(900);
 /// Estimates of the response length are correct in the median; this factor covers most
 /// longer responses.
 const LENGTH_ESTIMATE_FACTOR: f64 = 1.3;
@@ -41,8 +35,8 @@
     /// Why a stream could not be opened or resumed at an engine.
     #[derive(Debug)]
     pub enum OpenError {
-        /// No engine can serve the prompt; it was not sent.
-        NoEngines(refusal: NoEngines) {
+        /// No server can take the request; it was not sent.
+        NoServer(refusal: NoServer) {
             display("{}", refusal.reason)
         }
         /// KV cache memory could not be reserved; the prompt was not sent.
@@ -58,7 +52,7 @@
         TriesExhausted {
             display("the limit of tried servers is reached")
         }
-        /// The engine gave no usable response.
+        /// The server gave no usable response.
         Attempt(err: AttemptError) {
             display("{err}")
             from()
@@ -71,7 +65,7 @@
 pub enum StreamItem {
     /// One or more complete events.
     Events(Bytes),
-    /// The engine ended the stream.
+    /// The server ended the stream.
     End,
     /// The connection failed or the data is not a valid stream of events, with the reason.
     Broken(Box<str>),
@@ -90,11 +84,11 @@
     }
 }
 
-/// A response stream from one engine. Dropping it releases the memory reserved at helpers and
+/// A response stream from one server. Dropping it releases the memory reserved at helpers and
 /// ends the job.
 #[derive(Debug)]
-pub struct EngineStream {
-    /// Response of the engine, whose body is read by `next`.
+pub struct ServerStream {
+    /// Response of the server, whose body is read by `next`.
     pub response: SingleResponse,
     assignment: Assignment,
     reservations: Reservations,
@@ -102,6 +96,8 @@
     splitter: EventSplitter,
     evidence: DataEvidence,
     sent_at: Duration,
+    /// Whether it goes on with a stream that began elsewhere.
+    is_resumed: bool,
     awaits_first_event: bool,
     /// Whether the first event is waited for without a limit of its own.
     is_last_choice: bool,
@@ -133,10 +129,10 @@
     }
 }
 
-impl EngineStream {
-    /// Waits until engines are assigned, reserves memory at helpers and sends the request.
+impl ServerStream {
+    /// Waits until a server is assigned, reserves memory at helpers and sends the request.
     ///
-    /// With `last_event`, the engine resumes the stream after that event. The assigned engine is
+    /// With `last_event`, the server resumes the stream after that event. The assigned server is
     /// added to `tried`.
     pub async fn open(
         call: &Call,
@@ -151,12 +147,7 @@
         if !call.claim_try() {
             return Err(OpenError::TriesExhausted);
         }
-        let assignment = shared
-            .prompt_queue
-            .assign(shared, placement_request(call, tried, turn))
-            .await;
-        let mut assignment = assignment.map_err(OpenError::NoEngines)?;
-        log_assignment(call, &assignment);
+        let mut assignment = assign(call, tried, turn).await?;
         let name = format!("{}-{}", call.head.id, call.sends());
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
@@ -175,13 +166,13 @@
         }
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
-        let patience = first_event_timeout(call, &assignment);
+        let patience = first_event_wait(&call.admitted.route, assignment.first_event_forecast());
         let gives_up = async {
             Timer::after(patience).await;
             // A check may find that a server which ran it before is gone.
             call.checks.until(|| !call.is_last_run()).await;
         };
-        let prompt = PromptSend {
+        let prompt = StreamSend {
             helpers: &helpers,
             last_event,
             stream: assignment.stream,
@@ -203,13 +194,14 @@
             splitter: EventSplitter::after(last_event.or(call.head.last_event_id)),
             evidence: DataEvidence::default(),
             sent_at,
+            is_resumed: last_event.is_some(),
             awaits_first_event: true,
             is_last_choice: false,
             has_no_successor: false,
         })
     }
 
-    /// Address of the engine.
+    /// Address of the server.
     pub fn server_address(&self) -> SocketAddr {
         self.assignment.server.address
     }
@@ -220,7 +212,7 @@
     }
 
     /// Waits for the next item. Returns [`StreamItem::Silent`] after too long a silence, unless no
-    /// other engine may run the call and this one still accepts connections.
+    /// other server may run the call and this one still accepts connections.
     pub async fn next(&mut self, call: &Call) -> StreamItem {
         let mut is_late = false;
         let item = loop {
@@ -250,7 +242,7 @@
         item
     }
 
-    /// Waits for the next item of an engine that has already been silent for too long, up to the
+    /// Waits for the next item of a server that has already been silent for too long, up to the
     /// deadline of the call.
     pub async fn next_late(&mut self, call: &Call) -> StreamItem {
         let item = self.next_within(call, call.remaining()).await;
@@ -260,7 +252,7 @@
     }
 
     /// Waits for complete events up to `limit`. Bytes of an event that is not complete do not extend
-    /// it, so that a stalled engine that sends a byte now and then counts as silent.
+    /// it, so that a stalled server that sends a byte now and then counts as silent.
     async fn next_within(&mut self, call: &Call, limit: Duration) -> StreamItem {
         let clock = &call.shared.clock;
         let end = clock.now() + limit;
@@ -303,14 +295,14 @@
         }
     }
 
-    /// Makes `next` wait through silences from now on, because no other engine can take over.
+    /// Makes `next` wait through silences from now on, because no other server can take over.
     pub fn keep_waiting(&mut self) {
         self.is_last_choice = true;
         self.has_no_successor = true;
     }
 
-    /// Whether to wait on although the engine is silent. Where no other engine may take over, only
-    /// the loss of an engine ends the stream, silence alone does not.
+    /// Whether to wait on although the server is silent. Where no other server may take over, only
+    /// the loss of a server ends the stream, silence alone does not.
     fn should_wait_on(&mut self, call: &Call) -> bool {
         let server = &self.assignment.server;
         if call.remaining().is_zero() || call.checks.is_gone(&server.id) {
@@ -325,9 +317,10 @@
     fn silence_limit(&self, call: &Call) -> Duration {
         if self.awaits_first_event && !self.is_last_choice {
             let waited = call.shared.clock.now().saturating_sub(self.sent_at);
-            return first_event_timeout(call, &self.assignment).saturating_sub(waited);
+            let forecast = self.assignment.first_event_forecast();
+            return first_event_wait(&call.admitted.route, forecast).saturating_sub(waited);
         }
-        MIN_SILENCE.max(call.admitted.route.target_gap * SILENCE_FACTOR)
+        silence_limit(&call.admitted.route)
     }
 
     fn record(&mut self, call: &Call, item: &StreamItem) {
@@ -339,21 +332,25 @@
                 self.awaits_first_event = false;
                 self.assignment.job.on_prefill_done();
                 let taken = now.saturating_sub(self.sent_at);
-                if self.assignment.helpers.is_empty() {
-                    shared.fleet.on_first_event(
-                        &server.id,
-                        self.assignment.published_forecast,
-                        taken,
-                        now,
-                    );
+                let forecast = self.assignment.forecast;
+                if let Some(forecast) = forecast.filter(|_| self.assignment.helpers.is_empty()) {
+                    let published = forecast.published_first_event;
+                    let fleet = &shared.fleet;
+                    fleet.on_first_event(&server.id, published, taken, now);
                 }
                 info!(shared.log, "stream: first event"; "req" => &*call.head.id,
                     "server" => &*server.id, "taken_ms" => taken.as_millis() as u64,
-                    "forecast_ms" => self.assignment.forecast.as_millis() as u64,
+                    "forecast_ms" => forecast.map(|forecast| forecast.first_event.as_millis() as u64),
                     "since_arrival_ms" => now.saturating_sub(call.arrived).as_millis() as u64);
                 return;
             }
-            StreamItem::Events(_) | StreamItem::End => return,
+            StreamItem::End => {
+                if self.assignment.forecast.is_none() && !self.is_resumed {
+                    call.record_stream_time(now.saturating_sub(self.sent_at));
+                }
+                return;
+            }
+            StreamItem::Events(_) => return,
             StreamItem::Broken(_) => AttemptResult::Failed,
             StreamItem::Silent => AttemptResult::Silent,
         };
@@ -363,6 +360,23 @@
     }
 }
 
+/// Waits until a server is assigned: engines by the queue of prompts, another one at once.
+async fn assign(
+    call: &Call,
+    tried: &[BackendId],
+    turn: Option<RetryTurn>,
+) -> Result<Assignment, OpenError> {
+    let shared = &call.shared;
+    if call.admitted.service.engine.is_none() {
+        return assign_stream(call, tried, turn).map_err(OpenError::NoServer);
+    }
+    let request = placement_request(call, tried, turn);
+    let assigned = shared.prompt_queue.assign(shared, request).await;
+    let assignment = assigned.map_err(OpenError::NoServer)?;
+    log_assignment(call, &assignment);
+    Ok(assignment)
+}
+
 /// Records that the engine which got the request was given up, and returns the error of the attempt.
 fn give_up_lost_engine(call: &Call, server: &BackendEntry) -> AttemptError {
     let shared = &call.shared;
@@ -407,11 +421,16 @@
 fn log_assignment(call: &Call, assignment: &Assignment) {
     let waited = call.shared.clock.now().saturating_sub(call.arrived);
     let helper_tokens: u64 = assignment.helpers.iter().map(|(_, tokens)| tokens).sum();
+    let (part, forecast) = assignment
+        .forecast
+        .map_or_else(Default::default, |forecast| {
+            (forecast.part_prefill_time, forecast.first_event)
+        });
     info!(call.shared.log, "stream: engines assigned"; "req" => &*call.head.id,
         "server" => &*assignment.server.id, "helpers" => helper_ids(assignment),
-        "part_ms" => assignment.part_prefill_time.as_millis() as u64,
+        "part_ms" => part.as_millis() as u64,
         "held_elsewhere" => helper_tokens, "prompt" => call.head.usage.map(|usage| usage.prompt_tokens),
-        "forecast_ms" => assignment.forecast.as_millis() as u64,
+        "forecast_ms" => forecast.as_millis() as u64,
         "since_arrival_ms" => waited.as_millis() as u64);
 }
 
@@ -419,17 +438,3 @@
     let ids = assignment.helpers.iter().map(|(helper, _)| &*helper.id);
     ids.collect::<Vec<_>>().join(" ")
 }
-
-fn first_event_timeout(call: &Call, assignment: &Assignment) -> Duration {
-    let forecast = assignment
-        .forecast
-        .mul_f64(FIRST_EVENT_FACTOR)
-        .max(call.admitted.route.target_latency);
-    let wait = forecast + FIRST_EVENT_SLACK;
-    wait.min(
-        call.admitted
-            .route
-            .caller_wait_limit()
-            .mul_f64(FIRST_EVENT_WAIT_FRACTION),
-    )
-}
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -4,9 +4,9 @@
 use crate::attempt::AttemptError;
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after};
-use crate::engine_stream::{EngineStream, OpenError, StreamItem};
 use crate::plain::{caller_response, relay_complete};
 use crate::server_probe::may_run_again;
+use crate::server_stream::{OpenError, ServerStream, StreamItem};
 use crate::stream_buffers::{READS_TOO_SLOWLY, StreamBuffer};
 use adapter::response_headers;
 use bytes::Bytes;
@@ -31,9 +31,9 @@
 
 /// Result of a call at one engine, up to its first event.
 enum StartOutcome {
-    Stream(Box<EngineStream>, Bytes),
+    Stream(Box<ServerStream>, Bytes),
     /// The engine ended the stream without an event.
-    Empty(Box<EngineStream>),
+    Empty(Box<ServerStream>),
     /// A response that is not a stream, such as an error.
     Complete(Parts, Body),
     Failed,
@@ -45,7 +45,7 @@
     let mut tried = Vec::new();
     let mut error_response = None;
     loop {
-        let reason = match EngineStream::open(&call, &mut tried, None).await {
+        let reason = match ServerStream::open(&call, &mut tried, None).await {
             Ok(stream) => match await_first_event(&call, stream).await {
                 StartOutcome::Stream(stream, events) => return relay(call, stream, events, tried),
                 StartOutcome::Empty(stream) => {
@@ -61,7 +61,7 @@
                 }
                 StartOutcome::Failed => None,
             },
-            Err(OpenError::NoEngines(refusal)) => Some((refusal.retry_after, refusal.reason)),
+            Err(OpenError::NoServer(refusal)) => Some((refusal.retry_after, refusal.reason)),
             Err(OpenError::Blocked | OpenError::Attempt(AttemptError::Blocked)) => {
                 let retry_after = blocked_retry_after(&call.shared, &call.suspects);
                 Some((retry_after, BLOCKED_REASON))
@@ -94,7 +94,7 @@
     tried.last().map_or("", |server| server)
 }
 
-async fn await_first_event(call: &Call, mut stream: EngineStream) -> StartOutcome {
+async fn await_first_event(call: &Call, mut stream: ServerStream) -> StartOutcome {
     if !stream.response.head.status.is_success() {
         return read_complete(call, stream).await;
     }
@@ -105,7 +105,7 @@
     }
 }
 
-async fn read_complete(call: &Call, mut stream: EngineStream) -> StartOutcome {
+async fn read_complete(call: &Call, mut stream: ServerStream) -> StartOutcome {
     let server = stream.server_address();
     let body = read_body(&call.shared, server, &mut stream.response.body);
     match timeout(call.remaining(), body).await {
@@ -117,7 +117,7 @@
 /// Builds the response to the caller, and starts a task that relays the stream.
 fn relay(
     call: Arc<Call>,
-    stream: Box<EngineStream>,
+    stream: Box<ServerStream>,
     events: Bytes,
     tried: Vec<BackendId>,
 ) -> Response<Body> {
@@ -178,7 +178,7 @@
 }
 
 impl Relay {
-    async fn run(mut self, stream: Box<EngineStream>, events: Bytes) {
+    async fn run(mut self, stream: Box<ServerStream>, events: Bytes) {
         let shared = self.call.shared.clone();
         let forwarded = self.forward(stream, events);
         let streams_end = |times: Drain| times.streams_end;
@@ -198,7 +198,7 @@
         }
     }
 
-    async fn forward(&mut self, mut stream: Box<EngineStream>, mut events: Bytes) -> RelayEnd {
+    async fn forward(&mut self, mut stream: Box<ServerStream>, mut events: Bytes) -> RelayEnd {
         let mut last_event = stream.last_event();
         loop {
             let sent = self.tx.send(&self.call.shared, events);
@@ -218,9 +218,9 @@
     /// Next events, from this engine or from one that takes over.
     async fn next_events(
         &mut self,
-        mut stream: Box<EngineStream>,
+        mut stream: Box<ServerStream>,
         last_event: Option<u64>,
-    ) -> Result<(Box<EngineStream>, Bytes), RelayEnd> {
+    ) -> Result<(Box<ServerStream>, Bytes), RelayEnd> {
         loop {
             let next = unless_caller_left(&self.tx, stream.next(&self.call)).await;
             let is_silent = match next.ok_or(RelayEnd::CallerLeft)? {
@@ -247,7 +247,7 @@
     /// send events is used from then on.
     async fn race_failover(
         &mut self,
-        stream: Box<EngineStream>,
+        stream: Box<ServerStream>,
         last_event: Option<u64>,
     ) -> Result<AfterSilence, RelayEnd> {
         let call = self.call.clone();
@@ -289,7 +289,7 @@
     async fn fail_over(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<(Box<EngineStream>, Bytes), RelayEnd> {
+    ) -> Result<(Box<ServerStream>, Bytes), RelayEnd> {
         loop {
             let mut stream = self.resume_elsewhere(last_event).await?;
             let next = unless_caller_left(&self.tx, stream.next(&self.call)).await;
@@ -311,13 +311,13 @@
     async fn resume_elsewhere(
         &mut self,
         last_event: Option<u64>,
-    ) -> Result<Box<EngineStream>, RelayEnd> {
+    ) -> Result<Box<ServerStream>, RelayEnd> {
         let resumable = self.call.admitted.route.kind == RouteKind::Stream { resumable: true };
         let Some(last_event) = last_event.filter(|_| resumable) else {
             return Err(RelayEnd::Broken("it cannot be resumed"));
         };
         while !self.call.remaining().is_zero() && self.may_run_again().await? {
-            let opened = EngineStream::open(&self.call, &mut self.tried, Some(last_event));
+            let opened = ServerStream::open(&self.call, &mut self.tried, Some(last_event));
             match unless_caller_left(&self.tx, opened).await {
                 None => return Err(RelayEnd::CallerLeft),
                 Some(Ok(stream)) => {
@@ -328,7 +328,7 @@
                     info!(self.call.shared.log, "stream: not resumed, the answer is of another kind";
                         "req" => &*self.call.head.id, "answer" => ?kind);
                 }
-                Some(Err(OpenError::NoEngines(_))) => {
+                Some(Err(OpenError::NoServer(_))) => {
                     return Err(RelayEnd::Broken("no engine to go on"));
                 }
                 Some(Err(OpenError::Blocked | OpenError::Attempt(AttemptError::Blocked))) => {
@@ -352,9 +352,9 @@
 
 /// Engine that is read from after a silence.
 enum AfterSilence {
-    Events(Box<EngineStream>, Bytes),
+    Events(Box<ServerStream>, Bytes),
     /// No other engine can resume the stream; the silent one is waited for.
-    Silent(Box<EngineStream>),
+    Silent(Box<ServerStream>),
 }
 
 /// What came first in a race between the silent engine and another one.
@@ -362,7 +362,7 @@
     Original(Bytes),
     /// The silent engine ended the stream.
     Ended,
-    Failover(Result<(Box<EngineStream>, Bytes), RelayEnd>),
+    Failover(Result<(Box<ServerStream>, Bytes), RelayEnd>),
 }
 
 async fn unless_caller_left<T>(caller: &StreamBuffer, work: impl Future<Output = T>) -> Option<T> {
--- a/crates/policy/src/call_times.rs
+++ b/crates/policy/src/call_times.rs
@@ -11,7 +11,7 @@
 const DEVIATION_DIVISOR: u32 = 4;
 const EXPECTED_DEVIATIONS: u32 = 4;
 
-/// Times of calls of plain services, from a send to the whole response.
+/// Times of calls, from a send to the end of the response.
 #[derive(Debug, Default)]
 pub struct CallTimes {
     routes: Estimates,
@@ -41,6 +41,16 @@
         self.services.record(service, taken);
     }
 
+    /// Records that a stream of a route took this time. Whole answers of its service are not expected to.
+    pub fn record_stream(&mut self, route: &str, taken: Duration) {
+        self.routes.record(route, taken);
+    }
+
+    /// Time within which nearly all streams of a route end; `None` if none was measured.
+    pub fn expected_stream(&self, route: &str) -> Option<Duration> {
+        self.routes.expected(route)
+    }
+
     /// Time within which nearly all calls of a route end, or of its service if none of the route was
     /// measured; `None` if none of either was.
     pub fn expected(&self, route: &str, service: &str) -> Option<Duration> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -108,6 +108,7 @@
 mod span_types;
 mod store_fallback;
 mod store_watchers;
+mod stream_waits;
 mod team_shares;
 mod trace;
 mod tracked_server;
@@ -232,6 +233,7 @@
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_fallback::{StoreFallback, store_check_interval};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, is_store_reached, should_watch_store};
+pub use stream_waits::{first_event_wait, silence_limit};
 pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -65,6 +65,13 @@
 }
 
 cases! {
+    whole_answers_are_not_expected_to_take_as_long_as_streams => {
+        let mut times = times(&[10]);
+        times.record_stream("stream", ms(30_000));
+        assert_eq!(times.expected_stream("stream"), Some(ms(90_000)));
+        assert_eq!(times.expected("lookup", "service"), Some(ms(30)));
+        assert_eq!(times.expected_stream("other"), None);
+    };
     the_steps_of_a_drain_come_in_order => {
         for grace in [ms(100), ms(1_000), ms(6_000), GRACE, ms(60_000)] {
             let drain = Drain::new(START, grace);
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -139,7 +139,7 @@
         self.store.standin().put("servers", name, &row);
     }
 
-    /// Writes declarations with one route of each kind; `keys` are the API keys of the only team.
+    /// Writes declarations with one route of each kind, and streams of plain servers; `keys` are the API keys of the only team.
     pub fn write_declarations(&self, version: u64, keys: &[&str]) {
         self.store
             .standin()
@@ -240,6 +240,8 @@
             route("single-run", "streaming", "engines", false),
             route("once", "unsafe", "registry", false),
             route("lookup", "safe", "registry", false),
+            route("draft", "streaming", "drafts", true),
+            route("single-draft", "streaming", "drafts", false),
         ],
         "Services": [
             {
@@ -250,6 +252,7 @@
                 }
             },
             { "Name": "registry", "ColdPerS": 0.0 },
+            { "Name": "drafts", "ColdPerS": 0.0 },
         ],
         "Limits": {},
         "Tenants": [{ "Name": "team-1", "ApiKeys": keys, "Priority": 1 }]
--- a/crates/trials/tests/broken_streams.rs
+++ b/crates/trials/tests/broken_streams.rs
@@ -57,8 +57,8 @@
 }
 
 /// Sends a request; returns what its caller got of the stream, and whether it looked complete.
-async fn stream_to_caller(rig: &DirectRig, id: &str) -> Option<(String, bool)> {
-    let response = rig.start_call(id, "/stream/x", KEY).await.ok()?;
+async fn stream_to_caller(rig: &DirectRig, id: &str, path: &str) -> Option<(String, bool)> {
+    let response = rig.start_call(id, path, KEY).await.ok()?;
     let mut body = response.body;
     let mut text = String::new();
     loop {
@@ -73,20 +73,20 @@
 
 /// Nothing of an answer that does not go on with the stream reaches the caller, and the stream does not
 /// look complete.
-fn stream_stays_broken(resumed: &'static str) {
+fn stream_stays_broken(service: &'static str, path: &'static str, resumed: &'static str) {
     Executor::run(2, |executor| async move {
         let rig = DirectRig::start(&executor).unwrap();
         rig.write_declarations(3, &["key-1"]);
         let resumptions = Arc::default();
         for name in ["raw-1", "raw-2"] {
             let address = start_engine(&executor, resumed, &resumptions);
-            rig.register(name, "engines", address, "ready");
+            rig.register(name, service, address, "ready");
         }
         let mut calls = 0;
         let mut got = None;
         let is_resumed = rig.wait_until(async || {
             calls += 1;
-            got = stream_to_caller(&rig, &format!("call-{calls}")).await;
+            got = stream_to_caller(&rig, &format!("call-{calls}"), path).await;
             resumptions.load(Ordering::Relaxed) > 0
         });
         assert!(is_resumed.await, "{}", rig.gateway.process.log_tail());
@@ -96,9 +96,16 @@
 
 macro_rules! stream_stays_broken {
     ($($name:ident: $resumed:expr;)*) => {$(
-        #[test]
-        fn $name() {
-            stream_stays_broken($resumed);
+        mod $name {
+            #[test]
+            fn of_engines() {
+                super::stream_stays_broken("engines", "/stream/x", $resumed);
+            }
+
+            #[test]
+            fn of_plain_servers() {
+                super::stream_stays_broken("drafts", "/draft/x", $resumed);
+            }
         }
     )*};
 }
--- a/crates/trials/tests/raw_answers.rs
+++ b/crates/trials/tests/raw_answers.rs
@@ -141,25 +141,28 @@
     unframed_answer_is_whole("engines", "/stream/x", events);
 }
 
-/// The connection of a stream without chunks ended inside an event, and the stream looked complete.
 #[test]
-fn a_stream_that_ends_inside_an_event_is_broken_off() {
+fn a_plain_stream_without_chunks_is_whole() {
+    let events = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+    unframed_answer_is_whole("drafts", "/draft/x", events);
+}
+
+/// The connection of a stream without chunks ended inside an event, and the stream looked complete.
+fn stream_that_ends_inside_an_event_is_broken_off(service: &'static str, path: &'static str) {
     Executor::run(2, |executor| async move {
         let body = "id: 0\ndata: a\n\nid: 1\ndata: cu";
-        let (rig, _raw) = start(&executor, "engines", Answer::Body(body)).await;
-        let answer = first_answer(&rig, "/stream/x").await;
+        let (rig, _raw) = start(&executor, service, Answer::Body(body)).await;
+        let answer = first_answer(&rig, path).await;
         assert_eq!(
             answer.body, None,
             "nobody can go on, so it must not look complete"
         );
-        let engine = rig.add_server("engine-1", "engines", ServerKind::Engine);
+        let engine = rig.add_server("engine-1", service, ServerKind::Engine);
         let engine = engine.unwrap();
         let mut calls = 0;
         let resumed = rig.wait_until(async || {
             calls += 1;
-            let answer = rig
-                .call(&format!("resumed-{calls}"), "/stream/x", KEY)
-                .await;
+            let answer = rig.call(&format!("resumed-{calls}"), path, KEY).await;
             let body = answer.body.unwrap_or_default();
             body.starts_with(b"id: 0\ndata: a\n\nid: 1\ndata: text 1\n\n")
         });
@@ -173,6 +176,16 @@
     });
 }
 
+#[test]
+fn a_stream_that_ends_inside_an_event_is_broken_off() {
+    stream_that_ends_inside_an_event_is_broken_off("engines", "/stream/x");
+}
+
+#[test]
+fn a_plain_stream_that_ends_inside_an_event_is_broken_off() {
+    stream_that_ends_inside_an_event_is_broken_off("drafts", "/draft/x");
+}
+
 /// Most memory that the process has used, in bytes.
 fn peak_memory(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
@@ -252,6 +265,10 @@
         "engines", "/stream/x", Answer::EndlessBody("no event ");
     a_stream_of_events_without_ids_and_without_end_is_cut:
         "engines", "/stream/x", Answer::EndlessBody("data: no id\n\n");
+    a_plain_stream_without_events_and_without_end_is_cut:
+        "drafts", "/draft/x", Answer::EndlessBody("no event ");
+    a_plain_stream_of_events_without_ids_and_without_end_is_cut:
+        "drafts", "/draft/x", Answer::EndlessBody("data: no id\n\n");
     a_plain_answer_of_interim_heads_is_cut:
         "registry", "/lookup/x", Answer::EndlessStart("HTTP/1.1 100 Continue\r\n\r\n");
     an_unsafe_answer_of_interim_heads_is_cut:
