--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -77,6 +77,8 @@
     tries: AtomicU32,
     /// Times that the request was sent.
     sends: AtomicU32,
+    /// Tries for which memory was to be reserved.
+    reservations: AtomicU32,
     /// Servers that may have run the request.
     possible_runs: AtomicU32,
     /// Whether the request may be sent once though it is blocked.
@@ -219,6 +221,13 @@
         self.progress.sends.load(Ordering::Relaxed)
     }
 
+    /// Name for what one try reserves. No other try has it, so that a late release does not end what the
+    /// next one holds.
+    pub fn reservation_name(&self) -> String {
+        let tries = &self.progress.reservations;
+        format!("{}-{}", self.head.id, tries.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Number of servers that may have run the request, including those that are gone.
     pub fn possible_runs(&self) -> u32 {
         self.progress.possible_runs.load(Ordering::Relaxed)
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -148,7 +148,7 @@
             return Err(OpenError::TriesExhausted);
         }
         let mut assignment = assign(call, tried, turn).await?;
-        let name = format!("{}-{}", call.head.id, call.sends());
+        let name = call.reservation_name();
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
         if let Err(ReserveError::NotConnected(..)) = &reserved {
