--- a/crates/trials/tests/slow_readers.rs
+++ b/crates/trials/tests/slow_readers.rs
@@ -23,6 +23,35 @@
 /// Time limit of all requests, beyond that of the test, so that a busy machine ends none of them.
 const TIME_LIMIT: Duration = Duration::from_secs(120);
 
+/// A route, the service that runs it, and where its answers are held for callers that do not read.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    path: &'static str,
+    service: &'static str,
+    kind: &'static str,
+    held: &'static str,
+}
+
+const PROMPTS: Case = Case {
+    path: "/stream/x",
+    service: "engines",
+    kind: "stream",
+    held: "bergamothold_direct_stream_buffer_bytes",
+};
+/// Streams of servers without engines.
+const DRAFTS: Case = Case {
+    path: "/draft/x",
+    service: "drafts",
+    ..PROMPTS
+};
+/// Answers that are passed on whole.
+const LOOKUPS: Case = Case {
+    path: "/lookup/x",
+    service: "registry",
+    kind: "safe",
+    held: "bergamothold_direct_buffered_bytes",
+};
+
 fn answer(events: usize) -> String {
     let text = "x".repeat(EVENT_BYTES);
     (0..events)
@@ -31,8 +60,8 @@
 }
 
 /// Starts a gateway, and a server which writes `body` at once in answer to each request. The gateway
-/// knows it as several engines, so that there are enough slots.
-async fn start(executor: &Executor, body: String) -> DirectRig {
+/// knows it as several servers, so that there are enough slots.
+async fn start(executor: &Executor, body: String, case: Case) -> DirectRig {
     let rig = DirectRig::start(executor).unwrap();
     rig.write_patient_declarations(3, &[KEY], TIME_LIMIT);
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
@@ -45,10 +74,10 @@
         }
     });
     for n in 0..SERVERS {
-        rig.register(&format!("engine-{n}"), "engines", address, "ready");
+        rig.register(&format!("server-{n}"), case.service, address, "ready");
     }
     let ready = rig.wait_until(async || {
-        let answer = rig.call("first", "/stream/x", Some(KEY)).await;
+        let answer = rig.call("first", case.path, Some(KEY)).await;
         answer.status == StatusCode::OK
     });
     assert!(ready.await, "{}", rig.gateway.process.log_tail());
@@ -73,18 +102,19 @@
 struct SilentCaller(Async<TcpStream>);
 
 impl SilentCaller {
-    async fn start(gateway: SocketAddr, id: &str) -> Self {
-        Self::start_with_body(gateway, id, 0).await
+    async fn start(gateway: SocketAddr, id: &str, case: Case) -> Self {
+        Self::start_with_body(gateway, id, case, 0).await
     }
 
     /// Sends the head of a request with a body of `bytes`, and none of the body.
-    async fn start_with_body(gateway: SocketAddr, id: &str, bytes: usize) -> Self {
+    async fn start_with_body(gateway: SocketAddr, id: &str, case: Case, bytes: usize) -> Self {
         let mut stream = connect_with_small_buffer(gateway);
         // HTTP/1.0, so that the body of the response is not in chunks.
         let request = format!(
-            "POST /stream/x HTTP/1.0\r\nhost: {RIG_HOST}\r\nx-request-id: {id}\r\nauthorization: \
+            "POST {path} HTTP/1.0\r\nhost: {RIG_HOST}\r\nx-request-id: {id}\r\nauthorization: \
              Token {KEY}\r\nx-deadline-ms: {limit}\r\nx-token-usage: 1000,400\r\n\
              content-length: {bytes}\r\n\r\n",
+            path = case.path,
             limit = TIME_LIMIT.as_millis(),
         );
         stream.write_all(request.as_bytes()).await.unwrap();
@@ -116,11 +146,11 @@
     Async::new(TcpStream::from(socket)).unwrap()
 }
 
-async fn start_callers(rig: &DirectRig, count: usize) -> Vec<SilentCaller> {
+async fn start_callers(rig: &DirectRig, case: Case, count: usize) -> Vec<SilentCaller> {
     let mut callers = Vec::new();
     for n in 0..count {
         let address = rig.gateway.frontend_address();
-        callers.push(SilentCaller::start(address, &format!("silent-{n}")).await);
+        callers.push(SilentCaller::start(address, &format!("silent-{n}"), case).await);
     }
     callers
 }
@@ -158,20 +188,22 @@
 
 /// The gateway stopped reading from the engine once 16 events waited for the caller, and the server
 /// cut the answer. Now it must have read all before the caller reads on, and give it all of it.
-fn silent_callers_get_whole_answers(callers: usize) {
+fn silent_callers_get_whole_answers(case: Case, callers: usize) {
     Executor::run(2, |executor| async move {
         let body = answer(ANSWER_EVENTS);
-        let rig = start(&executor, body.clone()).await;
-        let served = "bergamothold_direct_requests_total{kind=\"stream\",outcome=\"served\"}";
-        let before = metric(&rig, served).await;
-        let silent = start_callers(&rig, callers).await;
-        let read = async || metric(&rig, served).await == before + callers as u64;
+        let rig = start(&executor, body.clone(), case).await;
+        let kind = case.kind;
+        let served =
+            format!("bergamothold_direct_requests_total{{kind=\"{kind}\",outcome=\"served\"}}");
+        let before = metric(&rig, &served).await;
+        let silent = start_callers(&rig, case, callers).await;
+        let read = async || metric(&rig, &served).await == before + callers as u64;
         assert!(
             rig.wait_until(read).await,
             "{:?}",
             rig.gateway.metrics().await
         );
-        let held = metric(&rig, "bergamothold_direct_stream_buffer_bytes").await;
+        let held = metric(&rig, case.held).await;
         assert!(held > 0 && held <= (callers * body.len()) as u64, "{held}");
         assert!(peak_memory(&rig) < SMALLEST_HOST_BYTES);
         for caller in silent {
@@ -188,25 +220,34 @@
 
 #[test]
 fn a_caller_that_pauses_gets_the_whole_answer() {
-    silent_callers_get_whole_answers(1);
+    silent_callers_get_whole_answers(PROMPTS, 1);
 }
 
 #[test]
 fn many_callers_that_pause_get_whole_answers() {
-    silent_callers_get_whole_answers(60);
+    silent_callers_get_whole_answers(PROMPTS, 60);
+}
+
+#[test]
+fn many_callers_of_plain_streams_that_pause_get_whole_answers() {
+    silent_callers_get_whole_answers(DRAFTS, 60);
+}
+
+#[test]
+fn many_callers_of_plain_answers_that_pause_get_whole_answers() {
+    silent_callers_get_whole_answers(LOOKUPS, 60);
 }
 
 /// More callers stop reading than there is memory for. The gateway must keep its memory, end some of
 /// these streams, and serve callers that read.
-#[test]
-fn callers_that_read_are_served_while_many_others_stop() {
+fn callers_that_read_are_served_while_many_others_stop_in(case: Case) {
     Executor::run(2, |executor| async move {
         let body = answer(8 * ANSWER_EVENTS);
-        let rig = start(&executor, body.clone()).await;
+        let rig = start(&executor, body.clone(), case).await;
         let gateway = rig.gateway.frontend_address();
         let mut silent = Vec::new();
         for n in 0..110 {
-            let mut caller = SilentCaller::start(gateway, &format!("silent-{n}")).await;
+            let mut caller = SilentCaller::start(gateway, &format!("silent-{n}"), case).await;
             let head = caller.read_head().await;
             assert!(head.contains(" 200 "), "{head}");
             silent.push(caller);
@@ -217,7 +258,7 @@
         {
             assert_only_memory_ends_streams(&rig).await;
         }
-        let reads = SilentCaller::start(gateway, "reads").await;
+        let reads = SilentCaller::start(gateway, "reads", case).await;
         assert!(reads.read().await == body, "the answer is whole");
         assert_only_memory_ends_streams(&rig).await;
         let held = metric(&rig, "bergamothold_direct_stream_buffer_bytes").await;
@@ -228,21 +269,31 @@
     });
 }
 
+#[test]
+fn callers_that_read_are_served_while_many_others_stop() {
+    callers_that_read_are_served_while_many_others_stop_in(PROMPTS);
+}
+
+#[test]
+fn callers_of_plain_streams_that_read_are_served_while_many_others_stop() {
+    callers_that_read_are_served_while_many_others_stop_in(DRAFTS);
+}
+
 /// Request bodies were read without a limit on all of them. Now a request whose body does not fit is
 /// refused before its body is read, and short requests are served.
 #[test]
 fn a_request_that_does_not_fit_is_refused_before_its_body_is_read() {
     Executor::run(2, |executor| async move {
-        let rig = start(&executor, answer(1)).await;
+        let rig = start(&executor, answer(1), PROMPTS).await;
         let gateway = rig.gateway.frontend_address();
         let mut senders = Vec::new();
         for n in 0..8 {
             let id = format!("large-{n}");
-            senders.push(SilentCaller::start_with_body(gateway, &id, 4 << 20).await);
+            senders.push(SilentCaller::start_with_body(gateway, &id, PROMPTS, 4 << 20).await);
         }
         let is_full = async || metric(&rig, "bergamothold_direct_buffered_bytes").await == 32 << 20;
         assert!(rig.wait_until(is_full).await);
-        let mut refused = SilentCaller::start_with_body(gateway, "refused", 1 << 20).await;
+        let mut refused = SilentCaller::start_with_body(gateway, "refused", PROMPTS, 1 << 20).await;
         let head = refused.read_head().await;
         assert!(
             head.starts_with("http/1.1 503") || head.starts_with("http/1.0 503"),
