Log lines that wait are bounded in bytes, and refusals are kept for longer than routine lines

A process whose standard output was not read kept 4,561 of 120,000 lines of refusals and lost the others.

Cause: slog_async queues 4,096 records, whatever their size and importance, and drops what comes beyond. It also writes the time at which the line is formatted by the writing thread, which is late where that thread is.

Lost lines are counted in a metric and in a line of the log.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -13,7 +13,7 @@
     TeamEntry,
 };
 use proto::{RequestKey, Suspect};
-use runtime::{Body, ByteReservation};
+use runtime::{Body, ByteReservation, KEPT_LINE};
 use slog::info;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -261,7 +261,7 @@
         self.shared.open_calls.remove(self.number);
         let took = self.shared.clock.now().saturating_sub(self.arrived);
         self.shared.metrics.request(self.kind(), outcome);
-        info!(self.shared.log, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
+        info!(self.shared.log, #KEPT_LINE, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
             "detail" => detail, "route" => &*self.admitted.route.name,
             "service" => &*self.admitted.service.name,
             "team" => self.admitted.team.as_ref().map(|team| team.name.to_string()),
--- a/crates/direct/src/command.rs
+++ b/crates/direct/src/command.rs
@@ -73,11 +73,12 @@
         );
         return ExitCode::SUCCESS;
     }
-    let (log, _flushed_at_end) = logger(LogFormat::Json, Level::Info, &settings.name);
+    let (log, flushed_at_end) = logger(LogFormat::Json, Level::Info, &settings.name);
     let max_declarations = matches.get_one::<u16>("max-declarations-mib");
     let options = ProcessOptions {
         settings_path: path,
         settings,
+        log_losses: flushed_at_end.losses(),
         metrics_port: matches.get_one("metrics-port").copied(),
         max_declarations_bytes: max_declarations
             .map_or(DEFAULT_MAX_VALUE_BYTES, |mib| usize::from(*mib) * MIB),
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -10,7 +10,7 @@
 use hyper::body::Body as _;
 use hyper::{Request, Response};
 use policy::{CallerIdentity, Drain, suggest_retry_after_limit};
-use runtime::{Body, ByteReservation, RequestBody, Responder, timeout};
+use runtime::{Body, ByteReservation, KEPT_LINE, RequestBody, Responder, timeout};
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -111,7 +111,7 @@
 
     fn reject(&self, head: &RequestHead, reply: LocalReply, declarations: u64) -> LocalReply {
         let (reply, doubt) = reply.unless_in_doubt(&self.shared, declarations);
-        info!(self.shared.log, "call: turned away"; "req" => &*head.id,
+        info!(self.shared.log, #KEPT_LINE, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
             "has_key" => head.api_key.is_some(), "declarations" => declarations, "doubt" => doubt,
             "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -42,6 +42,7 @@
     invalid_answers: IntCounterVec,
     buffered_bytes: IntGauge,
     stream_buffer_bytes: IntGauge,
+    lost_log_lines: IntGauge,
     slow_readers: IntCounter,
     content: ContentMetrics,
     stalls: StallMetrics,
@@ -145,6 +146,10 @@
                 "bergamothold_direct_buffered_bytes",
                 "Bytes of requests and responses that count towards the memory for buffered bodies",
             )?,
+            lost_log_lines: gauge(
+                "bergamothold_direct_lost_log_lines",
+                "Log lines that were lost because they were logged faster than written",
+            )?,
             stream_buffer_bytes: gauge(
                 "bergamothold_direct_stream_buffer_bytes",
                 "Bytes of streams that wait for their callers to read them",
@@ -300,6 +305,11 @@
         self.stream_buffer_bytes.set(stream_buffers as i64);
     }
 
+    /// Sets the number of log lines that were lost since the start.
+    pub fn set_lost_log_lines(&self, lines: u64) {
+        self.lost_log_lines.set(lines as i64);
+    }
+
     /// Counts a stream that was ended because its caller reads too slowly.
     pub fn slow_reader(&self) {
         self.slow_readers.inc();
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -20,7 +20,8 @@
 use policy::Drain;
 use quick_error::quick_error;
 use runtime::{
-    Body, Executor, HttpLimits, HttpServer, RequestBody, Responder, ShutdownSignal, timeout,
+    Body, Executor, HttpLimits, HttpServer, LogLosses, RequestBody, Responder, ShutdownSignal,
+    timeout,
 };
 use slog::{Logger, error, info, warn};
 use std::net::SocketAddr;
@@ -67,6 +68,8 @@
     pub settings_path: PathBuf,
     /// Content of that file at the start, which applies until the process ends.
     pub settings: HostSettings,
+    /// Lines of the log that were lost.
+    pub log_losses: LogLosses,
     /// Port for metrics on the host's address; `None` for no metrics.
     pub metrics_port: Option<u16>,
     /// Limit on the size of declarations; larger ones are refused.
@@ -114,7 +117,10 @@
     if let Some(port) = options.metrics_port {
         let address = SocketAddr::new(settings.address, port);
         let metrics = bind("metrics", address, HttpLimits::default(), &log)?;
-        let page = Arc::new(MetricsPage(shared.clone()));
+        let page = Arc::new(MetricsPage {
+            shared: shared.clone(),
+            log_losses: options.log_losses.clone(),
+        });
         executor.detach(metrics.serve(executor.clone(), page, None, shutdown.clone()));
     }
     executor.detach(watch(shared.clone(), store.clone(), OperatorTableHandler));
@@ -275,11 +281,14 @@
 
 /// Serves the metrics.
 #[derive(Debug)]
-struct MetricsPage(Arc<Shared>);
+struct MetricsPage {
+    shared: Arc<Shared>,
+    log_losses: LogLosses,
+}
 
 impl Responder for MetricsPage {
     async fn respond(&self, _peer: SocketAddr, _req: Request<RequestBody>) -> Response<Body> {
-        let shared = &self.0;
+        let shared = &self.shared;
         let held = shared.stream_buffers.held();
         shared
             .metrics
@@ -287,10 +296,11 @@
         shared.metrics.set_behind_peers(shared.behind_peers());
         shared.metrics.set_unconfirmed(shared.unconfirmed_for());
         shared.metrics.set_failing_tables(shared.failing_tables());
+        shared.metrics.set_lost_log_lines(self.log_losses.lines());
         match shared.metrics.encode() {
             Ok(text) => Response::new(Body::full(text)),
             Err(err) => {
-                warn!(self.0.log, "metrics: cannot be encoded"; "err" => %err);
+                warn!(shared.log, "metrics: cannot be encoded"; "err" => %err);
                 let mut response = Response::new(Body::empty());
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
                 response
