Futures of connections and calls are held once

Cause, by an allocator that counts (trial): beside 58 MiB in buffers of 8 KiB that the HTTP library allocates, each caller's connection had a task of 13,272 bytes and a future of 20 KiB for the response, which the library keeps while the connection is idle. They are that large since an async function that gets a future and awaits it keeps room for it twice, and time limits and drains nest them: 12,400 bytes for 4 KiB of work. The allocations for bodies were within their budget.

Change: `timeout`, `unless` and `Draining::before` are futures that hold their work once; the TLS handshake and the response to a request are boxed, so that they take memory only while they last; the task of a server's connection is the library's future itself.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -10,12 +10,11 @@
 use adapter::{
     ForwardOptions, Helper, ResponseHead, forwarded_request, is_leaving, requested_pause,
 };
-use futures_lite::future::or;
 use hyper::http::response::Parts;
 use policy::{AttemptResult, BackendId, DRAINING_REASON, LateStream};
 use proto::{BackendEntry, PartKey};
 use quick_error::quick_error;
-use runtime::{Body, HttpError, SingleExchange, SingleResponse, timeout};
+use runtime::{Body, HttpError, SingleExchange, SingleResponse, timeout, unless};
 use slog::info;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -235,12 +234,8 @@
         "left_ms" => options.time_left.as_millis() as u64,
         "parts" => format_parts(&call.head.shared_parts), "key" => format!("{:016x}", call.key));
     let abandoned = AbandonedRun(call);
-    let response = async { Some(exchange.send(req).await) };
-    let gives_up = async {
-        gives_up.await;
-        None
-    };
-    let response = timeout(call.remaining(), or(response, gives_up)).await;
+    let response = unless(exchange.send(req), gives_up);
+    let response = timeout(call.remaining(), response).await;
     // The future was not dropped, so `send` records a possible run according to the result.
     std::mem::forget(abandoned);
     let response = response.ok().flatten();
--- a/crates/runtime/src/draining.rs
+++ b/crates/runtime/src/draining.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::Clock;
 use crate::shutdown::ShutdownSignal;
+use crate::unless::unless;
 use async_io::Timer;
-use futures_lite::future::or;
 use std::sync::OnceLock;
 use std::time::Duration;
 
@@ -47,20 +47,18 @@
     }
 
     /// Runs `work` until the time that `end` selects, and then drops it and returns `None`.
-    pub async fn before<W>(
+    pub fn before<W>(
         &self,
         clock: &Clock,
         end: impl FnOnce(T) -> Duration,
         work: impl Future<Output = W>,
-    ) -> Option<W> {
-        let work = async { Some(work.await) };
-        let ended = async {
+    ) -> impl Future<Output = Option<W>> {
+        let ended = async move {
             self.signal.started().await;
             if let Some(times) = self.times() {
                 Timer::after(end(times).saturating_sub(clock.now())).await;
             }
-            None
         };
-        or(work, ended).await
+        unless(work, ended)
     }
 }
--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -186,9 +186,7 @@
             .handshake(io)
             .await
             .map_err(|err| HttpError::Exchange(peer, err))?;
-        self.executor.detach(async move {
-            let _ = connection.await;
-        });
+        self.executor.spawn(connection).detach();
         Ok(Connection { tx, head_limit })
     }
 }
--- a/crates/runtime/src/http_connection.rs
+++ b/crates/runtime/src/http_connection.rs
@@ -7,8 +7,9 @@
 use crate::request_monitor::{MonitoredStream, RequestMonitor};
 use crate::shutdown::ShutdownSignal;
 use crate::timeout::timeout;
+use crate::unless::unless;
 use async_io::Async;
-use futures_lite::future::{or, poll_once};
+use futures_lite::future::poll_once;
 use futures_lite::io::{AsyncRead, AsyncWrite};
 use futures_rustls::TlsAcceptor;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -81,9 +82,19 @@
         monitor: &Arc<RequestMonitor>,
     ) {
         let stream = BoundedIo::new(stream, HeadLimit::new());
-        let Some(acceptor) = tls else {
-            return self.serve(stream, monitor).await;
-        };
+        match tls {
+            None => self.serve(stream, monitor).await,
+            // Connections without TLS need no room for it.
+            Some(tls) => Box::pin(self.serve_tls(stream, tls, monitor)).await,
+        }
+    }
+
+    async fn serve_tls(
+        &self,
+        stream: BoundedIo<&Async<TcpStream>>,
+        acceptor: TlsAcceptor,
+        monitor: &Arc<RequestMonitor>,
+    ) {
         let handshake = timeout(self.limits.head_timeout, acceptor.accept(stream));
         match self.unless_read_ended(handshake).await {
             Some(Ok(Ok(stream))) => self.serve(stream, monitor).await,
@@ -94,13 +105,11 @@
         }
     }
 
-    async fn unless_read_ended<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        let work = async { Some(work.await) };
-        let read_ended = async {
-            self.shutdown.read_ended.started().await;
-            None
-        };
-        or(work, read_ended).await
+    fn unless_read_ended<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> impl Future<Output = Option<T>> {
+        unless(work, self.shutdown.read_ended.started())
     }
 
     async fn serve(&self, io: impl AsyncRead + AsyncWrite + Unpin, monitor: &Arc<RequestMonitor>) {
@@ -108,7 +117,8 @@
             let (responder, monitor) = (self.responder.clone(), monitor.clone());
             monitor.on_request();
             let req = req.map(|body| RequestBody::new(body, monitor.clone()));
-            async move {
+            // The library keeps room for this future while the connection is idle.
+            Box::pin(async move {
                 let mut response = responder.respond(self.peer, req).await;
                 monitor.on_response();
                 if self.shutdown.started.is_started() {
@@ -116,7 +126,7 @@
                     response.headers_mut().insert(CONNECTION, close);
                 }
                 Ok::<_, Infallible>(response)
-            }
+            })
         });
         let io = MonitoredStream::new(io, monitor.clone());
         let connection = http1::Builder::new()
@@ -126,12 +136,7 @@
             .max_buf_size(self.limits.max_head_bytes.max(8192))
             .serve_connection(FuturesIo::new(io), service);
         let mut connection = pin!(connection);
-        let run = async { Some(connection.as_mut().await) };
-        let unused = async {
-            self.unused(monitor).await;
-            None
-        };
-        let result = match or(run, unused).await {
+        let result = match unless(connection.as_mut(), self.unused(monitor)).await {
             Some(result) => result,
             None if !monitor.has_requests() => return,
             None => {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -35,6 +35,7 @@
 mod timeout;
 mod tls;
 mod tls_watch;
+mod unless;
 
 pub use async_executor::Task;
 pub use body::{Body, BodySender, ReaderGone};
@@ -58,6 +59,7 @@
 pub use single_exchange::{KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, SingleExchange, SingleResponse};
 pub use stall_watch::{Stall, StallWatch, ThreadTime};
 pub use timeline::Timeline;
-pub use timeout::{Elapsed, timeout};
+pub use timeout::{Elapsed, Timeout, timeout};
 pub use tls::{Authority, HostCertificate, Identity, Peer, Role, TlsError, TlsFiles};
 pub use tls_watch::{watch_caller_tls, watch_link_tls};
+pub use unless::{Unless, unless};
--- a/crates/runtime/src/single_exchange.rs
+++ b/crates/runtime/src/single_exchange.rs
@@ -42,7 +42,8 @@
     peer: SocketAddr,
     tx: http1::SendRequest<Body>,
     head_limit: HeadLimit,
-    connection: Task<()>,
+    /// Its error reaches the request through `tx`, too.
+    connection: Task<hyper::Result<()>>,
 }
 
 /// A response whose body is still being received. Dropping it closes the connection.
@@ -52,7 +53,7 @@
     pub head: Parts,
     /// The body, which arrives as it is read.
     pub body: Incoming,
-    _connection: Task<()>,
+    _connection: Task<hyper::Result<()>>,
 }
 
 impl SingleExchange {
@@ -91,10 +92,7 @@
         let io = FuturesIo::new(BoundedIo::with_small_reads(stream, head_limit.clone()));
         let handshake = client_connection().handshake(io).await;
         let (tx, connection) = handshake.map_err(|err| HttpError::Exchange(peer, err))?;
-        let connection = executor.spawn(async move {
-            // The same error reaches the request through `tx`.
-            let _ = connection.await;
-        });
+        let connection = executor.spawn(connection);
         Ok(Self {
             peer,
             tx,
