Readiness checks do not wait for all other work that is due

Cause: the executor runs tasks in the order in which they become due, so that each of the four or so steps of a check waits for a whole round of thousands of tasks; the time is theirs, none of it is spent on the check.

Change: `Executor::urgent` has tasks that run first after each 200 others on the same thread; the readiness endpoint runs there.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -108,8 +108,10 @@
     };
     let callers = bind("callers", settings.callers, limits, &log)?;
     let ready = bind("readiness", settings.ready, HttpLimits::default(), &log)?;
-    executor.detach(ready.serve(
-        executor.clone(),
+    // Many callers at once must not make it late.
+    let urgent = executor.urgent();
+    urgent.detach(ready.serve(
+        urgent.clone(),
         Arc::new(ReadyProbe(shared.clone())),
         None,
         shutdown.clone(),
--- a/crates/runtime/src/executor.rs
+++ b/crates/runtime/src/executor.rs
@@ -2,7 +2,8 @@
 
 use async_executor::{Executor as Inner, Task};
 use async_io::block_on;
-use std::future::Future;
+use futures_lite::future::or;
+use std::future::{Future, pending};
 use std::sync::Arc;
 use std::thread;
 
@@ -10,6 +11,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Executor {
     inner: Arc<Inner<'static>>,
+    urgent: Arc<Inner<'static>>,
 }
 
 impl Executor {
@@ -23,17 +25,30 @@
         let (stop_tx, stop_rx) = async_channel::bounded::<()>(1);
         thread::scope(|scope| {
             for _ in 1..threads.max(1) {
-                let inner = executor.inner.clone();
-                let stop_rx = stop_rx.clone();
-                scope.spawn(move || block_on(inner.run(stop_rx.recv())));
+                let (executor, stop_rx) = (executor.clone(), stop_rx.clone());
+                scope.spawn(move || block_on(executor.run_tasks(stop_rx.recv())));
             }
-            let inner = executor.inner.clone();
-            let value = block_on(inner.run(main(executor)));
+            let tasks = executor.clone();
+            let value = block_on(tasks.run_tasks(main(executor)));
             drop(stop_tx);
             value
         })
     }
 
+    /// Runs tasks until `until` ends, urgent ones first after each few hundred others.
+    async fn run_tasks<T>(&self, until: impl Future<Output = T>) -> T {
+        or(self.urgent.run(pending()), self.inner.run(until)).await
+    }
+
+    /// An executor on the same threads, whose tasks run before those of this one that are due. It is for short
+    /// work that must not wait where thousands of tasks are due.
+    pub fn urgent(&self) -> Self {
+        Self {
+            inner: self.urgent.clone(),
+            urgent: self.urgent.clone(),
+        }
+    }
+
     /// Spawns a task that is cancelled when the returned handle is dropped.
     pub fn spawn<T: Send + 'static>(
         &self,
