The body to give up is found without a look at all of them

Cause: each time that a body asked for memory that was used up, all open bodies were listed, summed by server and searched, some thousands of them for each 8 KiB that were read.

Change: the sums by server, and the bodies of each server by size, are kept as they change (policy `AnswerShares`). The test builds the state in two steps for each body.

The processor time that this saves was not measured on its own.

--- a/crates/direct/src/answer_memory.rs
+++ b/crates/direct/src/answer_memory.rs
@@ -2,9 +2,9 @@
 
 use crate::signal::Signal;
 use bytes::Bytes;
-use policy::{FREE_ANSWER_BYTES, OpenAnswer, answer_growth, answer_to_give_up};
+use policy::{AnswerNumber, AnswerShares, FREE_ANSWER_BYTES, OpenAnswer, answer_growth};
 use runtime::{Body, ByteBudget, ByteReservation};
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -15,11 +15,11 @@
     open: Mutex<OpenBodies>,
 }
 
-/// Bodies by the order of their start.
 #[derive(Debug, Default)]
 struct OpenBodies {
-    bodies: BTreeMap<u64, OpenBody>,
-    started: u64,
+    bodies: HashMap<AnswerNumber, OpenBody>,
+    shares: AnswerShares<SocketAddr>,
+    started: AnswerNumber,
 }
 
 #[derive(Debug)]
@@ -49,7 +49,7 @@
 #[derive(Debug)]
 pub struct AnswerWriter<'a> {
     memory: &'a AnswerMemory,
-    id: u64,
+    id: AnswerNumber,
     given_up: Arc<Signal>,
 }
 
@@ -97,15 +97,16 @@
     fn reserve(
         &mut self,
         budget: &ByteBudget,
-        id: u64,
+        id: AnswerNumber,
         bytes: u64,
     ) -> Result<ByteReservation, GivenUp> {
         loop {
             if let Some(reservation) = budget.try_reserve(bytes) {
                 return Ok(reservation);
             }
-            let given_up = self.to_give_up(id, bytes).unwrap_or(id);
-            if let Some(body) = self.bodies.remove(&given_up) {
+            let asking = self.bodies.get(&id).ok_or(GivenUp)?.answer();
+            let given_up = self.shares.to_give_up(id, asking, bytes);
+            if let Some(body) = self.remove(given_up) {
                 body.given_up.notify();
             }
             if given_up == id {
@@ -114,25 +115,33 @@
         }
     }
 
-    fn to_give_up(&self, asking: u64, more: u64) -> Option<u64> {
-        let uses_budget =
-            |(id, body): &(&u64, &OpenBody)| **id == asking || body.held > FREE_ANSWER_BYTES;
-        let bodies = self.bodies.iter().filter(uses_budget);
-        let (ids, answers): (Vec<u64>, Vec<_>) = bodies
-            .map(|(id, body)| {
-                let answer = OpenAnswer {
-                    server: body.server,
-                    held: body.held,
-                };
-                (*id, answer)
-            })
-            .unzip();
-        let asking = ids.binary_search(&asking).ok()?;
-        Some(ids[answer_to_give_up(&answers, asking, more)])
+    /// Adds memory to a body.
+    fn grow(&mut self, id: AnswerNumber, piece: Piece) -> Result<(), GivenUp> {
+        let body = self.bodies.get_mut(&id).ok_or(GivenUp)?;
+        let answer = body.answer();
+        body.held += piece.data.capacity() as u64;
+        if body.held > FREE_ANSWER_BYTES {
+            self.shares.on_growth(id, answer, body.held);
+        }
+        body.pieces.push(piece);
+        Ok(())
+    }
+
+    fn remove(&mut self, id: AnswerNumber) -> Option<OpenBody> {
+        let body = self.bodies.remove(&id)?;
+        self.shares.on_end(id, body.answer());
+        Some(body)
     }
 }
 
 impl OpenBody {
+    fn answer(&self) -> OpenAnswer<SocketAddr> {
+        OpenAnswer {
+            server: self.server,
+            held: self.held,
+        }
+    }
+
     /// Copies as much of `data` as fits; returns the rest.
     fn fill<'a>(&mut self, data: &'a [u8]) -> &'a [u8] {
         let Some(piece) = self.pieces.last_mut() else {
@@ -169,12 +178,11 @@
                 0 => None,
                 _ => Some(open.reserve(&self.memory.budget, self.id, growth)?),
             };
-            let body = open.bodies.get_mut(&self.id).ok_or(GivenUp)?;
-            body.held += growth;
-            body.pieces.push(Piece {
+            let piece = Piece {
                 data: Vec::with_capacity(growth as usize),
                 _reservation: reservation,
-            });
+            };
+            open.grow(self.id, piece)?;
         }
     }
 
@@ -185,7 +193,7 @@
 
     /// Ends the body, which is complete.
     pub fn finish(self) -> Result<Body, GivenUp> {
-        let body = self.memory.lock().bodies.remove(&self.id);
+        let body = self.memory.lock().remove(self.id);
         let pieces = body.ok_or(GivenUp)?.pieces;
         Ok(Body::pieces(pieces.into_iter().map(Bytes::from_owner)))
     }
@@ -193,6 +201,6 @@
 
 impl Drop for AnswerWriter<'_> {
     fn drop(&mut self) {
-        self.memory.lock().bodies.remove(&self.id);
+        self.memory.lock().remove(self.id);
     }
 }
--- a/crates/policy/src/answer_shares.rs
+++ b/crates/policy/src/answer_shares.rs
@@ -1,6 +1,6 @@
 //! Shares of servers in the memory for responses that are being read.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::Hash;
 
 /// Limit on the bytes of one response body.
@@ -39,36 +39,76 @@
     held.clamp(FREE_ANSWER_BYTES, MAX_GROWTH_BYTES)
 }
 
-/// Index of the body to give up so that there is memory for `more` bytes of the body `asking`.
-///
-/// It is the largest one of the server whose bodies use most, the newest of those that are as large;
-/// `answers` are in the order of their start.
-///
-/// Load pattern: a server that sends without end, or some of many. Its own responses use up what it
-/// takes, and those of other servers are read to their ends.
-pub fn answer_to_give_up<S: Eq + Hash>(
-    answers: &[OpenAnswer<S>],
-    asking: usize,
-    more: u64,
-) -> usize {
-    let held = |index: usize| match index == asking {
-        true => answers[index].held + more,
-        false => answers[index].held,
-    };
-    let mut held_by = HashMap::new();
-    for (index, answer) in answers.iter().enumerate() {
-        *held_by.entry(&answer.server).or_insert(0) += held(index);
+/// Number of a body; later ones have larger numbers.
+pub type AnswerNumber = u64;
+
+/// The bodies that are being read and use the common memory, by the servers that send them.
+#[derive(Debug)]
+pub struct AnswerShares<S> {
+    servers: HashMap<S, ServerAnswers>,
+}
+
+#[derive(Debug, Default)]
+struct ServerAnswers {
+    held: u64,
+    by_size: BTreeSet<(u64, AnswerNumber)>,
+}
+
+impl<S> Default for AnswerShares<S> {
+    fn default() -> Self {
+        Self {
+            servers: HashMap::new(),
+        }
+    }
+}
+
+impl<S: Copy + Eq + Hash> AnswerShares<S> {
+    /// Records that a body which used `answer.held` bytes uses `held` now.
+    pub fn on_growth(&mut self, number: AnswerNumber, answer: OpenAnswer<S>, held: u64) {
+        self.on_end(number, answer);
+        let server = self.servers.entry(answer.server).or_default();
+        server.held += held;
+        server.by_size.insert((held, number));
+    }
+
+    /// Records that a body has ended, and uses no memory for bodies that are being read.
+    pub fn on_end(&mut self, number: AnswerNumber, answer: OpenAnswer<S>) {
+        let Some(server) = self.servers.get_mut(&answer.server) else {
+            return;
+        };
+        if server.by_size.remove(&(answer.held, number)) {
+            server.held -= answer.held;
+        }
+        if server.by_size.is_empty() {
+            self.servers.remove(&answer.server);
+        }
+    }
+
+    /// Number of the body to give up so that there is memory for `more` bytes of the body `asking`.
+    ///
+    /// It is the largest one of the server whose bodies use most, the newest of those that are as large.
+    ///
+    /// Load pattern: a server that sends without end, or some of many. Its own responses use up what it
+    /// takes, and those of other servers are read to their ends.
+    pub fn to_give_up(
+        &self,
+        number: AnswerNumber,
+        asking: OpenAnswer<S>,
+        more: u64,
+    ) -> AnswerNumber {
+        let own = self.servers.get(&asking.server);
+        let own_held = own.map_or(0, |server| server.held) + more;
+        let others = self.servers.iter();
+        let others = others.filter(|(server, _)| **server != asking.server);
+        let greediest = others
+            .map(|(_, server)| server)
+            .max_by_key(|server| (server.held, server.by_size.last()));
+        // Of servers that use as much, the one that asks.
+        if let Some(greediest) = greediest.filter(|server| server.held > own_held) {
+            return greediest.by_size.last().map_or(number, |(_, last)| *last);
+        }
+        let own_last = own.and_then(|server| server.by_size.last());
+        let asking = (asking.held + more, number);
+        own_last.map_or(number, |last| asking.max(*last).1)
     }
-    let held_by = |index: usize| held_by[&answers[index].server];
-    // Of servers that use as much, the one that asks.
-    let rank = |index: usize| {
-        (
-            held_by(index),
-            answers[index].server == answers[asking].server,
-        )
-    };
-    let indexes = 0..answers.len();
-    indexes
-        .max_by_key(|index| (rank(*index), held(*index)))
-        .unwrap_or(asking)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -116,8 +116,8 @@
 pub use active_config::ActiveConfig;
 pub use admission_forecast::{LateForecast, late_forecast};
 pub use answer_shares::{
-    FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
-    answer_to_give_up, buffer_bytes,
+    AnswerNumber, AnswerShares, FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes,
+    answer_growth, buffer_bytes,
 };
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
--- a/crates/policy/tests/answer_shares.rs
+++ b/crates/policy/tests/answer_shares.rs
@@ -1,8 +1,8 @@
 //! Which response is given up when the memory for responses is used up, and how that memory is shared.
 
 use policy::{
-    FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
-    answer_to_give_up, buffer_bytes,
+    AnswerShares, FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
+    buffer_bytes,
 };
 use proptest::prelude::*;
 
@@ -13,6 +13,24 @@
     OpenAnswer { server, held }
 }
 
+/// Index of the answer that is given up for `more` bytes of the answer `asking`; all have grown to what they hold.
+fn answer_to_give_up(answers: &[OpenAnswer<u32>], asking: usize, more: u64) -> usize {
+    let mut shares = AnswerShares::default();
+    for (number, answer) in (0..).zip(answers) {
+        shares.on_growth(number, OpenAnswer { held: 0, ..*answer }, answer.held / 2);
+        let half = answer.held / 2;
+        shares.on_growth(
+            number,
+            OpenAnswer {
+                held: half,
+                ..*answer
+            },
+            answer.held,
+        );
+    }
+    shares.to_give_up(asking as u64, answers[asking], more) as usize
+}
+
 macro_rules! given_up {
     ($($name:ident: $answers:expr, $asking:expr, $more:expr => $expected:expr;)*) => {$(
         #[test]
@@ -31,6 +49,8 @@
     the_newest_of_those_as_large_is_given_up:
         [answer(1, MIB), answer(1, MIB), answer(2, KIB)], 2, KIB => 1;
     what_is_asked_for_counts: [answer(1, MIB), answer(2, MIB - 1)], 1, 2 => 1;
+    an_answer_without_a_share_is_given_up_where_its_server_uses_most:
+        [answer(1, 8 * KIB), answer(2, 0)], 1, 16 * KIB => 1;
     a_server_that_asks_for_as_much_as_another_has_gives_up_its_own:
         [answer(1, MIB), answer(2, MIB - KIB)], 1, KIB => 1;
 }
@@ -92,6 +112,17 @@
     }
 }
 
+/// What ended answers have used counts no longer.
+#[test]
+fn ended_answers_have_no_share() {
+    let mut shares = AnswerShares::default();
+    shares.on_growth(0, answer(1, 0), 9 * MIB);
+    shares.on_growth(1, answer(2, 0), MIB);
+    assert_eq!(shares.to_give_up(1, answer(2, MIB), KIB), 0);
+    shares.on_end(0, answer(1, 9 * MIB));
+    assert_eq!(shares.to_give_up(1, answer(2, MIB), KIB), 1);
+}
+
 #[test]
 fn memory_is_a_part_of_the_hosts() {
     assert_eq!(buffer_bytes(160 * MIB), 32 * MIB);
