The calls at once are limited by the memory of the host

What was seen: what a call takes beside its bodies was counted nowhere, so that the peak grew with the calls: 166.8 MiB at 2,000 bodies without end, 159.8 MiB at 2,000 heads (debug builds, one run each; 137 MiB allowed).

Change: policy `call_limit`. A call takes 56 KiB, the process 32 MiB, bodies a fifth of the memory; a tenth stays free. What does not fit is refused at once as not run, before its body is read. One service has at most three quarters of the room, so that one whose servers never answer leaves room to others.

--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -100,7 +100,7 @@
             .timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         Self {
-            number: shared.open_calls.add(&head.id),
+            number: shared.open_calls.add(&head.id, &admitted.service.name),
             shared,
             head,
             parts,
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -9,7 +9,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::{Request, Response};
-use policy::{CallerIdentity, Drain, suggest_retry_after_limit};
+use policy::{CallerIdentity, Drain, OpenCallCounts, suggest_retry_after_limit, takes_call};
 use runtime::{Body, ByteReservation, KEPT_LINE, RequestBody, Responder, timeout};
 use slog::info;
 use std::net::SocketAddr;
@@ -23,6 +23,9 @@
 /// Request bodies are held for about as long as it takes to answer.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Reason of refusals, for metrics.
+const TOO_MANY_CALLS: &str = "too many calls at once";
+
 /// Handles HTTP requests of callers.
 #[derive(Debug)]
 pub struct Frontend {
@@ -45,6 +48,10 @@
             Ok(admitted) => admitted,
             Err(reply) => return reply.response(Some(&head.id)),
         };
+        let open = self.shared.open_calls.counts(&admitted.service.name);
+        if !takes_call(open, self.shared.settings.memory_bytes) {
+            return self.refuse_for_memory(&head, open).response(Some(&head.id));
+        }
         let mut call = Call::new(self.shared.clone(), head, parts, admitted, arrived);
         let (draining, clock) = (&self.shared.draining, &self.shared.clock);
         let last_reply = |times: Drain| times.last_reply;
@@ -109,6 +116,16 @@
         })
     }
 
+    /// Refuses a request that is admitted, as too many others have not ended.
+    fn refuse_for_memory(&self, head: &RequestHead, open: OpenCallCounts) -> LocalReply {
+        let reply = ReadError::NoMemory.reply();
+        info!(self.shared.log, #KEPT_LINE, "call: refused, too many at once"; "req" => &*head.id,
+            "open" => open.all, "of_service" => open.of_service);
+        self.shared.metrics.refusal(TOO_MANY_CALLS);
+        self.shared.metrics.request("none", reply.outcome());
+        reply
+    }
+
     fn reject(&self, head: &RequestHead, reply: LocalReply, declarations: u64) -> LocalReply {
         let (reply, doubt) = reply.unless_in_doubt(&self.shared, declarations);
         info!(self.shared.log, #KEPT_LINE, "call: turned away"; "req" => &*head.id,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod answer_shares;
 mod baseline;
 mod blocked_suspects;
+mod call_limit;
 mod call_times;
 mod candidates;
 mod claim_event;
@@ -121,6 +122,7 @@
 };
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
+pub use call_limit::{OpenCallCounts, max_calls, takes_call};
 pub use call_times::CallTimes;
 pub use claim_event::{
     ClaimAction, ClaimConfig, ClaimCounts, ClaimEvent, ClaimRequest, ClaimWrite, CommitFailure,
--- a/crates/trials/examples/endless-answers.rs
+++ b/crates/trials/examples/endless-answers.rs
@@ -61,7 +61,10 @@
                 figures.peak_bytes as f64 / MIB,
                 figures.idle_bytes as f64 / MIB,
             );
-            println!("  answers by status: {:?}", figures.answers);
+            println!(
+                "  answers by status: {:?}, refused as too many: {}",
+                figures.answers, figures.refused
+            );
             println!(
                 "  not ready: {:?}, stalls: {:?}",
                 figures.not_ready, figures.stalls
--- a/crates/trials/src/endless_answers.rs
+++ b/crates/trials/src/endless_answers.rs
@@ -30,6 +30,7 @@
 const SOUND_PAUSE: Duration = Duration::from_millis(20);
 /// Statuses that callers take for the promise that a request has not run.
 const PROMISES_NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+const REFUSAL_LINE: &str = "call: refused, too many at once";
 const STALL_LINE: &str = "process: executor stall";
 const BLOCK_BYTES: usize = 16 << 10;
 
@@ -63,6 +64,8 @@
     pub answers: BTreeMap<u16, usize>,
     /// Calls that a server got although they were answered as not run.
     pub false_promises: Vec<String>,
+    /// Calls that were refused because too many were open.
+    pub refused: usize,
     /// Calls of a sound server that were served meanwhile.
     pub sound: usize,
     /// What else became of such calls.
@@ -213,7 +216,8 @@
         }
     }
     figures.peak_bytes = peak_bytes(&rig);
-    figures.stalls = stalls(&rig);
+    figures.stalls = lines_with(&rig, STALL_LINE);
+    figures.refused = lines_with(&rig, REFUSAL_LINE).len();
     Ok(figures)
 }
 
@@ -255,9 +259,9 @@
     }
 }
 
-fn stalls(rig: &DirectRig) -> Vec<String> {
+fn lines_with(rig: &DirectRig, text: &str) -> Vec<String> {
     let log = rig.gateway.process.log();
-    let lines = log.lines().filter(|line| line.contains(STALL_LINE));
+    let lines = log.lines().filter(|line| line.contains(text));
     lines.map(str::to_owned).collect()
 }
 
--- a/crates/trials/tests/endless_answers.rs
+++ b/crates/trials/tests/endless_answers.rs
@@ -9,6 +9,10 @@
 const CALLS: usize = 100;
 /// What the log says of an answer for which there is no memory. Time limits pass beside other tests.
 const NO_MEMORY: &str = "bodies of more than";
+/// As many as the descriptors of the smallest hosts allow.
+const MOST_CALLS: usize = 2_000;
+/// What the log says of a call for which there is no room beside others.
+const NO_ROOM: &str = "too many at once";
 /// At more of them, a tenth of the host's memory is left.
 const MANY_CALLS: usize = 500;
 const MAX_PEAK_OF_MANY_BYTES: u64 = HOST_MEMORY_MB * MB * 9 / 10;
@@ -33,8 +37,10 @@
     assert_eq!(others.next(), None, "{figures:?}");
     assert!(figures.false_promises.is_empty(), "{figures:?}");
     assert!(figures.sound > 0, "{figures:?}");
-    let mut refused = figures.not_served.iter();
-    assert!(!refused.any(|seen| seen.contains(NO_MEMORY)), "{figures:?}");
+    for reason in [NO_MEMORY, NO_ROOM] {
+        let mut refused = figures.not_served.iter();
+        assert!(!refused.any(|seen| seen.contains(reason)), "{figures:?}");
+    }
     assert_eq!(figures.not_ready, [""; 0], "{figures:?}");
 }
 
@@ -57,4 +63,7 @@
     many_bodies_without_a_length: EndlessAnswer::Unframed, MANY_CALLS, MAX_PEAK_OF_MANY_BYTES;
     many_bodies_that_stall: EndlessAnswer::Stalled(15 << 20), MANY_CALLS, MAX_PEAK_OF_MANY_BYTES;
     many_heads: EndlessAnswer::Head, MANY_CALLS, MAX_PEAK_OF_MANY_BYTES;
+    most_bodies_without_a_length: EndlessAnswer::Unframed, MOST_CALLS, MAX_PEAK_OF_MANY_BYTES;
+    most_bodies_that_stall: EndlessAnswer::Stalled(1 << 10), MOST_CALLS, MAX_PEAK_OF_MANY_BYTES;
+    most_heads: EndlessAnswer::Head, MOST_CALLS, MAX_PEAK_OF_MANY_BYTES;
 }
