--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod answer_shares;
 mod baseline;
 mod blocked_suspects;
+mod call_limit;
 mod call_times;
 mod candidates;
 mod claim_event;
@@ -120,11 +121,12 @@
 pub use active_config::ActiveConfig;
 pub use admission_forecast::{LateForecast, late_forecast};
 pub use answer_shares::{
-    FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
-    answer_to_give_up, buffer_bytes,
+    AnswerNumber, AnswerShares, FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes,
+    answer_growth, buffer_bytes,
 };
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
+pub use call_limit::{OpenCallCounts, max_calls, takes_call};
 pub use call_times::CallTimes;
 pub use claim_event::{
     ClaimAction, ClaimConfig, ClaimCounts, ClaimEvent, ClaimRequest, ClaimWrite, CommitFailure,
