--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -13,7 +13,7 @@
     TeamEntry,
 };
 use proto::{RequestKey, Suspect};
-use runtime::{Body, ByteReservation};
+use runtime::{Body, ByteReservation, KEPT_LINE};
 use slog::info;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -77,6 +77,8 @@
     tries: AtomicU32,
     /// Times that the request was sent.
     sends: AtomicU32,
+    /// Tries for which memory was to be reserved.
+    reservations: AtomicU32,
     /// Servers that may have run the request.
     possible_runs: AtomicU32,
     /// Whether the request may be sent once though it is blocked.
@@ -100,7 +102,7 @@
             .timeout
             .map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
         Self {
-            number: shared.open_calls.add(&head.id),
+            number: shared.open_calls.add(&head.id, &admitted.service.name),
             shared,
             head,
             parts,
@@ -219,6 +221,13 @@
         self.progress.sends.load(Ordering::Relaxed)
     }
 
+    /// Name for what one try reserves. No other try has it, so that a late release does not end what the
+    /// next one holds.
+    pub fn reservation_name(&self) -> String {
+        let tries = &self.progress.reservations;
+        format!("{}-{}", self.head.id, tries.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Number of servers that may have run the request, including those that are gone.
     pub fn possible_runs(&self) -> u32 {
         self.progress.possible_runs.load(Ordering::Relaxed)
@@ -261,7 +270,7 @@
         self.shared.open_calls.remove(self.number);
         let took = self.shared.clock.now().saturating_sub(self.arrived);
         self.shared.metrics.request(self.kind(), outcome);
-        info!(self.shared.log, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
+        info!(self.shared.log, #KEPT_LINE, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
             "detail" => detail, "route" => &*self.admitted.route.name,
             "service" => &*self.admitted.service.name,
             "team" => self.admitted.team.as_ref().map(|team| team.name.to_string()),
@@ -293,12 +302,7 @@
 }
 
 impl Call {
-    /// Whether it is a prompt whose answer is streamed, which starts only if the queue of prompts lets it.
-    pub fn is_streamed(&self) -> bool {
-        self.admitted.route.kind.is_stream() && self.admitted.service.engine.is_some()
-    }
-
-    /// Whether a call of a plain service can be expected to end before the process does.
+    /// Whether a call with one whole answer can be expected to end before the process does.
     pub fn may_start(&self) -> bool {
         let Some(drain) = self.shared.draining.times() else {
             return true;
@@ -313,7 +317,18 @@
         drain.may_start(&call, self.shared.clock.now())
     }
 
-    /// Whether the stream of a prompt can be expected to end before the process does.
+    /// The stream of a plain server. Where none of the route was measured, it may last as long as the call.
+    pub fn late_stream(&self) -> LateStream {
+        let measured = self.shared.lock_call_times();
+        let measured = measured.expected_stream(&self.admitted.route.name);
+        LateStream {
+            forecast: measured.unwrap_or(Duration::MAX).min(self.remaining()),
+            queued_at: self.arrived,
+            is_retry: self.sends() > 0,
+        }
+    }
+
+    /// Whether a stream can be expected to end before the process does.
     pub fn may_stream(&self, stream: &LateStream) -> bool {
         let drain = self.shared.draining.times();
         drain.is_none_or(|drain| drain.may_stream(stream, self.shared.clock.now()))
@@ -326,6 +341,12 @@
         times.record(route, service, taken);
     }
 
+    /// Records how long a stream of a plain server took.
+    pub fn record_stream_time(&self, taken: Duration) {
+        let mut times = self.shared.lock_call_times();
+        times.record_stream(&self.admitted.route.name, taken);
+    }
+
     /// Ends the call with a reply that says whether it may have run, as the process ends.
     pub fn end_in_drain(&self) -> Response<Body> {
         self.end_without_response(DRAIN_RETRY_AFTER, DRAINING_REASON)
--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -7,6 +7,9 @@
 use slog::{info, warn};
 use std::time::Duration;
 
+/// Longest time for which a gateway that starts waits for reads that are behind.
+const MAX_HOLD: Duration = Duration::from_secs(30);
+
 impl Shared {
     /// Records that a read of the operators' rows has shown nothing newer at this time of
     /// [`Clock::boot_time`].
@@ -23,6 +26,11 @@
         });
     }
 
+    /// Records that the store has come back from a copy.
+    pub(crate) fn on_era(&self) {
+        self.with_confirmed(|confirmed, _, now| confirmed.on_era(now));
+    }
+
     /// How the declarations in force were last confirmed as the newest.
     pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
         self.lock_confirmed().confirmed_by()
@@ -60,6 +68,18 @@
         self.with_confirmed(ConfirmedDeclarations::may_refuse)
     }
 
+    /// Whether declarations are in force that nobody has confirmed yet, since the first read after a start may be
+    /// behind. They are used if that takes as long as a change of them may, unless reads are known to be behind.
+    pub fn is_held_at_start(&self) -> bool {
+        let Some(since) = self.first_in_force() else {
+            return false;
+        };
+        let (now, bound) = (self.clock.now(), self.settings.bounds.declarations_apply);
+        let is_behind = self.are_reads_behind() && now < since + MAX_HOLD;
+        let may_be_old = now < since + bound || is_behind;
+        may_be_old && !self.lock_confirmed().is_ever_confirmed()
+    }
+
     /// Whether to check the operators' rows in the store now.
     pub fn is_store_check_due(&self) -> bool {
         let gateways = self.fleet.gateways();
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -9,8 +9,8 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Body as _;
 use hyper::{Request, Response};
-use policy::{CallerIdentity, Drain, suggest_retry_after_limit};
-use runtime::{Body, ByteReservation, RequestBody, Responder, timeout};
+use policy::{CallerIdentity, Drain, OpenCallCounts, suggest_retry_after_limit, takes_call};
+use runtime::{Body, ByteReservation, KEPT_LINE, RequestBody, Responder, timeout};
 use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,6 +23,9 @@
 /// Request bodies are held for about as long as it takes to answer.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Reason of refusals, for metrics.
+const TOO_MANY_CALLS: &str = "too many calls at once";
+
 /// Handles HTTP requests of callers.
 #[derive(Debug)]
 pub struct Frontend {
@@ -45,6 +48,10 @@
             Ok(admitted) => admitted,
             Err(reply) => return reply.response(Some(&head.id)),
         };
+        let open = self.shared.open_calls.counts(&admitted.service.name);
+        if !takes_call(open, self.shared.settings.memory_bytes) {
+            return self.refuse_for_memory(&head, open).response(Some(&head.id));
+        }
         let mut call = Call::new(self.shared.clone(), head, parts, admitted, arrived);
         let (draining, clock) = (&self.shared.draining, &self.shared.clock);
         let last_reply = |times: Drain| times.last_reply;
@@ -67,7 +74,7 @@
     shared
         .fleet
         .record_request(&call.admitted.service.name, shared.clock.now());
-    if call.is_streamed() {
+    if call.admitted.route.kind.is_stream() {
         stream::run(call).await
     } else {
         plain::run(&call).await
@@ -78,7 +85,8 @@
     /// Finds route, team and service of a request. Fails with the reply for a request that is not
     /// admitted.
     fn admit(&self, head: &RequestHead) -> Result<Admission, LocalReply> {
-        let Some(table) = self.shared.store_cache.route_table() else {
+        let table = self.shared.store_cache.route_table();
+        let Some(table) = table.filter(|_| !self.shared.is_held_at_start()) else {
             return Err(self.reject(head, LocalReply::NotRun(DECLARATIONS_RETRY_AFTER), 0));
         };
         let Some(route) = table.route(&head.hostname, &head.path) else {
@@ -109,9 +117,19 @@
         })
     }
 
+    /// Refuses a request that is admitted, as too many others have not ended.
+    fn refuse_for_memory(&self, head: &RequestHead, open: OpenCallCounts) -> LocalReply {
+        let reply = ReadError::NoMemory.reply();
+        info!(self.shared.log, #KEPT_LINE, "call: refused, too many at once"; "req" => &*head.id,
+            "open" => open.all, "of_service" => open.of_service);
+        self.shared.metrics.refusal(TOO_MANY_CALLS);
+        self.shared.metrics.request("none", reply.outcome());
+        reply
+    }
+
     fn reject(&self, head: &RequestHead, reply: LocalReply, declarations: u64) -> LocalReply {
         let (reply, doubt) = reply.unless_in_doubt(&self.shared, declarations);
-        info!(self.shared.log, "call: turned away"; "req" => &*head.id,
+        info!(self.shared.log, #KEPT_LINE, "call: turned away"; "req" => &*head.id,
             "outcome" => reply.outcome(), "host" => &*head.hostname, "path" => &*head.path,
             "has_key" => head.api_key.is_some(), "declarations" => declarations, "doubt" => doubt,
             "unconfirmed_ms" => self.shared.unconfirmed_for().map(|age| age.as_millis() as u64),
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -13,13 +13,14 @@
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
 use policy::{
-    CallTimes, ConfirmedDeclarations, Drain, RunningChecks, StoreFallback, answer_bytes,
-    buffer_bytes, is_store_reached,
+    CallTimes, ConfirmedDeclarations, Drain, RestoredStore, RunningChecks, StoreFallback,
+    StoreReads, answer_bytes, buffer_bytes, is_store_reached,
 };
+use proto::revision;
 use runtime::{ByteBudget, Clock, Draining, Executor, HttpClient};
 use slog::{Logger, info, warn};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Callers which read slowly may use this part of the memory for buffered bodies, so that they leave room
@@ -72,9 +73,15 @@
     servers_answered_ms: AtomicU64,
     failing_tables: AtomicUsize,
     relies_on_peers: AtomicBool,
+    store_reads: Mutex<StoreReads>,
     confirmed: Mutex<ConfirmedDeclarations>,
     /// Whether the last check found the declarations confirmed.
     is_confirmed: AtomicBool,
+    /// When the first declarations came into force.
+    first_in_force: OnceLock<Duration>,
+    restored: Mutex<RestoredStore>,
+    /// Whether reads of the store are known to be behind.
+    reads_behind: AtomicBool,
     store_fallback: Mutex<StoreFallback>,
     /// Whether this gateway reads the store although it relies on peers.
     falls_back: AtomicBool,
@@ -116,11 +123,15 @@
             servers_answered_ms: AtomicU64::new(0),
             failing_tables: AtomicUsize::new(0),
             relies_on_peers: AtomicBool::new(false),
-            confirmed: Mutex::new(ConfirmedDeclarations::new(
-                rand::random(),
-                settings.bounds.declarations_apply,
-            )),
+            store_reads: Mutex::default(),
+            confirmed: Mutex::new(
+                ConfirmedDeclarations::new(rand::random(), settings.bounds.declarations_apply)
+                    .with_drain_bound(settings.bounds.drain),
+            ),
             is_confirmed: AtomicBool::new(true),
+            first_in_force: OnceLock::new(),
+            restored: Mutex::default(),
+            reads_behind: AtomicBool::new(false),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
             settings,
@@ -134,7 +145,7 @@
         let answered_ms = match table {
             StoreTable::Operators => &self.operators_answered_ms,
             StoreTable::Servers => &self.servers_answered_ms,
-            StoreTable::Gateways => return,
+            StoreTable::Gateways | StoreTable::Checks => return,
         };
         answered_ms.store(now.as_millis().max(1) as u64, Ordering::Relaxed);
     }
@@ -216,6 +227,12 @@
         checks.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Decides how rows of the store are checked.
+    pub fn lock_store_reads(&self) -> MutexGuard<'_, StoreReads> {
+        let reads = self.store_reads.lock();
+        reads.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Decides for how long declarations may be the reason to turn requests away.
     pub fn lock_confirmed(&self) -> MutexGuard<'_, ConfirmedDeclarations> {
         let confirmed = self.confirmed.lock();
@@ -252,11 +269,62 @@
         self.failing_tables() > 0
     }
 
-    /// Sets the metrics of the declarations that are in force or refused.
-    pub fn update_declarations_metric(&self) {
+    /// Records an era of the store that a response or a peer has named. After a later one than before, the store
+    /// may lack what it had acknowledged.
+    pub fn see_era(&self, era: u64) {
+        let mut restored = self.lock_restored();
+        let known = restored.era();
+        if era <= known {
+            return;
+        }
+        let knows_rows = self.first_in_force().is_some();
+        restored.on_revision(revision(era, 1), knows_rows, self.clock.now());
+        drop(restored);
+        if knows_rows {
+            self.on_era();
+            self.metrics.store_restored();
+            warn!(self.log, "store: has come back from a copy"; "era" => era, "before" => known);
+        }
+    }
+
+    /// Sets whether reads of the store are known to be behind.
+    pub fn set_reads_behind(&self, is_behind: bool) {
+        self.reads_behind.store(is_behind, Ordering::Relaxed);
+    }
+
+    /// Whether reads of the store are known to be behind.
+    pub fn are_reads_behind(&self) -> bool {
+        self.reads_behind.load(Ordering::Relaxed)
+    }
+
+    /// Whether the store may lack rows that it had acknowledged before it came back from a copy.
+    pub fn lacks_rows(&self) -> bool {
+        self.lock_restored().lacks_rows(self.clock.now())
+    }
+
+    fn lock_restored(&self) -> MutexGuard<'_, RestoredStore> {
+        let restored = self.restored.lock();
+        restored.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// When the first declarations came into force; `None` before.
+    pub fn first_in_force(&self) -> Option<Duration> {
+        self.first_in_force.get().copied()
+    }
+
+    /// Sets the metrics of the declarations that are in force or refused, and compares them with what checks
+    /// have found.
+    pub fn on_declarations_read(&self) {
         if let Some(table) = self.store_cache.route_table() {
+            self.first_in_force.get_or_init(|| self.clock.now());
             self.metrics.set_declarations(table.version);
         }
+        let row = self.store_cache.declarations_row();
+        let now = self.clock.now();
+        if self.lock_store_reads().on_row(row, now) {
+            warn!(self.log, "store: a comparison has passed over a newer row, the tables are read instead";
+                "row" => row);
+        }
         let refused = self.store_cache.declarations_refusal().is_some();
         self.metrics.set_declarations_refused(refused);
     }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -4,14 +4,14 @@
 use crate::declarations_row::{
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
-use crate::evacuations::Evacuations;
-use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, keys};
+use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys};
 use policy::{
-    BackendId, ContentHistory, DomainName, NewerDeclarations, RouteTable, ServerSet, server_key,
+    BackendId, ContentHistory, DomainName, Evacuations, NewerDeclarations, ReadProof, RouteTable,
+    ServerSet, server_key,
 };
-use proto::{BackendEntry, ContentDigest, EditScript, ServerKey, StoreVersions};
+use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions, era};
 use slog::{Logger, info, warn};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -39,6 +39,10 @@
     /// Versions of the last rows that were read, or of listings that have shown others.
     pub(crate) versions: StoreVersions,
     pub(crate) is_untold: Untold,
+    /// Revision as of which a check has found the operators' rows as they are known.
+    pub(crate) confirmed: Revision,
+    /// Revision of the last row of a server that a peer has sent.
+    pub(crate) sent_servers: Revision,
 }
 
 #[derive(Debug)]
@@ -95,6 +99,13 @@
         state.has_skipped || refused.is_some_and(|row| !is_lowered(row))
     }
 
+    /// Whether newer declarations than those in force are known to exist.
+    pub fn knows_newer_declarations_than_in_force(&self) -> bool {
+        let state = self.lock();
+        let in_force = state.route_table.as_ref().map_or(0, |table| table.version);
+        state.newer.are_known(in_force)
+    }
+
     /// Version of the declarations in force, 0 for none, while the newest ones of the store are refused.
     pub fn refused_above(&self) -> Option<u64> {
         let state = self.lock();
@@ -152,9 +163,10 @@
         &self,
         rows: Vec<StoreRow>,
         version: u64,
+        now: Duration,
     ) -> Option<&'static str> {
         // Orders come first, as large declarations take time.
-        let declarations = self.on_orders(rows);
+        let declarations = self.on_orders(rows, now);
         let refusal = match declarations {
             Some(row) => self.on_declarations_row(row).await,
             None => None,
@@ -163,26 +175,24 @@
         refusal
     }
 
-    /// Applies the whole operators' table; returns the same as [`Self::on_operator_rows`].
-    pub async fn on_operator_listing(&self, listing: Listing) -> Option<&'static str> {
-        let listed = listing.rows.iter().filter_map(|row| {
-            let domain = evacuated_domain(&row.key)?;
-            Some((domain.into(), row.version))
+    /// Applies a listing of the operators' table; returns the same as [`Self::on_operator_rows`].
+    pub async fn on_operator_listing(
+        &self,
+        listing: Listing,
+        proof: ReadProof,
+        now: Duration,
+    ) -> Option<&'static str> {
+        let mut rows = listing.rows;
+        let missing = self.lock().evacuations.missing(|domain| {
+            let key = evacuation_key(domain);
+            rows.iter().any(|row| row.key == key)
         });
-        let listed: HashMap<DomainName, u64> = listed.collect();
-        let (known, before) = {
-            let mut state = self.lock();
-            let before = state.operator_rows();
-            state.evacuations.on_listing(&listed, listing.version);
-            (state.versions.operators, before)
-        };
-        let refusal = self.on_operator_rows(listing.rows, 0).await;
-        let mut state = self.lock();
-        if state.operator_rows() != before || known == 0 {
-            state.is_untold.operators |= known > 0 && listing.version <= known;
-            state.advance_operators(listing.version);
-        }
-        refusal
+        let gone = missing
+            .iter()
+            .filter(|(_, known)| proof.shows_absence(*known));
+        let gone = gone.map(|(domain, _)| evacuation_key(domain));
+        rows.extend(gone.map(|key| StoreRow::removed(&key, proof.revision())));
+        self.on_read_operators(rows, now).await
     }
 
     /// Applies changed rows of the servers' table, which is then known up to `version`.
@@ -201,15 +211,17 @@
         state.versions.servers = state.versions.servers.max(version);
     }
 
-    /// Applies the whole servers' table.
-    pub fn on_server_listing(&self, listing: &Listing, now: Duration) {
+    /// Applies a listing of the servers' table.
+    pub fn on_server_listing(&self, listing: &Listing, proof: ReadProof, now: Duration) {
         let mut starts = Vec::new();
         let rows = listing.rows.iter().map(|row| {
             let decoded = decode_server_row(row);
             starts.extend(decoded.started.map(|started| (&row.key, started)));
             (row.key.clone(), decoded.row, row.version)
         });
-        let rows = rows.collect();
+        let rows: Vec<_> = rows.collect();
+        let newest = rows.iter().map(|row| row.2).max().unwrap_or_default();
+        let newest = newest.max(proof.revision());
         let mut state = self.lock();
         let known = state.versions.servers;
         if known > 0 {
@@ -220,13 +232,14 @@
                 }
             }
         }
-        let has_news = state.servers.on_listing(rows, listing.version, now);
+        let has_news = state.servers.on_listing(rows, proof, now);
         for (server, started) in starts {
             state.servers.on_start(server, started);
         }
         if has_news || known == 0 {
-            state.is_untold.servers |= known > 0 && listing.version <= known;
-            state.versions.servers = known.max(listing.version);
+            state.is_untold.servers |= known > 0 && newest <= known;
+            // An empty table was read too.
+            state.versions.servers = known.max(newest).max(1);
         }
         self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
@@ -259,7 +272,7 @@
     }
 
     /// Applies the rows that order evacuations, and returns the newest one with declarations.
-    fn on_orders(&self, rows: Vec<StoreRow>) -> Option<StoreRow> {
+    fn on_orders(&self, rows: Vec<StoreRow>, now: Duration) -> Option<StoreRow> {
         let mut state = self.lock();
         let mut declarations = None;
         for row in rows {
@@ -270,7 +283,7 @@
                     "out" => !row.removed, "version" => row.version);
                 state
                     .evacuations
-                    .on_order(domain.into(), !row.removed, row.version);
+                    .on_order(domain.into(), !row.removed, row.version, now);
             }
         }
         let evacuated = state.evacuations.active();
@@ -325,7 +338,13 @@
         }
         let table = decoded.table;
         let current = state.route_table.as_ref().map(|table| table.version);
-        if current.is_some_and(|current| current >= table.version) {
+        let in_force = state.declarations.as_ref();
+        // A restored store may be given other declarations of the same version.
+        let is_rewritten = current == Some(table.version)
+            && in_force.is_some_and(|in_force| {
+                era(version) > era(in_force.row) && decoded.stored.digest != in_force.digest
+            });
+        if current.is_some_and(|current| current >= table.version) && !is_rewritten {
             // The same declarations can be written again, or have come without the version of their row.
             let in_force = state.declarations.as_mut();
             if let Some(in_force) = in_force.filter(|_| current == Some(table.version)) {
@@ -391,12 +410,6 @@
         }
     }
 
-    /// Sets the evacuations as of `version`, but for those known from newer rows.
-    pub(crate) fn set_evacuations(&mut self, domains: &[DomainName], version: u64) {
-        self.evacuations.set(domains, version);
-        self.servers.set_evacuated(self.evacuations.active());
-    }
-
     pub(crate) fn advance_operators(&mut self, version: u64) {
         self.versions.operators = self.versions.operators.max(version);
         self.servers.set_evacuated(self.evacuations.active());
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -1,5 +1,6 @@
 //! Until when the declarations in force are known to have been the newest.
 
+use crate::restored_store::REWRITE_TIME;
 use crate::store_fallback::store_check_interval;
 use proto::{ClockReading, Confirmation, ConfirmationReport};
 use std::collections::HashMap;
@@ -19,6 +20,8 @@
 /// Gateways that watch the store check their own rows this often, whatever peers confirm. Half of the time within
 /// which an evacuation must be obeyed.
 const OWN_CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The same as a part of the time within which a server that leaves must get nothing new.
+const DRAIN_CHECK: f64 = 0.5;
 /// A check takes at most this part of the bound.
 const CHECK_TIMEOUT: f64 = 0.3;
 /// Shortest interval between checks of one gateway while they fail.
@@ -52,9 +55,12 @@
 pub struct ConfirmedDeclarations {
     process: u64,
     bound: Duration,
+    own_check_interval: Duration,
     /// When a version up to the one in force was last known to be the newest.
     confirmed_at: Option<Duration>,
     confirmed_by: Option<ConfirmedBy>,
+    /// When the store holds again what it lacked after it had come back from a copy.
+    rewritten_at: Option<Duration>,
     /// When the store was last checked, and how long that took.
     last_check: Option<(Duration, Duration)>,
     /// The same for a version that is not in force yet.
@@ -70,23 +76,44 @@
         Self {
             process,
             bound: bound.max(MIN_BOUND),
+            own_check_interval: OWN_CHECK_INTERVAL,
             confirmed_at: None,
             confirmed_by: None,
+            rewritten_at: None,
             last_check: None,
             pending: None,
             readings: HashMap::new(),
         }
     }
 
+    /// Sets the time within which a server that leaves must get nothing new, which checks find too.
+    pub fn with_drain_bound(self, bound: Duration) -> Self {
+        let interval = bound.max(MIN_BOUND).mul_f64(DRAIN_CHECK);
+        Self {
+            own_check_interval: self.own_check_interval.min(interval),
+            ..self
+        }
+    }
+
+    /// Whether anybody has confirmed declarations since the start.
+    pub fn is_ever_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
     /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
     /// a read of their row has shown.
     pub fn on_store_answer(&mut self, at: Duration, by: ConfirmedBy) {
-        if self.confirmed_at < Some(at) {
+        if self.confirmed_at < Some(at) && self.rewritten_at <= Some(at) {
             self.confirmed_at = Some(at);
             self.confirmed_by = Some(by);
         }
     }
 
+    /// Records that the store has come back from a copy, which may lack declarations until they are written again.
+    pub fn on_era(&mut self, now: Duration) {
+        self.rewritten_at = Some(now + REWRITE_TIME);
+    }
+
     /// How the declarations were last confirmed.
     pub fn confirmed_by(&self) -> Option<ConfirmedBy> {
         self.confirmed_by
@@ -177,10 +204,15 @@
     }
 
     /// Whether to check the own rows although peers confirm the declarations: what they say does not cover
-    /// orders of evacuation.
+    /// orders of evacuation, nor rows that were passed over while the store lacked some.
     fn is_own_check_due(&self, now: Duration, gateways: usize, watches: bool, spread: f64) -> bool {
+        let turn = check_interval(gateways).mul_f64(self.place());
+        let is_unread = |end| now >= end + turn && self.last_check.is_some_and(|(at, _)| at < end);
+        if self.rewritten_at.is_some_and(is_unread) {
+            return true;
+        }
         let interval = match watches {
-            true => OWN_CHECK_INTERVAL,
+            true => self.own_check_interval,
             false => store_check_interval(gateways, 500),
         };
         let interval = interval.mul_f64(0.75 + spread / 4.0);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod answer_shares;
 mod baseline;
 mod blocked_suspects;
+mod call_limit;
 mod call_times;
 mod candidates;
 mod claim_event;
@@ -52,6 +53,7 @@
 mod engine_profile;
 mod engine_queue;
 mod estimate;
+mod evacuations;
 mod fairness;
 mod fleet_load;
 mod fleet_queue;
@@ -79,6 +81,7 @@
 mod request_key;
 mod request_limits;
 mod reservation_renewal;
+mod restored_store;
 mod retry;
 mod retry_turn;
 mod return_schedule;
@@ -107,7 +110,9 @@
 mod span_plan;
 mod span_types;
 mod store_fallback;
+mod store_reads;
 mod store_watchers;
+mod stream_waits;
 mod team_shares;
 mod trace;
 mod tracked_server;
@@ -116,11 +121,12 @@
 pub use active_config::ActiveConfig;
 pub use admission_forecast::{LateForecast, late_forecast};
 pub use answer_shares::{
-    FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes, answer_growth,
-    answer_to_give_up, buffer_bytes,
+    AnswerNumber, AnswerShares, FREE_ANSWER_BYTES, MAX_ANSWER_BYTES, OpenAnswer, answer_bytes,
+    answer_growth, buffer_bytes,
 };
 pub use baseline::{Baseline, BaselineRouter, FifoScheduler};
 pub use blocked_suspects::{BlockedCounts, BlockedRow, RowChange};
+pub use call_limit::{OpenCallCounts, max_calls, takes_call};
 pub use call_times::CallTimes;
 pub use claim_event::{
     ClaimAction, ClaimConfig, ClaimCounts, ClaimEvent, ClaimRequest, ClaimWrite, CommitFailure,
@@ -158,6 +164,7 @@
     suggest_retry_after_limit,
 };
 pub use estimate::{PREFIX_BLOCK_BYTES, estimate_tokens, prefix_hashes};
+pub use evacuations::Evacuations;
 pub use fleet_load::{FleetLoad, JobId, JobLoad, PLACEMENT_WINDOW, server_key};
 pub use fleet_queue::{
     FleetPlacement, FleetQueue, LocalPrompt, MAX_REPORTED_PROMPTS, MAX_REPORTED_SERVICES,
@@ -190,6 +197,7 @@
 pub use request_key::RequestContent;
 pub use request_limits::{LimitRevision, PeerReportEffect, RequestLimits};
 pub use reservation_renewal::{RenewalStep, ReservationRenewal};
+pub use restored_store::{REWRITE_TIME, RestoredStore};
 pub use retry::{
     FailedAttempt, RetryBudget, RetryBudgetConfig, is_worth_retrying, may_retry,
     predicted_response_time,
@@ -231,7 +239,9 @@
 };
 pub use span_types::{LeaderAction, LeaderEvent, SpanConfig, SpanJob, SpanRequestId, SpanStep};
 pub use store_fallback::{StoreFallback, store_check_interval};
+pub use store_reads::{CheckWay, MarkNumber, ReadProof, StoreReads};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, is_store_reached, should_watch_store};
+pub use stream_waits::{first_event_wait, silence_limit};
 pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -1,6 +1,8 @@
 //! The backend servers, and which of them may get new requests.
 
-use proto::{BackendEntry, BackendRow};
+use crate::restored_store::RestoredStore;
+use crate::store_reads::ReadProof;
+use proto::{BackendEntry, BackendRow, Revision};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -31,9 +33,15 @@
 const MAX_TOMBSTONES: usize = 4_096;
 
 /// The backend servers, by the latest row of each.
+///
+/// Load pattern: the store comes back from a copy that is some seconds old. Until operators and servers have
+/// written again what it lacks, rows that would bring a server back or take a usable one away are passed over.
 #[derive(Debug, Default)]
 pub struct ServerSet {
     known: HashMap<BackendId, KnownServer>,
+    store: RestoredStore,
+    /// Servers with rows that were passed over.
+    passed_over: HashSet<BackendId>,
     evacuated: HashSet<DomainName>,
     /// Version since which all changes of rows are known, also those of servers that came and went.
     history_start: u64,
@@ -48,8 +56,11 @@
         self.store_returned_at = Some(now);
     }
 
-    /// Records a row, unless a newer one of that server is known. Returns whether it was newer.
+    /// Records a row, unless a newer one of that server is known or it is passed over. Returns whether it was
+    /// recorded.
     pub fn on_row(&mut self, id: &str, row: BackendRow, version: u64, now: Duration) -> bool {
+        let knows_rows = !self.known.is_empty();
+        self.store.on_revision(version, knows_rows, now);
         let grace = self.expiry_grace_end(now);
         let known = self.known.entry(id.into()).or_insert_with(|| KnownServer {
             row: BackendRow::Absent,
@@ -62,6 +73,12 @@
         if version <= known.version {
             return false;
         }
+        let may_be_older = self.store.may_be_older(version, known.version, now);
+        if may_be_older && known.would_be_unlearned(&row, now) {
+            self.passed_over.insert(id.into());
+            return false;
+        }
+        self.passed_over.remove(id);
         known.version = version;
         known.usable_until = match (&known.row, &row) {
             (BackendRow::Present(entry), BackendRow::Absent) if !entry.draining => grace,
@@ -74,6 +91,11 @@
         true
     }
 
+    /// Whether a row of this server was passed over and none was recorded since, so that it has to be read again.
+    pub fn is_passed_over(&self, id: &str) -> bool {
+        self.passed_over.contains(id)
+    }
+
     /// Whether a row of this version is newer than what is known of the server.
     pub fn is_newer(&self, id: &str, version: u64) -> bool {
         self.known
@@ -94,30 +116,33 @@
         }
     }
 
-    /// Records a complete listing as of `version`. Servers that it does not contain are removed. Returns whether
-    /// it has shown anything new.
+    /// Records a listing. Servers that it does not contain are removed if that is proved. Returns whether it has
+    /// shown anything new.
     pub fn on_listing(
         &mut self,
-        rows: Vec<(BackendId, BackendRow, u64)>,
-        version: u64,
+        rows: Vec<(BackendId, BackendRow, Revision)>,
+        proof: ReadProof,
         now: Duration,
     ) -> bool {
         let is_first = self.known.is_empty();
         let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
-        let known = self.known.iter();
-        let missing = known
-            .filter(|(id, known)| !listed.contains(*id) && known.row != BackendRow::Absent)
-            .map(|(id, _)| id.clone());
+        let mut last = rows.iter().map(|(.., row)| *row).max().unwrap_or_default();
         let mut has_news = false;
-        for id in missing.collect::<Vec<BackendId>>() {
-            has_news |= self.on_row(&id, BackendRow::Absent, version, now);
+        last = last.max(proof.revision());
+        let known = self.known.iter();
+        let missing = known.filter(|(id, known)| {
+            let is_shown = listed.contains(*id) || known.row == BackendRow::Absent;
+            !is_shown && proof.shows_absence(known.version)
+        });
+        for id in missing.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            has_news |= self.on_row(&id, BackendRow::Absent, proof.revision(), now);
         }
         for (id, row, row_version) in rows {
             has_news |= self.on_row(&id, row, row_version, now);
         }
         if has_news || is_first {
             // Servers that came and went since the last known version are in no listing.
-            self.end_history(version);
+            self.end_history(last);
         }
         self.remove_tombstones(now);
         has_news
@@ -212,7 +237,8 @@
     }
 
     fn remove_tombstones(&mut self, now: Duration) {
-        if self.known.len() <= MAX_TOMBSTONES {
+        // A store that has come back from a copy may show removed servers.
+        if self.known.len() <= MAX_TOMBSTONES || self.store.lacks_rows(now) {
             return;
         }
         let removed = self.known.values();
@@ -223,14 +249,28 @@
             let left_at = known.left_at.filter(|at| now < *at + LEFT_RETENTION);
             known.row != BackendRow::Absent || left_at.is_some()
         });
+        let known = &self.known;
+        self.passed_over.retain(|id| known.contains_key(id));
     }
 }
 
 impl KnownServer {
     fn usable(&self, now: Duration) -> Option<&BackendEntry> {
-        if self.left_at.is_some() {
-            return None;
+        self.ready(now).filter(|_| self.left_at.is_none())
+    }
+
+    /// Whether `row` would bring the server back, or take it away although it is not known to leave.
+    fn would_be_unlearned(&self, row: &BackendRow, now: Duration) -> bool {
+        match (self.ready(now), row) {
+            (None, BackendRow::Present(entry)) => !entry.draining,
+            (None, _) => false,
+            (Some(ready), BackendRow::Present(entry)) => !entry.draining && entry != ready,
+            (Some(_), _) => true,
         }
+    }
+
+    /// Entry of the server, if its row is that of a ready one.
+    fn ready(&self, now: Duration) -> Option<&BackendEntry> {
         match &self.row {
             BackendRow::Present(entry) => (!entry.draining).then_some(entry),
             BackendRow::Absent => {
