Stand-in of the store: reads that are behind, and comparisons that are not to be trusted

The stand-in's listings were always of now, or kept at one moment, and its transactions without writes always exact. Operators' stores answer reads from what held seconds ago after a compaction, and nothing says that they compare rows of tables that gateways may not write.

Listings can show what held a given time ago, with its version or the newest one. Transactions without writes can be refused where they name the operators' or the servers' table, answered as if all conditions held, or compared with what listings show; those that write are exact. A refusal by conditions bears the version and the clock, and brings all rows of the conditions or only those that differ.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -36,7 +36,9 @@
 mod reservation_log;
 mod server_behaviour;
 mod service_standin;
+mod stale_reads;
 mod standin_server;
+mod store_transaction;
 mod table_sim;
 mod table_standin;
 mod watch_faults;
@@ -62,6 +64,7 @@
 pub use reservation_log::HeldMemory;
 pub use server_behaviour::{ServerBehaviour, ServerKind};
 pub use service_standin::{ServiceCounts, ServiceResponse, ServiceSpec, ServiceStandin};
+pub use stale_reads::{Comparisons, StaleReads};
 pub use standin_server::{Call, CallError, Standin, StandinServer};
 pub use table_sim::{
     TableCondition, TableCounts, TableRefusal, TableRow, TableSim, TableSpec, TableWrite,
--- a/crates/standins/src/platform_store.rs
+++ b/crates/standins/src/platform_store.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the store of the users' platform, with the platform's published HTTP API.
 
 use crate::faults::FaultInjector;
+use crate::stale_reads::{FormerRows, ReadFaults, Snapshot};
 use crate::standin_server::{
     Call, Standin, StandinServer, aborted_response, text_response, typed_response,
 };
@@ -12,11 +13,12 @@
 use hyper::{Response, StatusCode};
 use runtime::{Body, Executor};
 use serde_json::{Value, json};
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub(crate) type RowKey = (Box<str>, Box<str>);
 
@@ -50,9 +52,12 @@
     /// Link addresses to state in gateways' rows, by key, in place of their own.
     peer_addresses: HashMap<Box<str>, SocketAddr>,
     pub(crate) watch_faults: WatchFaults,
+    pub(crate) read_faults: ReadFaults,
+    pub(crate) former_rows: FormerRows,
     pub(crate) listed_copy: Option<ListedCopy>,
     /// Number of times that open polls were cut.
     pub(crate) cuts: u64,
+    start: Instant,
 }
 
 impl Default for State {
@@ -70,8 +75,11 @@
             pending_polls: Vec::new(),
             peer_addresses: HashMap::new(),
             watch_faults: WatchFaults::default(),
+            read_faults: ReadFaults::default(),
+            former_rows: FormerRows::default(),
             listed_copy: None,
             cuts: 0,
+            start: Instant::now(),
         }
     }
 }
@@ -82,13 +90,16 @@
     rows: Vec<String>,
     truncated: bool,
     version: u64,
+    now_ms: u64,
 }
 
 impl Page {
     fn into_response(self) -> Response<Body> {
         let (rows, truncated, version) = (self.rows.join(","), self.truncated, self.version);
-        let body =
-            format!(r#"{{"Rows":[{rows}],"Truncated":{truncated},"Ver":{version},"NowMs":0}}"#);
+        let now_ms = self.now_ms;
+        let body = format!(
+            r#"{{"Rows":[{rows}],"Truncated":{truncated},"Ver":{version},"NowMs":{now_ms}}}"#
+        );
         typed_response(StatusCode::OK, "application/json", Body::full(body))
     }
 }
@@ -96,7 +107,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Row {
     /// Content in base64, encoded once, as large rows are sent often; absent once the row is removed.
-    value: Option<String>,
+    value: Option<Arc<str>>,
     version: u64,
 }
 
@@ -153,7 +164,7 @@
         let rows = state.rows.iter();
         let written = rows.filter(|((_, found), row)| **found == *key && row.value.is_some());
         let written: Vec<_> = written
-            .map(|((table, _), row)| (table.clone(), row.value.clone()))
+            .map(|((table, _), row)| (table.clone(), row.value.as_deref().map(str::to_owned)))
             .collect();
         for (table, value) in written {
             state.write(&table, key, value);
@@ -164,7 +175,7 @@
     pub fn value(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.lock();
         let row = state.rows.get(&(table.into(), key.into()))?;
-        let value = STANDARD.decode(row.value.as_ref()?).ok()?;
+        let value = STANDARD.decode(&**row.value.as_ref()?).ok()?;
         serde_json::from_slice(&value).ok()
     }
 
@@ -180,51 +191,24 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn transact(&self, call: &Call) -> Response<Body> {
-        let Ok(body) = call.json::<Value>() else {
-            return text_response(StatusCode::BAD_REQUEST, "malformed body");
-        };
-        let mut state = self.lock();
-        let entries = |name: &str| body[name].as_array().cloned().unwrap_or_default();
-        let conditions = entries("ExpectedRevision");
-        let names_operators = conditions.iter().any(|row| row["Table"] == "op");
-        if names_operators && state.watch_faults.refuses_comparisons {
-            return text_response(StatusCode::FORBIDDEN, "not a table of the system");
-        }
-        let conditions_hold = conditions.iter().all(|row| {
-            let version = state.rows.get(&row_key(row)).map_or(0, Row::live_version);
-            row["Ver"].as_u64() == Some(version)
-        });
-        if !conditions_hold {
-            return state.current_rows(&conditions);
-        }
-        for row in entries("Puts") {
-            let (table, key) = row_key(&row);
-            let value = row["Value"].as_str().unwrap_or_default();
-            state.write(&table, &key, Some(value.to_owned()));
-        }
-        for row in entries("Remove") {
-            let (table, key) = row_key(&row);
-            state.write(&table, &key, None);
-        }
-        json_response(StatusCode::OK, &json!({ "Ver": state.version, "NowMs": 0 }))
-    }
-
     fn list(&self, call: &Call) -> Response<Body> {
         let query = query_parameters(call);
         let table = query.get("Table").cloned().unwrap_or_default();
         let from = query.get("From").cloned().unwrap_or_default();
         let limit = query.get("Limit").and_then(|text| text.parse().ok());
         let mut state = self.lock();
-        let (listed, version) = match &state.listed_copy {
-            Some(copy) => (&copy.rows, copy.version.unwrap_or(state.version)),
-            None => (&state.rows, state.version),
+        let listed = match &state.listed_copy {
+            Some(copy) => Snapshot {
+                rows: Cow::Borrowed(&copy.rows),
+                version: copy.version.unwrap_or(state.version),
+            },
+            None => state.readable(),
         };
-        let rows = listed.iter().filter(|((found, key), row)| {
+        let rows = listed.rows.iter().filter(|((found, key), row)| {
             **found == *table && **key >= *from && row.value.is_some()
         });
         let mut page = state.page(rows.collect(), limit.unwrap_or(usize::MAX));
-        page.version = version;
+        page.version = listed.version;
         state.apply_after_cut(&page);
         page.into_response()
     }
@@ -301,15 +285,18 @@
 }
 
 impl State {
-    fn write(&mut self, table: &str, key: &str, value: Option<String>) {
+    pub(crate) fn write(&mut self, table: &str, key: &str, value: Option<String>) {
+        let former_version = self.version;
         self.version += 1;
         let version = self.version;
         let value = value.map(|value| match self.peer_addresses.get(key) {
             Some(address) => with_address(value, *address),
             None => value,
         });
-        let row = Row { value, version };
-        self.rows.insert((table.into(), key.into()), row);
+        let value = value.map(Arc::from);
+        let key: RowKey = (table.into(), key.into());
+        let former = self.rows.insert(key.clone(), Row { value, version });
+        self.former_rows.record(former_version, key, former);
         // Dropping the senders wakes all long polls.
         self.pending_polls.clear();
     }
@@ -331,9 +318,15 @@
             truncated: rows.len() < total,
             rows,
             version: self.version,
+            now_ms: self.now_ms(),
         }
     }
 
+    /// Time on the store's clock, which never goes back.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
     fn apply_after_cut(&mut self, page: &Page) {
         if page.truncated {
             for ((table, key), value) in std::mem::take(&mut self.after_cut) {
@@ -354,23 +347,10 @@
                 && self.watch_faults.tells(key, row.version)
         })
     }
-
-    /// Response with the rows of conditions that do not hold.
-    fn current_rows(&self, conditions: &[Value]) -> Response<Body> {
-        let rows = conditions.iter().filter_map(|condition| {
-            let key = row_key(condition);
-            let row = self.rows.get(&key).filter(|row| row.value.is_some());
-            row.map(|row| row.to_json(&key))
-        });
-        let rows = rows.collect::<Vec<_>>().join(",");
-        let body = format!(r#"{{"Rows":[{rows}]}}"#);
-        let body = Body::full(body);
-        typed_response(StatusCode::PRECONDITION_FAILED, "application/json", body)
-    }
 }
 
 impl Row {
-    fn to_json(&self, (table, key): &RowKey) -> String {
+    pub(crate) fn to_json(&self, (table, key): &RowKey) -> String {
         let version = self.version;
         let row = json!({ "Table": table, "part": "", "Key": key, "Ver": version }).to_string();
         let fields = row.trim_end_matches('}');
@@ -381,13 +361,14 @@
         }
     }
 
+    /// Whether the row is not removed.
+    pub(crate) fn is_live(&self) -> bool {
+        self.value.is_some()
+    }
+
     /// Version for conditions; zero if the row is removed.
-    fn live_version(&self) -> u64 {
-        if self.value.is_some() {
-            self.version
-        } else {
-            0
-        }
+    pub(crate) fn live_version(&self) -> u64 {
+        if self.is_live() { self.version } else { 0 }
     }
 }
 
@@ -419,7 +400,7 @@
     STANDARD.encode(row.to_string())
 }
 
-fn row_key(row: &Value) -> RowKey {
+pub(crate) fn row_key(row: &Value) -> RowKey {
     let text = |name: &str| Box::from(row[name].as_str().unwrap_or_default());
     (text("Table"), text("Key"))
 }
@@ -443,6 +424,6 @@
     String::from_utf8_lossy(&decoded).into_owned()
 }
 
-fn json_response(status: StatusCode, body: &Value) -> Response<Body> {
+pub(crate) fn json_response(status: StatusCode, body: &Value) -> Response<Body> {
     typed_response(status, "application/json", Body::full(body.to_string()))
 }
--- a/crates/standins/src/watch_faults.rs
+++ b/crates/standins/src/watch_faults.rs
@@ -41,8 +41,6 @@
     pub(crate) quiet: Option<(QuietAnswer, u64)>,
     /// Rows that polls leave out, by table and key.
     pub(crate) hidden: HashSet<RowKey>,
-    /// Whether the store refuses to compare rows of tables that gateways may not write.
-    pub(crate) refuses_comparisons: bool,
 }
 
 impl WatchFaults {
@@ -110,9 +108,4 @@
         });
         state.listed_copy = copy;
     }
-
-    /// Sets whether transactions are refused that name tables which gateways may not write.
-    pub fn refuse_comparisons(&self, refused: bool) {
-        self.lock().watch_faults.refuses_comparisons = refused;
-    }
 }
--- a/crates/trials/tests/unread_rows.rs
+++ b/crates/trials/tests/unread_rows.rs
@@ -2,7 +2,7 @@
 
 use hyper::StatusCode;
 use serde_json::json;
-use standins::{ListedVersion, QuietAnswer};
+use standins::{Comparisons, ListedVersion, QuietAnswer};
 use std::time::{Duration, Instant};
 use trials::{TrialDeclarations, UnreadTrial as Trial};
 
@@ -104,7 +104,7 @@
         trial.store().keep_listings(None);
     };
     a_store_that_compares_no_rows: 2, async |trial: &Trial| {
-        trial.store().refuse_comparisons(true);
+        trial.store().set_comparisons(Comparisons::Refused);
         trial.store().hide_from_watches("op", "config", true);
         add_route(trial);
     };
