--- a/crates/standins/src/stale_reads.rs
+++ b/crates/standins/src/stale_reads.rs
@@ -80,6 +80,14 @@
         });
     }
 
+    /// Takes all changes so far for ones that were made earlier.
+    fn backdate(&mut self, by: Duration) {
+        for former in &mut self.rows {
+            let earlier = former.changed_at.checked_sub(by);
+            former.changed_at = earlier.unwrap_or(former.changed_at);
+        }
+    }
+
     /// Takes back the changes since `moment`, and returns the version of the store at that time.
     fn undo_since(
         &self,
@@ -138,6 +146,12 @@
         self.lock().read_faults.stale = stale;
     }
 
+    /// Shows what was written so far also where listings are behind by up to `by`, so that no trial has to wait
+    /// until its first rows are old.
+    pub fn backdate(&self, by: Duration) {
+        self.lock().former_rows.backdate(by);
+    }
+
     /// Sets how transactions without writes are answered.
     pub fn set_comparisons(&self, comparisons: Comparisons) {
         self.lock().read_faults.comparisons = comparisons;
--- a/crates/standins/tests/stale_reads.rs
+++ b/crates/standins/tests/stale_reads.rs
@@ -144,6 +144,11 @@
         store.read_behind(Some(BEFORE));
         store.read_behind(None);
     }, List => answer(200, &["a", "b"], 2);
+    a_listing_of_before_a_change: |store| {
+        store.backdate(BEFORE.by);
+        store.put("op", "c", &json!({}));
+        store.read_behind(Some(BEFORE));
+    }, List => answer(200, &["a", "b"], 2);
     a_listing_of_removed_rows: |store| {
         store.remove("op", "a");
         store.remove("op", "b");
--- a/crates/trials/src/unread_trial.rs
+++ b/crates/trials/src/unread_trial.rs
@@ -74,8 +74,22 @@
     ///
     /// If they cannot be started.
     pub fn run(gateways: usize, bounds: &[(&str, f64)], test: impl AsyncFnOnce(&Self)) {
+        Self::run_with_store(gateways, bounds, |_| {}, test);
+    }
+
+    /// As [`Self::run`], with a store that is prepared before the gateways start.
+    ///
+    /// # Panics
+    ///
+    /// If they cannot be started.
+    pub fn run_with_store(
+        gateways: usize,
+        bounds: &[(&str, f64)],
+        prepare: impl FnOnce(&PlatformStore),
+        test: impl AsyncFnOnce(&Self),
+    ) {
         Executor::run(2, |executor| async move {
-            let trial = match Self::start(&executor, gateways, bounds) {
+            let trial = match Self::start(&executor, gateways, bounds, prepare) {
                 Ok(trial) => trial,
                 Err(err) => panic!("the trial cannot be started: {err}"),
             };
@@ -91,10 +105,12 @@
         executor: &Executor,
         gateways: usize,
         bounds: &[(&str, f64)],
+        prepare: impl FnOnce(&PlatformStore),
     ) -> Result<Self, TrialError> {
         let mut rig = DirectRig::start(executor)?;
         // Its bounds are those of the deployments.
         rig.gateway.process.kill();
+        prepare(rig.store.standin());
         let store = rig.store.local_addr();
         let started = (0..gateways).map(|n| {
             let name = format!("unread-{n}");
@@ -140,9 +156,17 @@
     ///
     /// If the time is longer than the rig waits.
     pub async fn wait_for_polls(&self) {
+        self.wait(POLLS).await;
+    }
+
+    /// Waits for some time.
+    ///
+    /// # Panics
+    ///
+    /// If it is longer than the rig waits.
+    pub async fn wait(&self, time: Duration) {
         let start = Instant::now();
-        let passed = async || start.elapsed() > POLLS;
-        assert!(self.rig.wait_until(passed).await);
+        assert!(self.rig.wait_until(async || start.elapsed() > time).await);
     }
 
     /// Waits until all gateways answer with this status.
