Soak of unread changes: listings of seconds ago, and comparisons not to be trusted

The mix `unread` kept its listings at one moment in a fifth of its silences, and excused all gateways meanwhile. Reads that are behind for as long as operators see them, and stores that refuse comparisons or answer them without comparing, were in no soak.

With `behind`, listings are 1 to 6 s behind in three of five silences and up to as long after them, with either version, and comparisons are exact, refused, blind or behind, drawn once for each seed. The random numbers for this are apart, so that former seeds make the same changes.

--- a/crates/trials/examples/direct-soak.rs
+++ b/crates/trials/examples/direct-soak.rs
@@ -3,7 +3,7 @@
 
 use clap::{Arg, ArgMatches, Command, value_parser};
 use runtime::Executor;
-use standins::QuietAnswer;
+use standins::{Comparisons, QuietAnswer};
 use std::process::ExitCode;
 use std::time::Duration;
 use trials::{
@@ -23,6 +23,7 @@
     "lost-response",
 ];
 const ANSWERS: [&str; 5] = ["any", "newest", "polled", "oldest", "never"];
+const COMPARISONS: [&str; 5] = ["any", "exact", "refused", "blind", "behind"];
 const LINKS: [&str; 3] = ["sound", "cut", "one-way"];
 
 fn flag(name: &'static str, default: &'static str, help: &'static str) -> Arg {
@@ -134,6 +135,16 @@
             "0 for servers that stay, mix unread",
         ))
         .arg(flag("late", "0", "Gateways that start late, mix unread"))
+        .arg(flag(
+            "behind",
+            "0",
+            "1 for listings that are behind, mix unread",
+        ))
+        .arg(choice(
+            "comparisons",
+            COMPARISONS,
+            "How the store compares rows, mix unread",
+        ))
         .arg(flag(
             "stops",
             "1",
@@ -201,6 +212,14 @@
         },
         server_changes: value(matches, "server-changes") > 0,
         late: value(matches, "late") as usize,
+        behind: value(matches, "behind") > 0,
+        comparisons: match matches.get_one::<String>("comparisons").map(String::as_str) {
+            Some("exact") => Some(Comparisons::Exact),
+            Some("refused") => Some(Comparisons::Refused),
+            Some("blind") => Some(Comparisons::Blind),
+            Some("behind") => Some(Comparisons::Behind),
+            _ => None,
+        },
     }
 }
 
--- a/crates/trials/src/soak_unread.rs
+++ b/crates/trials/src/soak_unread.rs
@@ -23,7 +23,7 @@
 use rand::seq::IndexedRandom as _;
 use rand::{Rng as _, SeedableRng as _};
 use runtime::Executor;
-use standins::{ListedVersion, PlatformStore, QuietAnswer};
+use standins::{Comparisons, ListedVersion, PlatformStore, QuietAnswer, StaleReads};
 use std::time::{Duration, Instant};
 
 const START_TIMEOUT: Duration = Duration::from_secs(60);
@@ -39,6 +39,9 @@
 const HUSH_MS: std::ops::Range<u64> = 200..5_000;
 /// Milliseconds for which listings stay behind once watches hear of changes again.
 const BEHIND_MS: std::ops::Range<u64> = 0..1_500;
+/// How far listings are behind in other silences, in milliseconds, and in how many of them.
+const STALE_MS: std::ops::RangeInclusive<u64> = 1_000..=6_000;
+const STALE_SHARE: f64 = 0.6;
 const BETWEEN_CHANGES_MS: std::ops::Range<u64> = 0..400;
 /// Time without faults after the last one.
 const LAST_CALM: Duration = Duration::from_secs(6);
@@ -49,6 +52,12 @@
     QuietAnswer::OldestVersion,
     QuietAnswer::Never,
 ];
+const COMPARISONS: [Comparisons; 4] = [
+    Comparisons::Exact,
+    Comparisons::Refused,
+    Comparisons::Blind,
+    Comparisons::Behind,
+];
 const LISTED: [ListedVersion; 2] = [ListedVersion::OfContent, ListedVersion::Newest];
 
 /// A soak of changes that watches do not tell of.
@@ -63,6 +72,10 @@
     pub server_changes: bool,
     /// Gateways that are gone at the begin and start within the first half.
     pub late: usize,
+    /// Whether listings show what held seconds ago while watches hear nothing and for a while after.
+    pub behind: bool,
+    /// How the store answers comparisons; drawn once if it is not set.
+    pub comparisons: Option<Comparisons>,
 }
 
 /// Runs a soak of unread changes to its end. Fails if a process or a stand-in cannot be started or signalled;
@@ -80,10 +93,12 @@
         engines: 0,
         ..plan.changes.size
     };
+    let reads = ReadFaults::new(plan);
     let fleet = SoakFleet::start(executor, size, PeerLinks::Direct, |store| {
+        store.set_comparisons(reads.comparisons);
         store.put("op", "config", &declarations.to_json());
     })?;
-    let figures = run(executor, plan, &fleet, declarations).await;
+    let figures = run(executor, plan, &fleet, declarations, reads).await;
     fleet.end().await;
     keep_logs_of_failure(&fleet.directory, &figures);
     figures
@@ -94,6 +109,7 @@
     plan: UnreadPlan,
     fleet: &SoakFleet,
     declarations: SoakDeclarations,
+    reads: ReadFaults,
 ) -> Result<SoakFigures, TrialError> {
     let mut figures = SoakFigures::default();
     if let Some(n) = fleet.find_unready(START_TIMEOUT).await {
@@ -147,6 +163,7 @@
         },
         fleet,
         withdrawals: Vec::new(),
+        reads,
     };
     figures.faults = operator.work(plan, end).await;
     for task in probes {
@@ -180,12 +197,47 @@
     }
 }
 
+/// How the store answers reads.
+#[derive(Debug)]
+struct ReadFaults {
+    comparisons: Comparisons,
+    behind: bool,
+    /// Apart from the other random numbers, so that the same seed makes the same changes without these faults.
+    rng: SmallRng,
+}
+
+impl ReadFaults {
+    fn new(plan: UnreadPlan) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.changes.seed.wrapping_mul(37));
+        let drawn = COMPARISONS.choose(&mut rng).copied();
+        let drawn = drawn.filter(|_| plan.behind).unwrap_or_default();
+        Self {
+            comparisons: plan.comparisons.unwrap_or(drawn),
+            behind: plan.behind,
+            rng,
+        }
+    }
+
+    fn draw(&mut self) -> Option<StaleReads> {
+        let by = Duration::from_millis(self.rng.random_range(STALE_MS));
+        let version = LISTED.choose(&mut self.rng).copied()?;
+        let is_drawn = self.rng.random_bool(STALE_SHARE) && self.behind;
+        is_drawn.then_some(StaleReads { by, version })
+    }
+
+    /// Whether no read of the store shows what holds while listings are behind.
+    fn hide_all(&self) -> bool {
+        self.comparisons == Comparisons::Refused
+    }
+}
+
 /// Makes changes while watches hear nothing.
 #[derive(Debug)]
 struct Operator<'a> {
     versions: Versions<'a>,
     fleet: &'a SoakFleet,
     withdrawals: Vec<Withdrawal>,
+    reads: ReadFaults,
 }
 
 impl Operator<'_> {
@@ -218,8 +270,11 @@
         let (drops_history, cuts) = (self.rng().random_bool(0.5), self.rng().random_bool(0.5));
         self.store().quieten_watches(plan.answer.or(drawn));
         self.store().keep_listings(listed);
+        let stale = self.reads.draw();
+        self.store().read_behind(stale);
         // The store shows nothing of what is written then, but for comparisons.
-        let behind = self.fleet.gateways.iter().filter(|_| listed.is_some());
+        let is_hidden = listed.is_some() || stale.is_some() && self.reads.hide_all();
+        let behind = self.fleet.gateways.iter().filter(|_| is_hidden);
         let behind = behind.map(|gateway| gateway.upsets.begin(UpsetKind::Link));
         let behind: Vec<_> = behind.collect();
         let before = self.rng().random_range(Duration::ZERO..=rest);
@@ -238,6 +293,11 @@
             Timer::after(longer).await;
             self.store().keep_listings(None);
         }
+        if let Some(stale) = stale {
+            let longer = self.reads.rng.random_range(Duration::ZERO..=stale.by);
+            Timer::after(longer).await;
+            self.store().read_behind(None);
+        }
         drop(behind);
     }
 
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Short soak tests of direct gateways; longer ones are run by hand with the example `direct-soak`.
 
 use runtime::Executor;
-use standins::QuietAnswer;
+use standins::{Comparisons, QuietAnswer};
 use std::time::Duration;
 use trials::{
     APPLY_BOUND, FleetSize, GrowthPlan, LinkFault, RECOVERY_BOUND, SoakFigures, SoakPlan, StopPlan,
@@ -145,7 +145,7 @@
 }
 
 /// Changes that watches of the store do not tell of.
-fn check_unread(seed: u64, server_changes: bool) {
+fn check_unread(seed: u64, server_changes: bool, comparisons: Option<Comparisons>) {
     let plan = UnreadPlan {
         changes: GrowthPlan {
             seed,
@@ -163,6 +163,8 @@
         answer: Some(QuietAnswer::NewestVersion),
         server_changes,
         late: 0,
+        behind: comparisons.is_some(),
+        comparisons,
     };
     let run = |executor: Executor| async move { run_unread_soak(&executor, plan).await };
     let figures = Executor::run(2, run);
@@ -195,7 +197,15 @@
     confirmed_routes_were_refused_while_the_store_turned_gateways_away => check_turned_away(1);
     /// Polls went on from the version that an answer without rows bore, so that the change before it was never
     /// read.
-    changes_that_watches_did_not_tell_of_stayed_unread => check_unread(1, false);
+    changes_that_watches_did_not_tell_of_stayed_unread => check_unread(1, false, None);
     /// Listings of the servers' table come too late, as each watcher makes them at a time of its own.
-    servers_that_left_unseen_by_watches_were_used => check_unread(1, true);
+    servers_that_left_unseen_by_watches_were_used => check_unread(1, true, None);
+    /// What listings showed of seconds ago was taken for what holds.
+    reads_that_were_behind_confirmed => check_unread(2, true, Some(Comparisons::Exact));
+    reads_that_were_behind_confirmed_as_comparisons_were_refused => {
+        check_unread(3, true, Some(Comparisons::Refused));
+    };
+    reads_that_were_behind_confirmed_as_comparisons_were_blind => {
+        check_unread(4, true, Some(Comparisons::Blind));
+    };
 }
