Soak of unread changes: calm after the last time in which listings are behind

The last silence can begin just before the end, and listings can be behind for up to 11 s from then on, which is longer than the requests went on. Requests go on for 11 s more where listings can be behind.

--- a/crates/trials/src/soak_unread.rs
+++ b/crates/trials/src/soak_unread.rs
@@ -43,6 +43,8 @@
 const STALE_MS: std::ops::RangeInclusive<u64> = 1_000..=6_000;
 const STALE_SHARE: f64 = 0.6;
 const BETWEEN_CHANGES_MS: std::ops::Range<u64> = 0..400;
+/// Longest time for which listings are behind, with the silence in which that begins.
+const LONGEST_BEHIND: Duration = Duration::from_secs(11);
 /// Time without faults after the last one.
 const LAST_CALM: Duration = Duration::from_secs(6);
 const MAX_LOG_LINES: usize = 4;
@@ -129,7 +131,12 @@
         ..
     } = plan.changes;
     let end = Instant::now() + time;
-    let probes_end = end + LAST_CALM + apply_bound + PROBE_TIME_LIMIT;
+    let longest_fault = if plan.behind {
+        LONGEST_BEHIND
+    } else {
+        Duration::ZERO
+    };
+    let probes_end = end + longest_fault + LAST_CALM + apply_bound + PROBE_TIME_LIMIT;
     let mut probes = Vec::new();
     for (n, gateway) in fleet.gateways.iter().enumerate() {
         let rng = SmallRng::seed_from_u64(seed ^ ((n as u64) << 20));
