--- a/crates/trials/src/direct_soak.rs
+++ b/crates/trials/src/direct_soak.rs
@@ -26,7 +26,20 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-const PATHS: [&str; 3] = ["/stream/x", "/once/x", "/lookup/x"];
+/// Paths of requests, and the services that run them.
+const PATHS: [(&str, &str); 5] = [
+    ("/stream/x", "engines"),
+    ("/once/x", "registry"),
+    ("/lookup/x", "registry"),
+    ("/draft/x", "drafts"),
+    ("/single-draft/x", "drafts"),
+];
+/// The services, and how their servers answer. Those of drafts stream and have no engine.
+const SERVICES: [(&str, ServerKind); 3] = [
+    ("engines", ServerKind::Engine),
+    ("registry", ServerKind::Plain),
+    ("drafts", ServerKind::Engine),
+];
 const TIME_LIMIT: Duration = Duration::from_secs(8);
 /// Time after the last fault within which every gateway must serve again.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
@@ -189,10 +202,7 @@
             gateways.push(SoakGateway::new(process, store_link, None));
         }
         let mut servers = Vec::new();
-        for (service, kind) in [
-            ("engines", ServerKind::Engine),
-            ("registry", ServerKind::Plain),
-        ] {
+        for (service, kind) in SERVICES {
             for n in 0..plan.servers {
                 let name = format!("{service}-{n}");
                 let standin = rig.add_server(&name, service, kind)?;
@@ -234,7 +244,7 @@
     ) -> Vec<impl Future<Output = ()> + use<>> {
         let mut tasks = Vec::new();
         for (n, gateway) in self.gateways.iter().enumerate() {
-            for path in PATHS {
+            for (path, _) in PATHS {
                 let (address, calls) = (gateway.address, self.calls.clone());
                 let (spawner, ended) = (executor.clone(), ended.clone());
                 tasks.push(executor.spawn(async move {
@@ -266,7 +276,7 @@
     async fn wait_until_all_serve(&self) -> Result<(), String> {
         let start = Instant::now();
         for (n, gateway) in self.gateways.iter().enumerate() {
-            for path in PATHS {
+            for (path, _) in PATHS {
                 let mut attempts = 0;
                 loop {
                     attempts += 1;
@@ -354,11 +364,10 @@
             let late = requests_after_leaving(&server.name, &received, calls, upsets);
             violations.extend(late);
         }
-        for service in ["engines", "registry"] {
+        for (service, _) in SERVICES {
             let servers = self.servers.iter().filter(|other| other.service == service);
             let received = servers.flat_map(|other| other.standin.standin().received_requests());
-            let is_for =
-                |call: &&ClientCall| (call.request.path == "/stream/x") == (service == "engines");
+            let is_for = |call: &&ClientCall| PATHS.contains(&(&call.request.path, service));
             let sent = calls.iter().filter(is_for);
             let sent = sent.map(|call| (&*call.request.id, call.sent_at)).collect();
             let excess = excess_repeats(service, &mut received.collect::<Vec<_>>(), &sent);
--- a/crates/trials/src/soak_faults.rs
+++ b/crates/trials/src/soak_faults.rs
@@ -18,6 +18,9 @@
 /// A fault has ended this long after it was injected.
 pub(crate) const LONGEST_FAULT: Duration = REFUSAL_TIME;
 
+/// Event after which broken streams end.
+const LAST_WHOLE_EVENT: u64 = 4;
+
 /// A fault, with the index of the gateway or backend server that it hits.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Fault {
@@ -34,6 +37,8 @@
     LoseRow(usize, Duration),
     /// All servers of the service of this one refuse requests.
     RefuseAll(usize, Duration),
+    /// The server breaks its streams off inside an event.
+    BreakStreams(usize, Duration),
     /// All gateways are killed while all servers refuse requests.
     KillAll,
 }
@@ -50,7 +55,7 @@
             LinkFault::Cut,
         ];
         let link_fault = link_faults.choose(rng).copied().unwrap_or_default();
-        match rng.random_range(0..25) {
+        match rng.random_range(0..27) {
             0..=1 => Self::Kill(gateway),
             2 => Self::Terminate(gateway),
             3..=5 => Self::Freeze(gateway, duration),
@@ -61,6 +66,7 @@
             20 => Self::Leave(server),
             21..=22 => Self::LoseRow(server, duration),
             23 => Self::RefuseAll(server, duration),
+            24..=25 => Self::BreakStreams(server, duration),
             _ => Self::KillAll,
         }
     }
@@ -109,6 +115,17 @@
             Fault::Leave(n) => self.leave(n),
             Fault::LoseRow(n, duration) => self.lose_row(executor, n, duration),
             Fault::RefuseAll(n, duration) => self.refuse_all(executor, n, duration),
+            Fault::BreakStreams(n, duration) => {
+                let server = &self.servers[n];
+                let upset = server.link_upsets.begin(UpsetKind::Link);
+                let standin = server.standin.share_standin();
+                standin.set_behaviour(ServerBehaviour::BreakAfter(LAST_WHOLE_EVENT));
+                executor.detach(async move {
+                    Timer::after(duration).await;
+                    standin.set_behaviour(ServerBehaviour::Normal);
+                    drop(upset);
+                });
+            }
             Fault::KillAll => {
                 for n in 0..self.servers.len() {
                     self.refuse_all(executor, n, REFUSAL_TIME);
--- a/crates/trials/src/soak_rules.rs
+++ b/crates/trials/src/soak_rules.rs
@@ -67,7 +67,7 @@
         return Some(format!("REFUSED: called not run, {runs} servers ran it"));
     }
     let route = call.request.path.split('/').nth(1).unwrap_or_default();
-    if matches!(route, "once" | "single-run") {
+    if matches!(route, "once" | "single-run" | "single-draft") {
         if runs > 1 {
             return Some(format!("TWICE: {runs} servers ran what may run once"));
         }
@@ -82,7 +82,7 @@
     if waited > call.request.time_limit + TIME_LIMIT_SLACK {
         return Some(format!("ended after {waited:?}"));
     }
-    let is_stream = matches!(route, "stream" | "single-run");
+    let is_stream = matches!(route, "stream" | "single-run" | "draft" | "single-draft");
     if let Ending::Closed(part) | Ending::TimedOut(part) = &call.ending {
         let is_success = part.status.is_some_and(|status| status / 100 == 2);
         let goes_on = expected_events(call).as_bytes().starts_with(&part.body);
--- a/crates/trials/tests/soak_rules.rs
+++ b/crates/trials/tests/soak_rules.rs
@@ -53,6 +53,16 @@
     call("/stream/x", Duration::from_secs(1), Ending::Closed(part))
 }
 
+/// A stream that looks complete and has only its first events.
+fn short_stream(path: &str) -> ClientCall {
+    let response = ClientResponse {
+        seal: Some("seal".into()),
+        body: b"id: 0\ndata: text 0\n\nid: 1\ndata: te".to_vec(),
+        ..refused(200)
+    };
+    answered(path, response)
+}
+
 fn not_run(status: u16) -> ClientResponse {
     ClientResponse {
         is_not_run: true,
@@ -204,6 +214,12 @@
         broken_answer(&cut_after(&[0, 1, 3]), 1) => Some("ORDER");
     an_event_twice_before_a_cut_was_not_reported:
         broken_answer(&cut_after(&[0, 1, 1]), 2) => Some("ORDER");
+    a_short_stream_was_not_reported: broken_answer(&short_stream("/stream/x"), 1) => Some("ORDER");
+    a_short_draft_was_not_reported: broken_answer(&short_stream("/draft/x"), 1) => Some("ORDER");
+    a_short_single_draft_was_not_reported:
+        broken_answer(&short_stream("/single-draft/x"), 1) => Some("ORDER");
+    a_second_run_of_a_single_draft_was_not_reported:
+        broken_answer(&answered("/single-draft/x", refused(502)), 2) => Some("TWICE");
     a_failed_run_on_a_removed_route_was_not_reported: probe_of_removed_route(1) => Some("run by");
     requests_held_past_their_limit_were_not_reported: late(3, 2) => Some("CONFIG");
     a_request_closed_in_calm_was_not_reported: lost_in_calm(None, Some(false)) => Some("LOST");
