--- a/crates/runtime/tests/log.rs
+++ b/crates/runtime/tests/log.rs
@@ -37,13 +37,11 @@
     };
     let numbers: Vec<usize> = lines.split(' ').map(|text| text.parse().unwrap()).collect();
     let (log, guard) = logger(LogFormat::Json, Level::Info, "node-1");
-    for n in 0..numbers[0].max(numbers[1]) {
-        if n < numbers[0] {
-            info!(log, "routine"; "n" => n, "path" => "/a/path/of/usual/length");
-        }
-        if n < numbers[1] {
-            info!(log, #KEPT_LINE, "call: turned away"; "n" => n, "path" => "/a/path/of/usual/length");
-        }
+    for n in 0..numbers[0] {
+        info!(log, "routine"; "n" => n, "path" => "/a/path/of/usual/length");
+    }
+    for n in 0..numbers[1] {
+        info!(log, #KEPT_LINE, "call: turned away"; "n" => n, "path" => "/a/path/of/usual/length");
     }
     eprintln!("{ALL_LOGGED}");
     drop(guard);
