The first era that a gateway hears of is no later one

By the logs each gateway that started before a store which states an era logged "store: has come back from a copy" with the first answer, and confirmed and served nothing for 2 s; its first call then fell together with the moment of the cut.

Cause: the first answer was put in force before its era was looked at, so that era 1 after none counted as a later one. Change: an era counts as later only after one that was stated; a store that states none has none.

--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -351,8 +351,10 @@
         self.shared.on_peer_confirmation(peer, &frame.report);
         let frame = frame.message;
         let versions = &frame.versions;
-        self.shared
-            .see_era(era(versions.operators.max(versions.servers)));
+        let era = era(versions.operators.max(versions.servers));
+        if era > 0 {
+            self.shared.see_era(era);
+        }
         self.shared.fleet.on_peer_load(peer, frame.servers, now);
         if !self.lock_roster().on_heard(peer, now) {
             self.unknown.on_heard(self, peer);
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -79,6 +79,8 @@
     is_confirmed: AtomicBool,
     /// When the first declarations came into force.
     first_in_force: OnceLock<Duration>,
+    /// Latest era of the store that was named; `None` before the first one.
+    store_era: Mutex<Option<u64>>,
     restored: Mutex<RestoredStore>,
     /// Whether reads of the store are known to be behind.
     reads_behind: AtomicBool,
@@ -130,6 +132,7 @@
             ),
             is_confirmed: AtomicBool::new(true),
             first_in_force: OnceLock::new(),
+            store_era: Mutex::default(),
             restored: Mutex::default(),
             reads_behind: AtomicBool::new(false),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
@@ -272,18 +275,30 @@
     /// Records an era of the store that a response or a peer has named. After a later one than before, the store
     /// may lack what it had acknowledged.
     pub fn see_era(&self, era: u64) {
-        let mut restored = self.lock_restored();
-        let known = restored.era();
-        if era <= known {
+        let mut store_era = self
+            .store_era
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let before = *store_era;
+        if before.is_some_and(|before| era <= before) {
             return;
         }
-        let knows_rows = self.first_in_force().is_some();
-        restored.on_revision(revision(era, 1), knows_rows, self.clock.now());
-        drop(restored);
-        if knows_rows {
+        *store_era = Some(era);
+        drop(store_era);
+        let is_restored = before.is_some();
+        self.lock_restored()
+            .on_revision(revision(era, 1), is_restored, self.clock.now());
+        if is_restored {
             self.on_era();
             self.metrics.store_restored();
-            warn!(self.log, "store: has come back from a copy"; "era" => era, "before" => known);
+            warn!(self.log, "store: has come back from a copy"; "era" => era, "before" => before);
+        }
+    }
+
+    /// Records the era that responses of the store have stated last.
+    pub fn see_store_era(&self, store: &Store) {
+        if let Some(era) = store.stated_era() {
+            self.see_era(era);
         }
     }
 
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -45,7 +45,7 @@
         }
         let at = Clock::boot_time();
         let checked = check.run().await;
-        check.shared.see_era(check.store.era());
+        check.shared.see_store_era(&check.store);
         let is_listing = !matches!(checked, Ok(CheckWay::Transaction));
         check.shared.on_store_checked(at, is_listing);
         match checked {
@@ -161,7 +161,7 @@
             let compared = self.store.compare(&expected, self.mark(b""), timeout);
             let compared = compared.await?;
             // Before a confirmation, as that of a later era does not count at first.
-            self.shared.see_era(self.store.era());
+            self.shared.see_store_era(&self.store);
             let current = match compared {
                 Comparison::Unchanged(revision) => {
                     self.on_unchanged(at, &expected, revision);
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -181,7 +181,7 @@
             }
         };
         let result = or(call, reports).await;
-        watch.shared.see_era(watch.store.era());
+        watch.shared.see_store_era(&watch.store);
         match result {
             Ok(version) => {
                 if known_version.is_some() {
--- a/crates/policy/src/restored_store.rs
+++ b/crates/policy/src/restored_store.rs
@@ -15,11 +15,6 @@
 }
 
 impl RestoredStore {
-    /// The newest era that was seen.
-    pub fn era(&self) -> u64 {
-        self.era
-    }
-
     /// Records a revision that the store or a peer has named. `knows_rows` tells whether any rows were known before.
     pub fn on_revision(&mut self, revision: Revision, knows_rows: bool, now: Duration) {
         if era(revision) > self.era {
--- a/crates/trials/tests/readiness.rs
+++ b/crates/trials/tests/readiness.rs
@@ -46,3 +46,18 @@
         assert!(rig.gateway.is_ready().await);
     });
 }
+
+/// The store states its era in all responses. A gateway that started took the first one for that of a store which had
+/// come back from a copy, and served nothing for two seconds.
+#[test]
+fn the_first_era_that_a_gateway_hears_of_is_no_later_one() {
+    Executor::run(2, |executor| async move {
+        let rig = DirectRig::start(&executor).unwrap();
+        rig.write_declarations(3, &["key-1"]);
+        assert!(rig.wait_until_ready().await);
+        let metrics = rig.gateway.metrics().await.unwrap();
+        let restored = "bergamothold_direct_store_restored_total 0";
+        let log = rig.gateway.process.log_tail();
+        assert!(metrics.lines().any(|line| line == restored), "{log}");
+    });
+}
