Rows of a server in two eras are ordered by what the server counts

Cause: versions of two eras cannot be compared, so that a row of the copy counted as newer than the known one once a time had passed. The server's row says itself which is newer: the start of its process and the number of its write.

Change: proto::WriterCount; a row that its server wrote before the known one takes nothing back, for however long, one that it wrote later holds at once. The 2 s are left for rows that are missing, and for rows without counts. A removed server whose last row is in the copy stays out until the store would have removed that row again. Checks expect a row that is passed over as it is, so that they need not list the table. Gateways pass counts on behind the rows; heads of earlier builds end before them, and earlier builds pass them over.

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -71,7 +71,7 @@
             let state = self.lock();
             let known = state.versions.servers;
             let mut hidden = rows.iter().filter(|row| row.version <= known);
-            let has_news = hidden.any(|row| state.servers.is_newer(&row.key, row.version));
+            let has_news = hidden.any(|row| state.servers.is_newer(&row.key, row.version, now));
             (known, has_news)
         };
         let newest = rows.iter().map(|row| row.version).max();
@@ -111,16 +111,16 @@
 
     /// Rows of the servers that are not known to be gone, with the revisions that they have if nothing has
     /// changed, and of those whose rows were passed over.
-    pub fn expected_servers(&self) -> Vec<ExpectedRow> {
+    pub fn expected_servers(&self, now: Duration) -> Vec<ExpectedRow> {
         let state = self.lock();
         let servers = &state.servers;
         let rows = servers
             .rows()
             .filter(|(id, row, _)| **row != BackendRow::Absent || servers.is_passed_over(id));
-        let rows = rows.map(|(id, _, revision)| ExpectedRow {
+        let rows = rows.map(|(id, ..)| ExpectedRow {
             table: StoreTable::Servers,
             key: id.clone(),
-            revision,
+            revision: servers.row_revision(id, now),
         });
         let mut rows: Vec<_> = rows.collect();
         rows.sort_unstable_by(|a, b| a.key.cmp(&b.key));
--- a/crates/direct/src/content_stream.rs
+++ b/crates/direct/src/content_stream.rs
@@ -2,10 +2,11 @@
 //! from those that the receiver has, or whole in pieces that can be continued.
 
 use crate::declarations_row::StoredDeclarations;
+use crate::peer_content::PeerContent;
 use crate::send_slots::SendSlot;
 use crate::shared::Shared;
 use adapter::DeclarationError;
-use policy::{PartialContent, apply_script, continued_offset, needs_send_slot};
+use policy::{CountedRow, PartialContent, apply_script, continued_offset, needs_send_slot};
 use proto::{
     CONTENT_PAGE_ROWS, CONTENT_PIECE_BYTES, ContentDigest, ContentFrame, ContentHead,
     ContentRequest, DeclarationsForm, DeclarationsHead, StoreSnapshot, StoreVersions,
@@ -82,7 +83,7 @@
     req: &ContentRequest,
     tx: &mut FrameSender,
 ) -> Result<Option<SendSlot<'a>>, LinkError> {
-    let (snapshot, stored) = shared.store_cache.export_parts(&req.versions);
+    let (snapshot, counts, stored) = shared.store_cache.export_parts(&req.versions);
     let (declarations, payload) = declarations_for(shared, req, stored);
     let head = ContentHead {
         versions: snapshot.versions,
@@ -91,6 +92,7 @@
         is_difference: snapshot.is_difference,
         declarations,
         orders: Some(shared.store_cache.orders()),
+        counts: Some(counts),
     };
     tx.send(&ContentFrame::Head(head)).await?;
     for page in snapshot.servers.chunks(CONTENT_PAGE_ROWS) {
@@ -228,33 +230,39 @@
                 _ => return Err(FetchError::Unexpected("rows")),
             }
         }
-        let servers = StoreSnapshot {
+        let counts = head.counts.unwrap_or_default().into_iter();
+        let counts = counts.chain(std::iter::repeat(None));
+        let rows = rows.into_iter().zip(counts).map(|(row, count)| CountedRow {
+            count,
+            ..row.into()
+        });
+        let servers = PeerContent {
             versions: StoreVersions {
                 operators: 0,
                 servers: head.versions.servers,
             },
             declarations: None,
-            evacuated: Vec::new(),
-            servers: rows,
+            row: None,
+            servers: rows.collect(),
             is_difference: head.is_difference,
         };
-        self.apply(servers, None).await?;
+        self.apply(servers).await?;
         let declarations = match &head.declarations {
             Some(declarations) => Some(self.declarations(rx, declarations, partial).await?),
             None => None,
         };
         let row = head.declarations.and_then(|declarations| declarations.row);
-        let operators = StoreSnapshot {
+        let operators = PeerContent {
             versions: StoreVersions {
                 operators: head.versions.operators,
                 servers: 0,
             },
             declarations,
-            evacuated: Vec::new(),
+            row,
             servers: Vec::new(),
             is_difference: true,
         };
-        self.apply(operators, row).await
+        self.apply(operators).await
     }
 
     async fn declarations(
@@ -343,13 +351,13 @@
         let snapshot = snapshot.ok_or(FetchError::Ended("snapshot"))?;
         warn!(self.shared.log, "content: received in one frame, the peer is of an earlier build";
             "peer" => self.peer);
-        self.apply(snapshot, None).await
+        self.apply(snapshot.into()).await
     }
 
-    async fn apply(&self, snapshot: StoreSnapshot, row: Option<u64>) -> Result<(), FetchError> {
+    async fn apply(&self, content: PeerContent) -> Result<(), FetchError> {
         let now = self.shared.clock.now();
         let cache = &self.shared.store_cache;
-        cache.merge_from_peer(self.peer, snapshot, row, now).await?;
+        cache.merge_from_peer(self.peer, content, now).await?;
         self.shared.on_declarations_read();
         Ok(())
     }
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -3,11 +3,38 @@
 use crate::declarations_row::{StoredDeclarations, decode_body};
 use crate::store_cache::{State, StoreCache};
 use adapter::DeclarationError;
-use policy::{BackendId, ReadProof};
-use proto::{BackendRow, EvacuationOrder, StoreSnapshot, StoreVersions};
+use policy::{BackendId, CountedRow, ReadProof};
+use proto::{BackendRow, EvacuationOrder, StoreSnapshot, StoreVersions, WriterCount};
 use slog::info;
 use std::time::Duration;
 
+/// Content of the store that a peer has sent.
+#[derive(Debug)]
+pub struct PeerContent {
+    /// Versions of the tables at the peer, 0 for one that it has not sent.
+    pub versions: StoreVersions,
+    /// Declarations in their stored form, if they were sent.
+    pub declarations: Option<Vec<u8>>,
+    /// Version of the store's row that holds them, if it is known.
+    pub row: Option<u64>,
+    /// Rows of backend servers.
+    pub servers: Vec<CountedRow>,
+    /// Whether these are only the rows that are newer than what was asked with.
+    pub is_difference: bool,
+}
+
+impl From<StoreSnapshot> for PeerContent {
+    fn from(snapshot: StoreSnapshot) -> Self {
+        Self {
+            versions: snapshot.versions,
+            declarations: snapshot.declarations,
+            row: None,
+            servers: snapshot.servers.into_iter().map(Into::into).collect(),
+            is_difference: snapshot.is_difference,
+        }
+    }
+}
+
 impl StoreCache {
     /// Versions up to which peers can rely on this gateway to have the tables. What it refuses is not part of
     /// that, as they may not refuse it.
@@ -27,37 +54,42 @@
         snapshot
     }
 
-    /// As [`Self::export`], with the active declarations apart.
+    /// As [`Self::export`], with what the servers of the rows counted, and with the active declarations apart.
     pub fn export_parts(
         &self,
         peer: &StoreVersions,
-    ) -> (StoreSnapshot, Option<StoredDeclarations>) {
+    ) -> (
+        StoreSnapshot,
+        Vec<Option<WriterCount>>,
+        Option<StoredDeclarations>,
+    ) {
         let state = self.lock();
-        (state.export_rows(peer), state.declarations.clone())
+        let snapshot = state.export_rows(peer);
+        let rows = snapshot.servers.iter();
+        let counts = rows.map(|(id, ..)| state.servers.count(id)).collect();
+        (snapshot, counts, state.declarations.clone())
     }
 
-    /// Applies the content that a peer exported, for the tables that are newer there; its declarations are
-    /// those of the store's row of the version `row`, if that is known. Declarations that cannot be decoded
-    /// fail the whole, so that its version does not hide them.
+    /// Applies the content that a peer exported, for the tables that are newer there. Declarations that cannot be
+    /// decoded fail the whole, so that its version does not hide them.
     pub async fn merge_from_peer(
         &self,
         peer: &str,
-        mut snapshot: StoreSnapshot,
-        row: Option<u64>,
+        content: PeerContent,
         now: Duration,
     ) -> Result<(), DeclarationError> {
-        let declarations = match snapshot.declarations.take() {
+        let declarations = match content.declarations {
             Some(body) => Some(decode_body(body, self.declarations()).await?),
             None => None,
         };
         let mut state = self.lock();
-        let versions = snapshot.versions;
+        let versions = content.versions;
         // The row is not known then, so that any row of the store is decoded.
-        let row = row.unwrap_or_default();
+        let row = content.row.unwrap_or_default();
         info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
             "operators" => versions.operators, "own_operators" => state.versions.operators,
             "servers" => versions.servers, "own_servers" => state.versions.servers,
-            "rows" => snapshot.servers.len(), "is_difference" => snapshot.is_difference);
+            "rows" => content.servers.len(), "is_difference" => content.is_difference);
         if versions.operators > state.versions.operators {
             if let Some(decoded) = declarations {
                 self.put_in_force(&mut state, decoded, row, peer);
@@ -71,10 +103,10 @@
         }
         let known = state.versions.servers;
         if versions.servers > known {
-            let rows = snapshot.servers;
-            let last = rows.iter().map(|row| row.2).max().unwrap_or_default();
-            state.sent_servers = state.sent_servers.max(last);
-            if snapshot.is_difference {
+            let rows = content.servers;
+            let last = rows.iter().map(|row| row.revision).max();
+            state.sent_servers = state.sent_servers.max(last.unwrap_or_default());
+            if content.is_difference {
                 state.servers.on_difference(rows, known, now);
             } else {
                 // The peer may have been behind when it listed them.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -111,7 +111,7 @@
             answer_memory: AnswerMemory::new(body_budget.part(answer_bytes(buffers))),
             body_budget,
             metrics: Metrics::new()?,
-            store_cache: StoreCache::new(log.clone()),
+            store_cache: StoreCache::new(log.clone(), settings.server_heartbeat),
             fleet: Fleet::new(&settings),
             prompt_queue: PromptQueue::default(),
             waiting: SharedWaiting::default(),
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -4,10 +4,12 @@
 use crate::declarations_row::{
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
-use adapter::{Listing, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys};
+use adapter::{
+    Listing, ServerRow, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys,
+};
 use policy::{
-    BackendId, ContentHistory, DomainName, Evacuations, NewerDeclarations, ReadProof, RouteTable,
-    ServerSet, server_key,
+    BackendId, ContentHistory, CountedRow, DomainName, Evacuations, NewerDeclarations, ReadProof,
+    RouteTable, ServerSet, server_key,
 };
 use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions, era};
 use slog::{Logger, info, warn};
@@ -15,6 +17,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// Intervals between writes of a server after which the store removes its row.
+const ROW_LIFETIME_HEARTBEATS: u32 = 3;
+
 /// Active declarations, evacuated failure domains and servers, each from its newest row.
 ///
 /// Rows come from the store and from peers in any order; an older row never replaces a newer one.
@@ -52,10 +57,15 @@
 }
 
 impl StoreCache {
-    /// Creates an empty cache.
-    pub fn new(log: Logger) -> Self {
+    /// Creates an empty cache, where servers write to their rows at this interval.
+    pub fn new(log: Logger, server_heartbeat: Duration) -> Self {
+        let row_lifetime = server_heartbeat.saturating_mul(ROW_LIFETIME_HEARTBEATS);
+        let state = State {
+            servers: ServerSet::default().with_row_lifetime(row_lifetime),
+            ..State::default()
+        };
         Self {
-            state: Mutex::default(),
+            state: Mutex::new(state),
             log,
         }
     }
@@ -201,8 +211,13 @@
         for row in rows {
             let change = decode_server_row(row);
             info!(self.log, "servers: row changed"; "server" => &*row.key, "version" => row.version,
-                "change" => ?change.row);
-            state.servers.on_row(&row.key, change.row, row.version, now);
+                "change" => ?change.row, "count" => ?change.count);
+            let found = counted(row, &change);
+            if !state.servers.on_counted_row(found, now) && state.servers.is_passed_over(&row.key) {
+                info!(self.log, "servers: row passed over, it may be from before the known one";
+                    "server" => &*row.key, "version" => row.version, "count" => ?change.count,
+                    "known" => ?state.servers.count(&row.key));
+            }
             if let Some(started) = change.started {
                 state.servers.on_start(&row.key, started);
             }
@@ -217,16 +232,17 @@
         let rows = listing.rows.iter().map(|row| {
             let decoded = decode_server_row(row);
             starts.extend(decoded.started.map(|started| (&row.key, started)));
-            (row.key.clone(), decoded.row, row.version)
+            counted(row, &decoded)
         });
         let rows: Vec<_> = rows.collect();
-        let newest = rows.iter().map(|row| row.2).max().unwrap_or_default();
+        let newest = rows.iter().map(|row| row.revision).max();
+        let newest = newest.unwrap_or_default();
         let newest = newest.max(proof.revision());
         let mut state = self.lock();
         let known = state.versions.servers;
         if known > 0 {
             for row in &listing.rows {
-                if state.servers.is_newer(&row.key, row.version) {
+                if state.servers.is_newer(&row.key, row.version, now) {
                     info!(self.log, "servers: row changed"; "server" => &*row.key,
                         "version" => row.version, "change" => ?decode_server_row(row).row);
                 }
@@ -415,3 +431,12 @@
         self.servers.set_evacuated(self.evacuations.active());
     }
 }
+
+fn counted(row: &StoreRow, decoded: &ServerRow) -> CountedRow {
+    CountedRow {
+        id: row.key.clone(),
+        row: decoded.row.clone(),
+        count: decoded.count,
+        revision: row.version,
+    }
+}
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -102,7 +102,7 @@
     fn expected(&self) -> Vec<ExpectedRow> {
         let cache = &self.shared.store_cache;
         let mut rows = cache.expected_rows(&self.domains());
-        let servers = cache.expected_servers();
+        let servers = cache.expected_servers(self.shared.clock.now());
         let room = MAX_ROWS - rows.len();
         let chunks = servers.len().div_ceil(room).max(1);
         let chunk = (self.next_chunk % chunks as u64) as usize;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 mod confirmed_declarations;
 mod content_history;
 mod content_sends;
+mod counted_row;
 mod crash_evidence;
 mod crash_guard;
 mod data_evidence;
@@ -147,6 +148,7 @@
 pub use confirmed_declarations::{ConfirmedBy, ConfirmedDeclarations};
 pub use content_history::ContentHistory;
 pub use content_sends::{MAX_CONTENT_SENDS, needs_send_slot};
+pub use counted_row::CountedRow;
 pub use crash_evidence::CrashEvidence;
 pub use crash_guard::CrashGuard;
 pub use data_evidence::DataEvidence;
--- a/crates/policy/src/restored_store.rs
+++ b/crates/policy/src/restored_store.rs
@@ -11,7 +11,8 @@
 pub struct RestoredStore {
     /// The newest era that was seen.
     era: u64,
-    rewritten_at: Option<Duration>,
+    /// When that was, after others had been seen.
+    seen_at: Option<Duration>,
 }
 
 impl RestoredStore {
@@ -19,13 +20,24 @@
     pub fn on_revision(&mut self, revision: Revision, knows_rows: bool, now: Duration) {
         if era(revision) > self.era {
             self.era = era(revision);
-            self.rewritten_at = knows_rows.then_some(now + REWRITE_TIME);
+            self.seen_at = knows_rows.then_some(now);
         }
     }
 
+    /// Records a row of the era before that a peer knows and the store does not, so that the store has come back
+    /// from a copy at some time.
+    pub fn on_lost_row(&mut self, now: Duration) {
+        self.seen_at.get_or_insert(now);
+    }
+
     /// Whether rows may be missing, or be older than those that were known before.
     pub fn lacks_rows(&self, now: Duration) -> bool {
-        self.rewritten_at.is_some_and(|at| now < at)
+        now < self.rewritten_at()
+    }
+
+    /// When the store holds again what operators and servers wrote. In the past where it never came back from a copy.
+    pub fn rewritten_at(&self) -> Duration {
+        self.seen_at.map_or(Duration::ZERO, |at| at + REWRITE_TIME)
     }
 
     /// Whether a row of the revision `found` may be older than one that is known with the revision `known`.
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -1,8 +1,10 @@
 //! The backend servers, and which of them may get new requests.
 
+use crate::counted_row::CountedRow;
 use crate::restored_store::RestoredStore;
 use crate::store_reads::ReadProof;
-use proto::{BackendEntry, BackendRow, Revision};
+use proto::{BackendEntry, BackendRow, Revision, WriterCount, era};
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -13,8 +15,10 @@
 
 #[derive(Debug)]
 struct KnownServer {
-    row: BackendRow,
-    version: u64,
+    /// The last row that the server has written, or that it has none any more.
+    last: CountedRow,
+    /// The row that the store holds, if it is older than that one.
+    passed_over: Option<PassedOver>,
     /// Set if the row disappeared soon after an outage of the store and may come back; the server
     /// stays usable until this time.
     usable_until: Option<Duration>,
@@ -25,6 +29,20 @@
     started: Option<Duration>,
 }
 
+/// A row that a store holds which has come back from a copy, and that is not recorded.
+#[derive(Debug, Clone, Copy)]
+struct PassedOver {
+    revision: Revision,
+    /// When it is recorded if the store still holds it; never where the server wrote it before the known one.
+    until: Option<Duration>,
+}
+
+impl PassedOver {
+    fn holds(&self, now: Duration) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
+}
+
 /// Time after an outage of the store within which rows that expired during the outage come back.
 pub const EXPIRED_ROW_GRACE: Duration = Duration::from_millis(1_800);
 /// A removed server that said it leaves is remembered for at least this long. It ends within minutes.
@@ -34,14 +52,16 @@
 
 /// The backend servers, by the latest row of each.
 ///
-/// Load pattern: the store comes back from a copy that is some seconds old. Until operators and servers have
-/// written again what it lacks, rows that would bring a server back or take a usable one away are passed over.
+/// Load pattern: the store comes back from a copy that is some seconds old. A row that its server wrote before the
+/// known one is passed over until it is written again, however long that takes. Rows that are missing, and those of
+/// which that cannot be told, are passed over where they would bring a server back or take a usable one away, until
+/// operators and servers have had time to write again what the copy lacks.
 #[derive(Debug, Default)]
 pub struct ServerSet {
     known: HashMap<BackendId, KnownServer>,
     store: RestoredStore,
-    /// Servers with rows that were passed over.
-    passed_over: HashSet<BackendId>,
+    /// Time in which the store removes the rows of servers that write nothing.
+    row_lifetime: Duration,
     evacuated: HashSet<DomainName>,
     /// Version since which all changes of rows are known, also those of servers that came and went.
     history_start: u64,
@@ -56,51 +76,82 @@
         self.store_returned_at = Some(now);
     }
 
+    /// Sets the time in which the store removes the rows of servers that write nothing.
+    pub fn with_row_lifetime(self, row_lifetime: Duration) -> Self {
+        Self {
+            row_lifetime,
+            ..self
+        }
+    }
+
+    /// As [`Self::on_counted_row`], where it is not known what the server counted.
+    pub fn on_row(&mut self, id: &str, row: BackendRow, version: u64, now: Duration) -> bool {
+        self.on_counted_row((id.into(), row, version).into(), now)
+    }
+
     /// Records a row, unless a newer one of that server is known or it is passed over. Returns whether it was
     /// recorded.
-    pub fn on_row(&mut self, id: &str, row: BackendRow, version: u64, now: Duration) -> bool {
+    pub fn on_counted_row(&mut self, found: CountedRow, now: Duration) -> bool {
+        if found.revision == 0 {
+            return false;
+        }
         let knows_rows = !self.known.is_empty();
-        self.store.on_revision(version, knows_rows, now);
+        self.store.on_revision(found.revision, knows_rows, now);
         let grace = self.expiry_grace_end(now);
-        let known = self.known.entry(id.into()).or_insert_with(|| KnownServer {
-            row: BackendRow::Absent,
-            version: 0,
-            usable_until: None,
-            last_entry: None,
-            left_at: None,
-            started: None,
-        });
-        if version <= known.version {
+        let Some(known) = self.known.get(&found.id) else {
+            let known = KnownServer::new(found);
+            self.known.insert(known.last.id.clone(), known);
+            return true;
+        };
+        let passed_over = if found.revision > known.revision(now) {
+            let is_later_era = era(found.revision) > era(known.last.revision);
+            let until = match is_later_era {
+                true => self.passed_over_until(known, &found, now),
+                false => Some(Duration::ZERO),
+            };
+            let revision = found.revision;
+            Some(PassedOver { revision, until }).filter(|row| row.holds(now))
+        } else if known.is_lost(&found) {
+            // A peer that ran on tells what the copy lacks.
+            self.store.on_lost_row(now);
+            let until = self.stands_until(&found, &known.last);
+            let revision = known.last.revision;
+            Some(PassedOver { revision, until })
+        } else {
             return false;
-        }
-        let may_be_older = self.store.may_be_older(version, known.version, now);
-        if may_be_older && known.would_be_unlearned(&row, now) {
-            self.passed_over.insert(id.into());
+        };
+        let Some(known) = self.known.get_mut(&found.id) else {
             return false;
-        }
-        self.passed_over.remove(id);
-        known.version = version;
-        known.usable_until = match (&known.row, &row) {
-            (BackendRow::Present(entry), BackendRow::Absent) if !entry.draining => grace,
-            _ => None,
         };
-        if let BackendRow::Present(entry) = &known.row {
-            known.last_entry = Some(entry.clone());
+        let is_recorded = passed_over.is_none_or(|row| row.revision != found.revision);
+        if is_recorded {
+            known.record(found, grace);
         }
-        known.row = row;
-        true
+        known.passed_over = passed_over;
+        is_recorded
     }
 
     /// Whether a row of this server was passed over and none was recorded since, so that it has to be read again.
     pub fn is_passed_over(&self, id: &str) -> bool {
-        self.passed_over.contains(id)
+        let known = self.known.get(id);
+        known.is_some_and(|known| known.passed_over.is_some())
+    }
+
+    /// Revision that the store's row of this server has if nothing has changed; 0 for none.
+    pub fn row_revision(&self, id: &str, now: Duration) -> Revision {
+        self.known.get(id).map_or(0, |known| known.revision(now))
     }
 
     /// Whether a row of this version is newer than what is known of the server.
-    pub fn is_newer(&self, id: &str, version: u64) -> bool {
+    pub fn is_newer(&self, id: &str, version: u64, now: Duration) -> bool {
         self.known
             .get(id)
-            .is_none_or(|known| version > known.version)
+            .is_none_or(|known| version > known.revision(now))
+    }
+
+    /// What a server counted when it wrote the last row that is known.
+    pub fn count(&self, id: &str) -> Option<WriterCount> {
+        self.known.get(id)?.last.count
     }
 
     /// Records when the process of a server started, as its row states. A later start than the last one
@@ -120,25 +171,30 @@
     /// shown anything new.
     pub fn on_listing(
         &mut self,
-        rows: Vec<(BackendId, BackendRow, Revision)>,
+        rows: impl IntoIterator<Item: Into<CountedRow>>,
         proof: ReadProof,
         now: Duration,
     ) -> bool {
+        let rows: Vec<CountedRow> = rows.into_iter().map(Into::into).collect();
         let is_first = self.known.is_empty();
-        let listed: HashSet<_> = rows.iter().map(|(id, ..)| id.clone()).collect();
-        let mut last = rows.iter().map(|(.., row)| *row).max().unwrap_or_default();
+        let listed: HashSet<_> = rows.iter().map(|row| row.id.clone()).collect();
+        let mut last = rows
+            .iter()
+            .map(|row| row.revision)
+            .max()
+            .unwrap_or_default();
         let mut has_news = false;
         last = last.max(proof.revision());
         let known = self.known.iter();
         let missing = known.filter(|(id, known)| {
-            let is_shown = listed.contains(*id) || known.row == BackendRow::Absent;
-            !is_shown && proof.shows_absence(known.version)
+            let is_shown = listed.contains(*id) || known.last.row == BackendRow::Absent;
+            !is_shown && proof.shows_absence(known.last.revision)
         });
         for id in missing.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             has_news |= self.on_row(&id, BackendRow::Absent, proof.revision(), now);
         }
-        for (id, row, row_version) in rows {
-            has_news |= self.on_row(&id, row, row_version, now);
+        for row in rows {
+            has_news |= self.on_counted_row(row, now);
         }
         if has_news || is_first {
             // Servers that came and went since the last known version are in no listing.
@@ -157,12 +213,13 @@
     /// not newer than that is ignored, as the row of its removal may have been dropped.
     pub fn on_difference(
         &mut self,
-        rows: Vec<(BackendId, BackendRow, u64)>,
+        rows: impl IntoIterator<Item: Into<CountedRow>>,
         known: u64,
         now: Duration,
     ) {
-        for (id, row, version) in rows.into_iter().filter(|(.., version)| *version > known) {
-            self.on_row(&id, row, version, now);
+        let rows = rows.into_iter().map(Into::<CountedRow>::into);
+        for row in rows.filter(|row| row.revision > known) {
+            self.on_counted_row(row, now);
         }
         self.remove_tombstones(now);
     }
@@ -217,7 +274,7 @@
     pub fn rows(&self) -> impl Iterator<Item = (&BackendId, &BackendRow, u64)> {
         self.known
             .iter()
-            .map(|(id, known)| (id, &known.row, known.version))
+            .map(|(id, known)| (id, &known.last.row, known.last.revision))
     }
 
     /// Latest rows that are newer than `version`, with those of removed servers; `None` if not all removed
@@ -230,6 +287,33 @@
         is_known.then(|| self.rows().filter(move |(.., row)| *row > version))
     }
 
+    /// Until when a row of a later era than the known one is passed over, if it is; `None` for however long.
+    fn passed_over_until(
+        &self,
+        known: &KnownServer,
+        found: &CountedRow,
+        now: Duration,
+    ) -> Option<Duration> {
+        let is_removed = known.last.row == BackendRow::Absent;
+        match found.order(&known.last) {
+            Some(Ordering::Less) => self.stands_until(&known.last, found),
+            Some(Ordering::Equal) => Some(Duration::ZERO),
+            // It can be from before the removal, unless it is of another process.
+            Some(Ordering::Greater) if !is_removed || known.is_other_process(found) => {
+                Some(Duration::ZERO)
+            }
+            _ if known.would_be_unlearned(&found.row, now) => Some(self.store.rewritten_at()),
+            _ => Some(Duration::ZERO),
+        }
+    }
+
+    /// Until when a row stands in for an older one that the store holds; `None` for however long. A server whose
+    /// last row is there although it was removed is alive once nobody else can have kept the row.
+    fn stands_until(&self, row: &CountedRow, older: &CountedRow) -> Option<Duration> {
+        let is_last = row.row == BackendRow::Absent && row.count == older.count;
+        is_last.then(|| self.store.rewritten_at() + self.row_lifetime)
+    }
+
     fn expiry_grace_end(&self, now: Duration) -> Option<Duration> {
         let returned = self.store_returned_at?;
         let until = returned + EXPIRED_ROW_GRACE;
@@ -242,19 +326,60 @@
             return;
         }
         let removed = self.known.values();
-        let removed = removed.filter(|known| known.row == BackendRow::Absent);
-        let last = removed.map(|known| known.version).max();
+        let removed = removed.filter(|known| known.last.row == BackendRow::Absent);
+        let last = removed.map(|known| known.last.revision).max();
         self.history_start = self.history_start.max(last.unwrap_or(0));
         self.known.retain(|_, known| {
             let left_at = known.left_at.filter(|at| now < *at + LEFT_RETENTION);
-            known.row != BackendRow::Absent || left_at.is_some()
+            let is_held = known.passed_over.is_some_and(|row| row.holds(now));
+            known.last.row != BackendRow::Absent || left_at.is_some() || is_held
         });
-        let known = &self.known;
-        self.passed_over.retain(|id| known.contains_key(id));
     }
 }
 
 impl KnownServer {
+    fn new(last: CountedRow) -> Self {
+        Self {
+            last,
+            passed_over: None,
+            usable_until: None,
+            last_entry: None,
+            left_at: None,
+            started: None,
+        }
+    }
+
+    /// Revision that the store's row has if nothing has changed.
+    fn revision(&self, now: Duration) -> Revision {
+        let passed_over = self.passed_over.filter(|row| row.holds(now));
+        passed_over.map_or(self.last.revision, |row| row.revision)
+    }
+
+    /// Whether this row is from after the known one, though it is of an era before.
+    fn is_lost(&self, found: &CountedRow) -> bool {
+        let is_former = era(found.revision) < era(self.last.revision);
+        is_former && found.order(&self.last) == Some(Ordering::Greater)
+    }
+
+    fn is_other_process(&self, found: &CountedRow) -> bool {
+        let incarnation = |row: &CountedRow| row.count.map(|count| count.incarnation);
+        incarnation(found) != incarnation(&self.last)
+    }
+
+    fn record(&mut self, found: CountedRow, grace: Option<Duration>) {
+        let former = std::mem::replace(&mut self.last, found);
+        self.usable_until = match (&former.row, &self.last.row) {
+            (BackendRow::Present(entry), BackendRow::Absent) if !entry.draining => grace,
+            _ => None,
+        };
+        if !matches!(self.last.row, BackendRow::Present(_)) {
+            self.last.count = self.last.count.max(former.count);
+        }
+        if let BackendRow::Present(entry) = former.row {
+            self.last_entry = Some(entry);
+        }
+    }
+
     fn usable(&self, now: Duration) -> Option<&BackendEntry> {
         self.ready(now).filter(|_| self.left_at.is_none())
     }
@@ -271,7 +396,7 @@
 
     /// Entry of the server, if its row is that of a ready one.
     fn ready(&self, now: Duration) -> Option<&BackendEntry> {
-        match &self.row {
+        match &self.last.row {
             BackendRow::Present(entry) => (!entry.draining).then_some(entry),
             BackendRow::Absent => {
                 let until = self.usable_until?;
--- a/crates/policy/tests/server_eras.rs
+++ b/crates/policy/tests/server_eras.rs
@@ -1,6 +1,6 @@
 //! Servers' rows in a store that comes back from a copy some seconds old, and gives out versions again.
 
-use policy::{REWRITE_TIME, ReadProof, ServerSet};
+use policy::{BackendId, CountedRow, REWRITE_TIME, ReadProof, ServerSet};
 use proto::{BackendEntry, BackendRow, Revision, revision};
 use std::time::Duration;
 
@@ -70,7 +70,7 @@
     let version = revision(2, 5);
     let mut read = |now| {
         let is_recorded = set.on_row("x", found.clone(), version, now);
-        assert!(is_recorded || !set.is_newer("x", version) || set.is_passed_over("x"));
+        assert!(is_recorded || !set.is_newer("x", version, now) || set.is_passed_over("x"));
         port(&set, now)
     };
     let at_once = read(SEEN);
@@ -138,7 +138,7 @@
         set.on_listing(rows, up_to(revision(2, 7)), now);
     };
     // An empty table is a copy too.
-    set.on_listing(Vec::new(), up_to(revision(2, 3)), SEEN);
+    set.on_listing(Vec::<CountedRow>::new(), up_to(revision(2, 3)), SEEN);
     assert!(set.is_usable("x", SEEN) && set.is_usable("y", SEEN));
     list(&mut set, REWRITTEN - at(1));
     assert!(set.is_usable("x", REWRITTEN - at(1)) && set.is_passed_over("x"));
@@ -185,7 +185,7 @@
         SEEN,
     );
     assert!(set.is_usable("x", SEEN));
-    set.on_listing(Vec::new(), up_to(revision(2, 8)), SEEN);
+    set.on_listing(Vec::<CountedRow>::new(), up_to(revision(2, 8)), SEEN);
     assert!(!set.is_usable("x", SEEN));
 }
 
@@ -252,15 +252,19 @@
     let mut set = set(BackendRow::Absent);
     let rows = (0..5_000).map(|n| {
         (
-            format!("z-{n}").into(),
+            BackendId::from(format!("z-{n}")),
             BackendRow::Absent,
             revision(2, n + 1),
         )
     });
-    set.on_difference(rows.collect(), revision(1, 11), SEEN);
+    set.on_difference(rows, revision(1, 11), SEEN);
     set.on_row("x", ready(), revision(2, 6), SEEN);
     assert!(!set.is_usable("x", SEEN));
-    set.on_listing(Vec::new(), up_to(revision(2, 6_000)), REWRITTEN);
+    set.on_listing(
+        Vec::<CountedRow>::new(),
+        up_to(revision(2, 6_000)),
+        REWRITTEN,
+    );
     assert!(set.rows().count() < 100, "they are dropped after that");
     assert!(!set.is_passed_over("x"));
 }
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -1,6 +1,6 @@
 //! Which backend servers get new requests while rows change and the store fails.
 
-use policy::{EXPIRED_ROW_GRACE, ReadProof, ServerSet};
+use policy::{BackendId, CountedRow, EXPIRED_ROW_GRACE, ReadProof, ServerSet};
 use proto::{BackendEntry, BackendRow};
 use std::time::Duration;
 
@@ -53,7 +53,7 @@
 fn entries_that_lapsed_with_the_store_are_waited_for() {
     let mut set = set();
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), up_to(9), at(1_000));
+    set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_000));
     assert!(set.is_usable("x", at(1_000)));
     assert!(!set.is_usable("x", at(1_000) + EXPIRED_ROW_GRACE));
     set.on_row("x", entry("x", false), 10, at(2_000));
@@ -65,7 +65,7 @@
     let mut set = set();
     set.on_row("x", entry("x", true), 6, at(10));
     set.on_store_returned(at(1_000));
-    set.on_listing(Vec::new(), up_to(9), at(1_000));
+    set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_000));
     assert!(!set.is_usable("x", at(1_000)));
 }
 
@@ -133,7 +133,7 @@
         let id = format!("gone-{n}");
         set.on_row(&id, entry(&id, false), version, at(10));
     }
-    set.on_listing(Vec::new(), up_to(6_000), at(20));
+    set.on_listing(Vec::<CountedRow>::new(), up_to(6_000), at(20));
     assert!(set.rows().count() < 5_000, "the others are dropped");
     set.on_row("x", entry("x", false), 6_001, at(60_000));
     assert!(!set.is_usable("x", at(60_000)));
@@ -199,8 +199,14 @@
 fn a_difference_brings_no_older_row_back() {
     let mut set = set();
     set.on_row("x", BackendRow::Absent, 9, at(10));
-    let rows = (0..5_000).map(|n| (format!("z-{n}").into(), BackendRow::Absent, 10 + n));
-    set.on_difference(rows.collect(), 9, at(20));
+    let rows = (0..5_000).map(|n| {
+        (
+            BackendId::from(format!("z-{n}")),
+            BackendRow::Absent,
+            10 + n,
+        )
+    });
+    set.on_difference(rows, 9, at(20));
     assert_eq!(
         changed_since(&set, 9),
         None,
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -29,6 +29,7 @@
 mod store_content;
 mod timeline;
 mod waiting;
+mod writer_count;
 
 pub use codec::{CodecError, FrameReader, MAX_FRAME_BYTES, PROTOCOL_VERSION, encode};
 pub use confirmation::{ClockReading, Confirmation, ConfirmationReport, Confirmed};
@@ -62,3 +63,4 @@
 };
 pub use timeline::{Event, EventKind, HybridClock, Stamp};
 pub use waiting::{ReportedPrompt, ServiceKey, ServiceQueue, TeamKey, TeamPrefill, WaitingFrame};
+pub use writer_count::WriterCount;
--- a/crates/proto/src/store_content.rs
+++ b/crates/proto/src/store_content.rs
@@ -4,6 +4,7 @@
 use crate::codec::CodecError;
 use crate::load::{BackendRow, StoreVersions};
 use crate::revision::Revision;
+use crate::writer_count::WriterCount;
 use serde::{Deserialize, Deserializer, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -72,6 +73,10 @@
     /// Orders of evacuation with their revisions, also removed ones. Frames of earlier builds end before them.
     #[serde(deserialize_with = "none_if_absent")]
     pub orders: Option<Vec<EvacuationOrder>>,
+    /// What the server of each of the rows that follow counted when it wrote it, in their order. Frames of earlier builds end
+    /// before it.
+    #[serde(deserialize_with = "none_if_absent")]
+    pub counts: Option<Vec<Option<WriterCount>>>,
 }
 
 /// An order of operators to evacuate a failure domain, or its removal.
--- a/crates/proto/tests/content_frames.rs
+++ b/crates/proto/tests/content_frames.rs
@@ -1,8 +1,9 @@
 //! Sizes of the frames that carry the content of the store between gateways.
 
 use proto::{
-    BackendEntry, BackendRow, CONTENT_PAGE_ROWS, CONTENT_PIECE_BYTES, ContentFrame, ContentRequest,
-    FrameReader, PartialDeclarations, ServerRow, StoreVersions, StreamOpening, encode,
+    BackendEntry, BackendRow, CONTENT_PAGE_ROWS, CONTENT_PIECE_BYTES, ContentFrame, ContentHead,
+    ContentRequest, DeclarationsHead, EvacuationOrder, FrameReader, PartialDeclarations, ServerRow,
+    StoreVersions, StreamOpening, WriterCount, encode,
 };
 
 /// Limit on a frame of the transfer, with its header. What a gateway buffers for a transfer beyond the
@@ -60,3 +61,98 @@
     };
     assert_eq!(place(&StreamOpening::StoreContent(request)), 12);
 }
+
+/// Heads of the builds before orders of evacuation, before counts, and of the present one.
+mod earlier {
+    use super::{DeclarationsHead, EvacuationOrder, StoreVersions};
+    use serde::{Deserialize, Serialize};
+
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    pub enum Frame<T> {
+        Head(T),
+    }
+
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    pub struct First {
+        pub versions: StoreVersions,
+        pub evacuated: Vec<Box<str>>,
+        pub rows: u64,
+        pub is_difference: bool,
+        pub declarations: Option<DeclarationsHead>,
+    }
+
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    pub struct WithOrders {
+        pub first: First,
+        pub orders: Option<Vec<EvacuationOrder>>,
+    }
+}
+
+fn reread<A: serde::Serialize, B: serde::de::DeserializeOwned>(frame: &A) -> B {
+    let mut reader = FrameReader::default();
+    reader.push(&encode(frame).unwrap());
+    reader.next_frame().unwrap().unwrap()
+}
+
+/// Operators replace gateways one by one, so that builds before and after exchange heads for a while.
+#[test]
+fn heads_of_earlier_builds_are_read_and_read_by_them() {
+    let first = || earlier::First {
+        versions: StoreVersions {
+            operators: 7,
+            servers: 8,
+        },
+        evacuated: vec!["a".into()],
+        rows: 2,
+        is_difference: true,
+        declarations: None,
+    };
+    let orders = || {
+        Some(vec![EvacuationOrder {
+            domain: "a".into(),
+            is_active: true,
+            version: 6,
+        }])
+    };
+    let counts = Some(vec![
+        None,
+        Some(WriterCount {
+            incarnation: 1_700_000_000_000,
+            sequence: 4,
+        }),
+    ]);
+    let head = |orders, counts| {
+        let first = first();
+        ContentFrame::Head(ContentHead {
+            versions: first.versions,
+            evacuated: first.evacuated,
+            rows: first.rows,
+            is_difference: first.is_difference,
+            declarations: None,
+            orders,
+            counts,
+        })
+    };
+    let present = head(orders(), counts);
+    let with_orders = || earlier::WithOrders {
+        first: first(),
+        orders: orders(),
+    };
+    assert_eq!(
+        reread::<_, ContentFrame>(&earlier::Frame::Head(first())),
+        head(None, None)
+    );
+    assert_eq!(
+        reread::<_, ContentFrame>(&earlier::Frame::Head(with_orders())),
+        head(orders(), None)
+    );
+    assert_eq!(
+        reread::<_, earlier::Frame<earlier::First>>(&present),
+        earlier::Frame::Head(first())
+    );
+    assert_eq!(
+        reread::<_, earlier::Frame<earlier::WithOrders>>(&present),
+        earlier::Frame::Head(with_orders())
+    );
+    assert_eq!(reread::<_, ContentFrame>(&present), present);
+}
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -8,10 +8,14 @@
 use serde_json::{Value, json};
 use standins::{PlatformServer, PlatformStore, ServerKind, StandinServer};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Start that the servers of a rig state, in ms since the Unix epoch.
+const SERVERS_START_MS: u64 = 1_790_000_000_000;
+
 /// Content of the store's row of a backend server.
 pub(crate) fn registration(domain: &str, service: &str, address: SocketAddr, state: &str) -> Value {
     json!({
@@ -30,6 +34,8 @@
     pub gateway: DirectGateway,
     /// Prompt tokens that callers state in their requests.
     pub prompt: u64,
+    /// Rows of servers that were written, which each row counts as its server does.
+    written_rows: AtomicU64,
     directory: TempDir,
 }
 
@@ -68,6 +74,7 @@
             store,
             gateway,
             prompt: 1_000,
+            written_rows: AtomicU64::new(0),
             directory,
         })
     }
@@ -135,7 +142,9 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let row = registration(domain, service, address, state);
+        let mut row = registration(domain, service, address, state);
+        row["born"] = SERVERS_START_MS.into();
+        row["Sequence"] = self.written_rows.fetch_add(1, Ordering::Relaxed).into();
         self.store.standin().put("servers", name, &row);
     }
 
--- a/crates/trials/tests/store_drills.rs
+++ b/crates/trials/tests/store_drills.rs
@@ -18,6 +18,8 @@
 const AWAY: Duration = Duration::from_millis(500);
 /// Time after its return until everything is written again.
 const REWRITTEN: Duration = Duration::from_secs(1);
+/// The same where a writer needs long. Later than rows that are missing altogether are taken for gone.
+const REWRITTEN_LATE: Duration = Duration::from_millis(4_000);
 /// Time within which a server is used whose row was passed over: until all is written again, and a check.
 const RESTARTED: Duration = Duration::from_secs(4);
 /// Time for which answers are watched after that.
@@ -241,6 +243,25 @@
     });
 }
 
+/// A change that the copy lacks, in a row that it has as it was before, and that is written again after `drills`
+/// drills, late after the last one.
+fn across_for_long(change: Change, drills: usize) {
+    run(&change, async |drill| {
+        let copy = drill.trial.store().copy();
+        (change.make)(drill);
+        drill.comes_into_force(&change, Instant::now()).await;
+        for _ in 1..drills {
+            drill.restore(copy.clone()).await;
+        }
+        let restored = drill.restore(copy);
+        let watched = drill.stays_in_force(&change, 2, AWAY + REWRITTEN_LATE);
+        futures_lite::future::zip(restored, watched).await;
+        (change.make)(drill);
+        drill.stays_in_force(&change, 2, STABLE).await;
+        drill.comes_into_force(&change, Instant::now()).await;
+    });
+}
+
 macro_rules! drills {
     ($($name:ident: $run:ident, $change:ident, $drills:expr;)*) => {$(
         #[test]
@@ -269,6 +290,10 @@
     a_draining_server_stays_out_across_two_drills: across, DRAINED, 2;
     a_server_that_started_stays_across_two_drills: across, STARTED, 2;
     an_evacuated_domain_stays_out_across_two_drills: across, ORDERED, 2;
+    a_draining_server_stays_out_until_its_row_is_written_again: across_for_long, DRAINED, 1;
+    a_draining_server_stays_out_until_its_row_is_written_again_after_two_drills: across_for_long, DRAINED, 2;
+    a_revoked_key_stays_revoked_until_it_is_written_again: across_for_long, REVOKED, 1;
+    a_moved_route_stays_moved_until_it_is_written_again: across_for_long, MOVED, 1;
 }
 
 /// The copy still has the order, which holds until it is taken back again.
