Gateways ask two peers for what they know once the store has come back

Callers: a gateway that was frozen over a change and over the store's return from a copy went on serving a withdrawn key, a moved route, and servers that drained or were removed, for as long as nobody had written the change again, beside a gateway that knew it. Found by looking for the cause of the start in a drill on related paths.

Cause: a gateway that reaches the store takes nothing from peers unless their tables are newer for 1.4 s. After a drill the tables of all are the copy's, and what peers know beyond them is in no version.

Change: with each later era every gateway asks two peers, at random within 0.2 s, for all that they know, as one that starts does. Rows count by what their writers count, so that any peer may be asked. Two questions for each gateway: nothing grows with gateways squared.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -2,12 +2,12 @@
 
 use crate::blocked_rows;
 use crate::front::Frontend;
+use crate::lost_rows::learn_lost_rows;
 use crate::peers::{GatewayTableHandler, Peers};
 use crate::prompt_queue::PromptQueue;
 use crate::server_failure;
 use crate::shared::Shared;
 use crate::stalls::watch_stalls;
-use crate::start::learn_from_peers;
 use crate::store_check::check_store;
 use crate::store_watch::{OperatorTableHandler, ServerTableHandler, watch};
 use crate::waiting_news::broadcast_waiting;
@@ -199,7 +199,7 @@
     *lock(&joined) = Some(peers.clone());
     shared.executor.detach(peers.clone().broadcast_load());
     shared.executor.detach(broadcast_waiting(peers.clone()));
-    shared.executor.detach(learn_from_peers(peers.clone()));
+    shared.executor.detach(learn_lost_rows(peers.clone()));
     watch(shared, store, GatewayTableHandler(peers)).await;
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::stream_buffers::StreamBuffers;
 use crate::waiting_news::SharedWaiting;
 use adapter::{HostSettings, Store, StoreTable};
+use async_channel::{Receiver, Sender};
 use policy::{
     CallTimes, ConfirmedDeclarations, Drain, RestoredStore, RunningChecks, StartHold,
     StoreFallback, StoreReads, answer_bytes, buffer_bytes, is_store_reached,
@@ -83,6 +84,8 @@
     store_era: Mutex<Option<u64>>,
     restored: Mutex<RestoredStore>,
     start_hold: Mutex<StartHold>,
+    /// Has a message once the store has come back from a copy.
+    restored_signal: (Sender<()>, Receiver<()>),
     /// Whether reads of the store are known to be behind.
     reads_behind: AtomicBool,
     store_fallback: Mutex<StoreFallback>,
@@ -136,6 +139,7 @@
             store_era: Mutex::default(),
             restored: Mutex::default(),
             start_hold: Mutex::default(),
+            restored_signal: async_channel::bounded(1),
             reads_behind: AtomicBool::new(false),
             store_fallback: Mutex::new(StoreFallback::new(&settings.name)),
             falls_back: AtomicBool::new(false),
@@ -292,6 +296,8 @@
             .on_revision(revision(era, 1), is_restored, self.clock.now());
         if is_restored {
             self.on_era();
+            // A full channel already holds a message.
+            let _ = self.restored_signal.0.try_send(());
             self.metrics.store_restored();
             warn!(self.log, "store: has come back from a copy"; "era" => era, "before" => before);
         }
@@ -320,6 +326,11 @@
         self.lock_restored().lacks_rows(self.clock.now())
     }
 
+    /// Gets a message each time that the store has come back from a copy.
+    pub fn restored(&self) -> Receiver<()> {
+        self.restored_signal.1.clone()
+    }
+
     /// Whether this process has just started, and knows no more than the store has told it.
     pub fn is_starting(&self) -> bool {
         self.lock_start_hold().is_starting(self.clock.now())
--- a/crates/trials/tests/store_drills/main.rs
+++ b/crates/trials/tests/store_drills/main.rs
@@ -22,6 +22,9 @@
 const REWRITTEN: Duration = Duration::from_secs(1);
 /// The same where a writer needs long. Later than rows that are missing altogether are taken for gone.
 const REWRITTEN_LATE: Duration = Duration::from_millis(4_000);
+/// From the return of the store until a frozen gateway goes on, and for how long its answers are watched then.
+const THAWED: Duration = Duration::from_millis(300);
+const MISSED: Duration = Duration::from_millis(1_500);
 /// Time within which a server is used whose row was passed over: until all is written again, and a check.
 const RESTARTED: Duration = Duration::from_secs(4);
 /// Time for which answers are watched after that.
@@ -421,6 +424,42 @@
     a_frozen_gateway_hears_of_a_revoked_key: REVOKED, true;
 }
 
+/// A gateway that was frozen over a change and the drill goes on after the return, and the change is written again
+/// late. It hears of it from the one that ran on.
+fn missed(change: Change) {
+    run(&change, async |drill| {
+        let copy = drill.trial.store().copy();
+        let process = &drill.trial.gateways[1].process;
+        process.freeze().unwrap();
+        (change.make)(drill);
+        drill.wait_for(0, &change, change.answers.1).await;
+        drill.restore(copy).await;
+        drill.sleep(THAWED).await;
+        process.thaw().unwrap();
+        drill.sleep(change.bound).await;
+        drill.stays_in_force(&change, 2, MISSED).await;
+        (change.make)(drill);
+        drill.stays_in_force(&change, 2, STABLE).await;
+        drill.comes_into_force(&change, Instant::now()).await;
+    });
+}
+
+macro_rules! missed {
+    ($($name:ident: $change:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            missed($change);
+        }
+    )*};
+}
+
+missed! {
+    a_frozen_gateway_hears_of_a_draining_server_that_the_copy_lacks: DRAINED;
+    a_frozen_gateway_hears_of_a_removed_server_that_the_copy_lacks: REMOVED;
+    a_frozen_gateway_hears_of_a_revoked_key_that_the_copy_lacks: REVOKED;
+    a_frozen_gateway_hears_of_a_moved_route_that_the_copy_lacks: MOVED;
+}
+
 /// A gateway that starts between the return of the store and the time when all is written again.
 #[test]
 fn a_gateway_that_starts_in_a_drill_serves_what_is_written_again() {
