The time in which rows may be written again begins once rows of both eras are known

Callers: of three gateways that started in a drill, one served a removed server again 3.5 s after the store's return, while the others left it out (store_drills starts::a_removed_server_that_is_written_again_later, 1 of 3 runs beside other work).

Cause: that gateway heard of the removal, with its revision of the former era, beside rows of the present one. The present era was the first that it saw, so that no drill counted as begun, and the time in which the last row may lapse was counted from the start of the process. Orders of evacuation that a peer knows and the copy lacks were taken back at once.

Change: RestoredStore counts a drill as begun, at the latest, when rows of two eras meet.

Evidence: policy server_counts the_time_in_which_a_row_may_lapse_begins_once_both_eras_are_seen and evacuations an_order_that_a_peer_knows_is_not_taken_back_at_once failed before and pass; store_drills starts:: 16 of 16 (debug).

--- a/crates/policy/src/evacuations.rs
+++ b/crates/policy/src/evacuations.rs
@@ -2,7 +2,7 @@
 
 use crate::restored_store::RestoredStore;
 use crate::server_set::DomainName;
-use proto::{EvacuationOrder, Revision};
+use proto::{EvacuationOrder, Revision, era};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -36,6 +36,9 @@
         let knows_rows = !self.known.is_empty();
         self.store.on_revision(version, knows_rows, now);
         if let Some(known) = self.known.get(&domain) {
+            if era(version) != era(known.version) {
+                self.store.on_several_eras(now);
+            }
             let takes_back = known.is_active && !is_active;
             let may_be_older = self.store.may_be_older(version, known.version, now);
             if version <= known.version || takes_back && may_be_older {
--- a/crates/policy/src/restored_store.rs
+++ b/crates/policy/src/restored_store.rs
@@ -24,9 +24,8 @@
         }
     }
 
-    /// Records a row of the era before that a peer knows and the store does not, so that the store has come back
-    /// from a copy at some time.
-    pub fn on_lost_row(&mut self, now: Duration) {
+    /// Records that rows of several eras are known, so that the store has come back from a copy, at the latest now.
+    pub fn on_several_eras(&mut self, now: Duration) {
         self.seen_at.get_or_insert(now);
     }
 
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -103,6 +103,9 @@
             self.known.insert(known.last.id.clone(), known);
             return true;
         };
+        if era(found.revision) != era(known.last.revision) {
+            self.store.on_several_eras(now);
+        }
         let passed_over = if found.revision > known.revision(now) {
             let is_later_era = era(found.revision) > era(known.last.revision);
             let until = match is_later_era {
@@ -113,7 +116,6 @@
             Some(PassedOver { revision, until }).filter(|row| row.holds(now))
         } else if known.is_lost(&found) {
             // A peer that ran on tells what the copy lacks.
-            self.store.on_lost_row(now);
             let until = self.stands_until(&found, &known.last);
             let revision = known.last.revision;
             Some(PassedOver { revision, until })
--- a/crates/policy/tests/evacuations.rs
+++ b/crates/policy/tests/evacuations.rs
@@ -54,3 +54,15 @@
     assert!(!evacuations.on_order("a".into(), false, revision(2, 5), SEEN));
     assert_eq!(evacuations.row("a"), revision(1, 11));
 }
+
+/// A gateway that has started knows orders of the copy, and hears from a peer of one that the copy lacks.
+#[test]
+fn an_order_that_a_peer_knows_is_not_taken_back_at_once() {
+    let mut evacuations = Evacuations::default();
+    evacuations.on_order("b".into(), true, revision(2, 3), SEEN);
+    evacuations.on_order("a".into(), true, revision(1, 50), SEEN);
+    for (now, is_active) in [(SEEN, true), (REWRITTEN, false)] {
+        evacuations.on_order("a".into(), false, revision(2, 5), now);
+        assert_eq!(evacuations.active().contains("a"), is_active);
+    }
+}
--- a/crates/policy/tests/server_counts.rs
+++ b/crates/policy/tests/server_counts.rs
@@ -176,6 +176,28 @@
     assert!(set.is_usable("x", LAPSED));
 }
 
+/// A gateway that has started heard of the removal first, beside rows of the present era, and counted the time in which
+/// the row may lapse from its own start.
+#[test]
+fn the_time_in_which_a_row_may_lapse_begins_once_both_eras_are_seen() {
+    let mut set = ServerSet::default().with_row_lifetime(LIFETIME);
+    let mut other = row(Ready, (0, 0), revision(2, 4));
+    other.id = "y".into();
+    set.on_counted_row(other, SEEN);
+    let last = row(Ready, (0, 4), revision(2, 5));
+    let removed = CountedRow {
+        count: last.count,
+        ..row(Absent, (0, 4), revision(1, 51))
+    };
+    set.on_counted_row(removed, SEEN);
+    for now in [SEEN, LAPSED - MS] {
+        set.on_counted_row(last.clone(), now);
+        assert!(!set.is_usable("x", now));
+    }
+    set.on_counted_row(last, LAPSED);
+    assert!(set.is_usable("x", LAPSED));
+}
+
 #[test]
 fn an_earlier_row_of_the_era_before_changes_nothing() {
     let mut set = ServerSet::default();
