A gateway that starts hears of request limits and blocked requests before it serves

Callers: a gateway that started in a drill was ready before it knew which requests crash servers, as the copy lacked their rows, and which limits servers had named to others. It would have sent such requests on until its peers had found its row and opened their streams, up to a second later.

Cause: the question with which a gateway starts brought the content of the store alone; what peers know beside it comes on streams that the peers open.

Change: the answer to a first question has all limits, and all that is known of crashes, behind its head. Earlier builds do not ask so, and pass over the field that does.

Evidence: store_drills starts::a_blocked_request_that_the_copy_lacks and a_request_limit_that_another_gateway_was_told failed before and pass; starts:: 18 of 18, proto content_frames 5 (debug).

--- a/crates/direct/src/content_stream.rs
+++ b/crates/direct/src/content_stream.rs
@@ -1,16 +1,19 @@
 //! Transfer of the store's content from a peer: rows of servers in pages, then declarations as scripts
 //! from those that the receiver has, or whole in pieces that can be continued.
 
+use crate::crash_guard::CrashNews;
 use crate::declarations_row::StoredDeclarations;
+use crate::news_stream::PeerNews as _;
 use crate::peer_content::PeerContent;
+use crate::request_limit::LimitNews;
 use crate::send_slots::SendSlot;
 use crate::shared::Shared;
 use adapter::DeclarationError;
 use policy::{CountedRow, PartialContent, apply_script, continued_offset, needs_send_slot};
 use proto::{
     CONTENT_PAGE_ROWS, CONTENT_PIECE_BYTES, ContentDigest, ContentFrame, ContentHead,
-    ContentRequest, DeclarationsForm, DeclarationsHead, StoreSnapshot, StoreVersions,
-    StreamOpening, content_digest, decode_scripts, encode_scripts,
+    ContentRequest, DeclarationsForm, DeclarationsHead, RequestLimitFrame, StoreSnapshot,
+    StoreVersions, StreamOpening, content_digest, decode_scripts, encode_scripts,
 };
 use quick_error::quick_error;
 use runtime::{FrameReceiver, FrameSender, LinkEndpoint, LinkError, Role, timeout};
@@ -101,6 +104,14 @@
         is_starting: Some(shared.is_starting()),
     };
     tx.send(&ContentFrame::Head(head)).await?;
+    if req.is_first {
+        let (limits, _) = LimitNews::changed_since(shared, None);
+        let limits = limits.unwrap_or(RequestLimitFrame { limits: Vec::new() });
+        tx.send(&ContentFrame::Limits(limits)).await?;
+        let (crashes, _) = CrashNews::changed_since(shared, None);
+        tx.send(&ContentFrame::Crashes(crashes.unwrap_or_default()))
+            .await?;
+    }
     for page in snapshot.servers.chunks(CONTENT_PAGE_ROWS) {
         tx.send(&ContentFrame::Rows(page.to_vec())).await?;
     }
@@ -186,6 +197,7 @@
             versions,
             declarations,
             partial: lock(partial).known(),
+            is_first: self.is_first,
         };
         let opening = StreamOpening::StoreContent(request);
         let (_tx, mut rx) = link.open(address, Role::Gateway, &opening).await?;
@@ -234,6 +246,10 @@
         if self.is_first && head.is_starting == Some(true) {
             return Err(FetchError::Starting);
         }
+        // An earlier build does not state whether it has just started, nor send what follows.
+        if self.is_first && head.is_starting.is_some() {
+            self.receive_news(rx).await?;
+        }
         // Orders come first, as large declarations take time.
         let cache = &self.shared.store_cache;
         cache.on_peer_orders(head.orders.unwrap_or_default(), self.shared.clock.now());
@@ -281,6 +297,19 @@
         self.apply(operators).await
     }
 
+    /// Receives what the peer knows beside the content of the store.
+    async fn receive_news(&self, rx: &mut FrameReceiver) -> Result<(), FetchError> {
+        match self.frame(rx, "limits").await? {
+            ContentFrame::Limits(limits) => LimitNews::on_frame(self.shared, self.peer, limits),
+            _ => return Err(FetchError::Unexpected("limits")),
+        }
+        match self.frame(rx, "crashes").await? {
+            ContentFrame::Crashes(crashes) => CrashNews::on_frame(self.shared, self.peer, crashes),
+            _ => return Err(FetchError::Unexpected("crashes")),
+        }
+        Ok(())
+    }
+
     async fn declarations(
         &self,
         rx: &mut FrameReceiver,
--- a/crates/proto/src/store_content.rs
+++ b/crates/proto/src/store_content.rs
@@ -2,7 +2,8 @@
 //! declarations in pieces or as differences.
 
 use crate::codec::CodecError;
-use crate::load::{BackendRow, StoreVersions};
+use crate::crash::CrashFrame;
+use crate::load::{BackendRow, RequestLimitFrame, StoreVersions};
 use crate::revision::Revision;
 use crate::writer_count::WriterCount;
 use serde::{Deserialize, Deserializer, Serialize};
@@ -32,6 +33,14 @@
     pub declarations: Option<ContentDigest>,
     /// Declarations of which it has the first part, from a transfer that broke off.
     pub partial: Option<PartialDeclarations>,
+    /// Whether it asks for all that the peer knows, also of what servers and prompts did. Frames of earlier builds
+    /// end before it.
+    #[serde(deserialize_with = "false_if_absent")]
+    pub is_first: bool,
+}
+
+fn false_if_absent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<bool, D::Error> {
+    Ok(bool::deserialize(deserializer).unwrap_or_default())
 }
 
 /// The first part of some declarations.
@@ -55,6 +64,10 @@
     /// The sender sends to as many peers as it can; instead of the declarations, which are asked for again
     /// later or elsewhere.
     Busy,
+    /// All request limits that the sender knows, after the head of an answer to a first request.
+    Limits(RequestLimitFrame),
+    /// The same for prompts and requests that crash servers, after the limits.
+    Crashes(CrashFrame),
 }
 
 /// What a peer sends in answer to a [`ContentRequest`].
--- a/crates/proto/tests/content_frames.rs
+++ b/crates/proto/tests/content_frames.rs
@@ -58,6 +58,7 @@
             digest: u128::MAX,
             bytes: 9,
         }),
+        is_first: true,
     };
     assert_eq!(place(&StreamOpening::StoreContent(request)), 12);
 }
@@ -157,3 +158,26 @@
     );
     assert_eq!(reread::<_, ContentFrame>(&present), present);
 }
+
+#[test]
+fn requests_of_earlier_builds_are_read_and_read_by_them() {
+    let earlier = || {
+        (
+            StoreVersions::default(),
+            Some(1_u128),
+            None::<PartialDeclarations>,
+        )
+    };
+    let (versions, declarations, partial) = earlier();
+    let present = |is_first| ContentRequest {
+        versions,
+        declarations,
+        partial,
+        is_first,
+    };
+    assert_eq!(reread::<_, ContentRequest>(&earlier()), present(false));
+    assert_eq!(
+        reread::<_, (StoreVersions, Option<u128>, Option<PartialDeclarations>)>(&present(true)),
+        earlier()
+    );
+}
--- a/crates/trials/tests/store_drills/starts.rs
+++ b/crates/trials/tests/store_drills/starts.rs
@@ -84,6 +84,54 @@
     });
 }
 
+/// A gateway that starts in a drill is ready only once it knows what another one does that `tell` was told, and that the
+/// store does not have. `metric` is its line then.
+fn knows_once_ready(tell: impl AsyncFnOnce(&Drill), metric: &str) {
+    run_with(1, &DRAINED, async |drill| {
+        let trial = drill.trial;
+        let copy = trial.store().copy();
+        let knows = async |gateway: &DirectGateway| {
+            let page = gateway.metrics().await;
+            page.is_ok_and(|page| page.contains(metric))
+        };
+        tell(drill).await;
+        let other = &trial.gateways[0];
+        assert!(trial.rig.wait_until(async || knows(other).await).await);
+        let gateways = zip(drill.restore(copy), async {
+            drill.sleep(IN_IT.start / 2).await;
+            start_gateways(drill)
+        });
+        let ((), gateways) = gateways.await;
+        for gateway in &gateways {
+            assert!(
+                trial
+                    .rig
+                    .wait_until(async || gateway.is_ready().await)
+                    .await
+            );
+            assert!(knows(gateway).await, "{}", gateway.process.log_tail());
+        }
+    });
+}
+
+#[test]
+fn a_blocked_request_that_the_copy_lacks() {
+    let block = async |drill: &Drill| {
+        let store = drill.trial.store();
+        store.put("bergamothold", "request/1f", &serde_json::json!({}));
+    };
+    knows_once_ready(block, "bergamothold_direct_blocked_requests 1");
+}
+
+#[test]
+fn a_request_limit_that_another_gateway_was_told() {
+    let limit = async |drill: &Drill| {
+        drill.server.standin().set_request_limit(Some(1_000.0));
+        drill.ask(0, &DRAINED).await;
+    };
+    knows_once_ready(limit, "bergamothold_direct_limited_servers 1");
+}
+
 fn start_gateways(drill: &Drill) -> Vec<DirectGateway> {
     let rig = &drill.trial.rig;
     let store = rig.store.local_addr();
