soak: a store that comes back from copies, beside gateways that are killed and frozen

The mix unread has drills (--drills 1): after half of its changes the store is copied, changes go on for up to 6 s, the store is away for up to 1.5 s and comes back from the copy, and what that lacks is written again within 1.8 s. Servers' rows state what they count in all rigs.

--- a/crates/trials/examples/direct-soak.rs
+++ b/crates/trials/examples/direct-soak.rs
@@ -140,6 +140,11 @@
             "0",
             "1 for listings that are behind, mix unread",
         ))
+        .arg(flag(
+            "drills",
+            "0",
+            "1 for a store that comes back from copies, mix unread",
+        ))
         .arg(choice(
             "comparisons",
             COMPARISONS,
@@ -213,6 +218,7 @@
         server_changes: value(matches, "server-changes") > 0,
         late: value(matches, "late") as usize,
         behind: value(matches, "behind") > 0,
+        drills: value(matches, "drills") > 0,
         comparisons: match matches.get_one::<String>("comparisons").map(String::as_str) {
             Some("exact") => Some(Comparisons::Exact),
             Some("refused") => Some(Comparisons::Refused),
--- a/crates/trials/src/direct_rig.rs
+++ b/crates/trials/src/direct_rig.rs
@@ -13,14 +13,18 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Start that the servers of a rig state, in ms since the Unix epoch.
+/// Start that all servers state, in ms since the Unix epoch.
 const SERVERS_START_MS: u64 = 1_790_000_000_000;
 
-/// Content of the store's row of a backend server.
+/// Rows of servers that were written, which each further one counts as its server does.
+static WRITTEN_ROWS: AtomicU64 = AtomicU64::new(0);
+
+/// Content of the next row of a backend server.
 pub(crate) fn registration(domain: &str, service: &str, address: SocketAddr, state: &str) -> Value {
     json!({
         "Service": service, "Address": address, "Zone": domain, "Version": "v1", "Slots": 4,
-        "State": state, "ColdRemainingMs": 0, "Sequence": 1
+        "State": state, "ColdRemainingMs": 0, "born": SERVERS_START_MS,
+        "Sequence": WRITTEN_ROWS.fetch_add(1, Ordering::Relaxed)
     })
 }
 
@@ -34,8 +38,6 @@
     pub gateway: DirectGateway,
     /// Prompt tokens that callers state in their requests.
     pub prompt: u64,
-    /// Rows of servers that were written, which each row counts as its server does.
-    written_rows: AtomicU64,
     directory: TempDir,
 }
 
@@ -74,7 +76,6 @@
             store,
             gateway,
             prompt: 1_000,
-            written_rows: AtomicU64::new(0),
             directory,
         })
     }
@@ -142,9 +143,7 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let mut row = registration(domain, service, address, state);
-        row["born"] = SERVERS_START_MS.into();
-        row["Sequence"] = self.written_rows.fetch_add(1, Ordering::Relaxed).into();
+        let row = registration(domain, service, address, state);
         self.store.standin().put("servers", name, &row);
     }
 
--- a/crates/trials/src/soak_unread.rs
+++ b/crates/trials/src/soak_unread.rs
@@ -45,6 +45,12 @@
 const BETWEEN_CHANGES_MS: std::ops::Range<u64> = 0..400;
 /// Longest time for which listings are behind, with the silence in which that begins.
 const LONGEST_BEHIND: Duration = Duration::from_secs(11);
+/// A drill follows this part of the changes. Milliseconds from the copy until the store is away, for which it is away, and
+/// until all that the copy lacks is written again.
+const DRILL_SHARE: f64 = 0.5;
+const COPY_AGE_MS: std::ops::Range<u64> = 500..6_000;
+const AWAY_MS: std::ops::Range<u64> = 200..1_500;
+const REWRITE_MS: std::ops::Range<u64> = 0..1_800;
 /// Time without faults after the last one.
 const LAST_CALM: Duration = Duration::from_secs(6);
 const MAX_LOG_LINES: usize = 4;
@@ -78,6 +84,8 @@
     pub behind: bool,
     /// How the store answers comparisons; drawn once if it is not set.
     pub comparisons: Option<Comparisons>,
+    /// Whether the store comes back from copies now and then.
+    pub drills: bool,
 }
 
 /// Runs a soak of unread changes to its end. Fails if a process or a stand-in cannot be started or signalled;
@@ -170,7 +178,9 @@
         },
         fleet,
         withdrawals: Vec::new(),
+        states: vec![Some("ready"); fleet.servers.len()],
         reads,
+        drills: SmallRng::seed_from_u64(seed.wrapping_mul(41)),
     };
     figures.faults = operator.work(plan, end).await;
     for task in probes {
@@ -244,7 +254,11 @@
     versions: Versions<'a>,
     fleet: &'a SoakFleet,
     withdrawals: Vec<Withdrawal>,
+    /// State in the row of each server; none without a row.
+    states: Vec<Option<&'static str>>,
     reads: ReadFaults,
+    /// Random numbers for drills, apart from the others as above.
+    drills: SmallRng,
 }
 
 impl Operator<'_> {
@@ -255,6 +269,9 @@
         while Instant::now() < end {
             self.change_quietly(plan).await;
             count += 1;
+            if plan.drills && self.drills.random_bool(DRILL_SHARE) {
+                self.drill(plan).await;
+            }
             let pause = self.rng().random_range(shortest..=longest);
             Timer::after(pause).await;
         }
@@ -308,6 +325,62 @@
         drop(behind);
     }
 
+    /// Lets the store come back from a copy, which lacks changes, and writes these again.
+    async fn drill(&mut self, plan: UnreadPlan) {
+        let copy = self.store().copy();
+        let [age, away, rewrite] = [COPY_AGE_MS, AWAY_MS, REWRITE_MS]
+            .map(|range| Duration::from_millis(self.drills.random_range(range)));
+        self.change_rows(plan.server_changes).await;
+        Timer::after(age).await;
+        let gateways = self.fleet.gateways.iter();
+        let upsets = gateways.map(|gateway| gateway.upsets.begin(UpsetKind::Link));
+        let upsets: Vec<_> = upsets.collect();
+        self.store().restore(copy, away).await;
+        Timer::after(rewrite).await;
+        self.write_all();
+        drop(upsets);
+    }
+
+    /// Writes again all that operators and servers have written.
+    fn write_all(&self) {
+        let declarations = self.versions.declarations.to_json();
+        self.store().put("op", "config", &declarations);
+        let is_evacuated = |domain: usize| {
+            let mut orders = self.withdrawals.iter().filter(|found| found.rule == "EVAC");
+            orders.any(|order| {
+                let found = order
+                    .servers
+                    .first()
+                    .map_or(0, |server| server % DOMAINS.len());
+                order.until.is_none() && found == domain
+            })
+        };
+        for domain in 0..DOMAINS.len() {
+            match is_evacuated(domain) {
+                true => self.order(domain),
+                false => self.store().remove("op", &evacuation_key(domain)),
+            }
+        }
+        for n in 0..self.states.len() {
+            self.write_server(n);
+        }
+    }
+
+    fn order(&self, domain: usize) {
+        let key = evacuation_key(domain);
+        self.store().put("op", &key, &serde_json::json!({}));
+    }
+
+    fn write_server(&self, n: usize) {
+        let name = format!("registry-{n}");
+        let Some(state) = self.states[n] else {
+            return self.store().remove("servers", &name);
+        };
+        let address = self.fleet.servers[n].local_addr();
+        let row = registration(DOMAINS[n % DOMAINS.len()], "registry", address, state);
+        self.store().put("servers", &name, &row);
+    }
+
     async fn change_rows(&mut self, server_changes: bool) {
         if self.rng().random_bool(0.4) {
             self.evacuate_or_return();
@@ -346,14 +419,13 @@
     }
 
     fn evacuate_or_return(&mut self) {
-        let key = |domain: usize| format!("evacuate/{}", DOMAINS[domain]);
         if let Some(servers) = self.take_back("EVAC") {
             let domain = servers.first().map_or(0, |server| server % DOMAINS.len());
-            self.store().remove("op", &key(domain));
+            self.store().remove("op", &evacuation_key(domain));
             return;
         }
         let domain = self.rng().random_range(0..DOMAINS.len());
-        self.store().put("op", &key(domain), &serde_json::json!({}));
+        self.order(domain);
         let servers = 0..self.fleet.servers.len();
         let servers = servers.filter(|server| server % DOMAINS.len() == domain);
         self.withdraw("EVAC", EVACUATE_BOUND, servers.collect());
@@ -361,26 +433,25 @@
 
     /// Lets a plain server drain or removes its row, or brings it back.
     fn withdraw_or_return(&mut self) {
-        let row = |n: usize, state: &str| {
-            let address = self.fleet.servers[n].local_addr();
-            registration(DOMAINS[n % DOMAINS.len()], "registry", address, state)
-        };
-        let name = |n: usize| format!("registry-{n}");
         if let Some(servers) = self.take_back("DRAIN") {
             for n in servers {
-                self.store().put("servers", &name(n), &row(n, "ready"));
+                self.states[n] = Some("ready");
+                self.write_server(n);
             }
             return;
         }
         let n = self.versions.rng.random_range(0..self.fleet.servers.len());
-        match self.versions.rng.random_bool(0.5) {
-            true => self.store().put("servers", &name(n), &row(n, "draining")),
-            false => self.store().remove("servers", &name(n)),
-        }
+        let drains = self.versions.rng.random_bool(0.5);
+        self.states[n] = drains.then_some("draining");
+        self.write_server(n);
         self.withdraw("DRAIN", DRAIN_BOUND, vec![n]);
     }
 }
 
+fn evacuation_key(domain: usize) -> String {
+    format!("evacuate/{}", DOMAINS[domain])
+}
+
 async fn check(
     plan: UnreadPlan,
     fleet: &SoakFleet,
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -165,7 +165,38 @@
         late: 0,
         behind: comparisons.is_some(),
         comparisons,
+        drills: false,
     };
+    run_unread(plan);
+}
+
+/// Changes that the store loses, beside gateways that are killed and frozen.
+fn check_drills(seed: u64) {
+    run_unread(UnreadPlan {
+        changes: GrowthPlan {
+            seed,
+            size: FleetSize {
+                gateways: 4,
+                engines: 0,
+                plain: 6,
+            },
+            time: Duration::from_secs(14),
+            bytes: (20_000, 20_000),
+            intervals: (Duration::from_millis(300), Duration::from_secs(2)),
+            apply_bound: APPLY_BOUND,
+            faults: true,
+        },
+        answer: None,
+        server_changes: true,
+        late: 0,
+        behind: false,
+        comparisons: Some(Comparisons::Exact),
+        drills: true,
+    });
+}
+
+fn run_unread(plan: UnreadPlan) {
+    let seed = plan.changes.seed;
     let run = |executor: Executor| async move { run_unread_soak(&executor, plan).await };
     let figures = Executor::run(2, run);
     assert!(figures.as_ref().is_ok_and(|figures| figures.faults > 0));
@@ -208,4 +239,6 @@
     reads_that_were_behind_confirmed_as_comparisons_were_blind => {
         check_unread(4, true, Some(Comparisons::Blind));
     };
+    /// Rows of a copy were taken for newer than what was known.
+    changes_that_a_copy_lacked_were_lost => check_drills(1);
 }
