A row that a check finds does not stand for all rows up to it

Cause: a check compares 93 servers at most. A gateway whose check had found one changed row took its revision for that of the whole table, so that peers sent it nothing from before it. With 93 servers or fewer one check compares all that are known, but not new ones.

Change: policy TableProgress says up to which revision the servers' table is known. What a check finds moves it only where polls do not tell of that row within 0.2 s, and then all rows are told; gateways that do not poll leave it to those that do. A row that a poll brings late is told as a later one at once.

Evidence: policy table_progress, 6 cases; a_row_that_a_check_finds_hides_no_earlier_ones describes what the former code did at its check. unread_changes 28, unread_at_peers 2, unread_rows 11, gateway_rows 3 pass (debug).

--- a/crates/direct/src/checked_rows.rs
+++ b/crates/direct/src/checked_rows.rs
@@ -6,28 +6,25 @@
 use proto::{BackendRow, Revision};
 use std::time::Duration;
 
-/// Tables in which a check has shown rows that are not newer than the revision that others have, so that they
-/// would not ask for them.
-#[derive(Debug, Default)]
-pub(crate) struct Untold {
-    pub(crate) operators: bool,
-    pub(crate) servers: bool,
-}
-
 impl StoreCache {
     /// Records that all rows that are known were checked as of this revision. Rows that others may not have are
     /// then told as those of this revision; returns whether there are any.
-    pub fn tell_untold(&self, revision: Revision) -> bool {
+    pub fn tell_untold(&self, revision: Revision, now: Duration) -> bool {
         let mut state = self.lock();
-        let untold = std::mem::take(&mut state.is_untold);
-        if untold.operators {
+        let untold_operators = std::mem::take(&mut state.untold_operators);
+        if untold_operators {
             state.advance_operators(revision);
         }
-        if untold.servers {
+        let untold_servers = state.server_progress.tell(revision, now);
+        if untold_servers {
             state.servers.end_history(revision);
-            state.versions.servers = state.versions.servers.max(revision);
         }
-        untold.operators || untold.servers
+        untold_operators || untold_servers
+    }
+
+    /// Whether others may lack rows of servers that this gateway has, until a check has shown that they still hold.
+    pub fn has_untold_servers(&self, now: Duration) -> bool {
+        self.lock().server_progress.is_untold(now)
     }
 
     /// Records that the operators' rows are known as of this revision.
@@ -39,7 +36,7 @@
     /// Revision from which polls of the operators' table can go on.
     pub fn known_operators(&self) -> Revision {
         let state = self.lock();
-        state.versions.operators.max(state.confirmed)
+        state.operators.max(state.confirmed)
     }
 
     /// Revision from which polls of the servers' table can go on: checks do not show all servers.
@@ -57,26 +54,19 @@
         let newest = rows.iter().map(|row| row.version).max().unwrap_or_default();
         let (known, before) = {
             let state = self.lock();
-            (state.versions.operators, state.operator_rows())
+            (state.operators, state.operator_rows())
         };
         let refusal = self.on_operator_rows(rows, newest, now).await;
         let mut state = self.lock();
-        state.is_untold.operators |= newest <= known && state.operator_rows() != before;
+        state.untold_operators |= newest <= known && state.operator_rows() != before;
         refusal
     }
 
-    /// Applies servers' rows as a transaction has found them.
-    pub fn on_read_servers(&self, rows: &[StoreRow], now: Duration) {
-        let (known, has_news) = {
-            let state = self.lock();
-            let known = state.versions.servers;
-            let mut hidden = rows.iter().filter(|row| row.version <= known);
-            let has_news = hidden.any(|row| state.servers.is_newer(&row.key, row.version, now));
-            (known, has_news)
-        };
-        let newest = rows.iter().map(|row| row.version).max();
-        self.on_server_rows(rows, newest.unwrap_or(known), now);
-        self.lock().is_untold.servers |= has_news;
+    /// Applies servers' rows as a transaction has found them, at a gateway that polls the table or does not.
+    pub fn on_read_servers(&self, rows: &[StoreRow], polls: bool, now: Duration) {
+        let mut state = self.lock();
+        let new = self.apply_server_rows(&mut state, rows, now);
+        state.server_progress.on_found(new, polls, now);
     }
 
     /// Whether declarations of the store are being decoded, so that a check of their row has to wait.
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -90,10 +90,10 @@
         // The row is not known then, so that any row of the store is decoded.
         let row = content.row.unwrap_or_default();
         info!(self.log, "knowledge: taken from a peer"; "peer" => peer,
-            "operators" => versions.operators, "own_operators" => state.versions.operators,
-            "servers" => versions.servers, "own_servers" => state.versions.servers,
+            "operators" => versions.operators, "own_operators" => state.operators,
+            "servers" => versions.servers, "own_servers" => state.server_progress.revision(),
             "rows" => content.servers.len(), "is_difference" => content.is_difference);
-        if versions.operators > state.versions.operators {
+        if versions.operators > state.operators {
             if let Some(decoded) = declarations {
                 self.put_in_force(&mut state, decoded, row, peer);
             }
@@ -104,7 +104,7 @@
             self.put_in_force(&mut state, decoded, row, peer);
             state.refused = refused;
         }
-        let known = state.versions.servers;
+        let known = state.server_progress.revision();
         if content.is_first {
             // The peer need not have read the store since it came back.
             let rows = content.servers;
@@ -120,7 +120,7 @@
                 // The peer may have been behind when it listed them.
                 state.servers.on_listing(rows, ReadProof::Unknown, now);
             }
-            state.versions.servers = versions.servers;
+            state.server_progress.on_all([], versions.servers);
             self.log_restarted(&mut state);
         }
         Ok(())
@@ -168,8 +168,8 @@
         let refused = self.refused.as_ref().map(|row| row.version);
         let known = refused.map_or(u64::MAX, |refused| refused.saturating_sub(1));
         StoreVersions {
-            operators: self.versions.operators.min(known),
-            ..self.versions
+            operators: self.operators.min(known),
+            servers: self.server_progress.revision(),
         }
     }
 }
--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -1,6 +1,5 @@
 //! Cached content of the store: declarations, evacuations and backend servers.
 
-use crate::checked_rows::Untold;
 use crate::declarations_row::{
     DeclarationsRefusal, DecodedDeclarations, StoredDeclarations, decode_row,
 };
@@ -9,7 +8,7 @@
 };
 use policy::{
     BackendId, ContentHistory, CountedRow, DomainName, Evacuations, NewerDeclarations, ReadProof,
-    RouteTable, ServerSet, server_key,
+    RouteTable, ServerSet, TableProgress, server_key,
 };
 use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions, era};
 use slog::{Logger, info, warn};
@@ -41,9 +40,12 @@
     pub(crate) newer: NewerDeclarations,
     pub(crate) evacuations: Evacuations,
     pub(crate) servers: ServerSet,
-    /// Versions of the last rows that were read, or of listings that have shown others.
-    pub(crate) versions: StoreVersions,
-    pub(crate) is_untold: Untold,
+    /// Version of the last operators' row that was read, or of a listing that has shown others.
+    pub(crate) operators: Revision,
+    /// Whether a check has shown operators' rows that are not newer than the revision that others have, so that they would not
+    /// ask for them.
+    pub(crate) untold_operators: bool,
+    pub(crate) server_progress: TableProgress,
     /// Revision as of which a check has found the operators' rows as they are known.
     pub(crate) confirmed: Revision,
     /// Revision of the last row of a server that a peer has sent.
@@ -130,7 +132,11 @@
 
     /// Versions up to which the tables are known.
     pub fn versions(&self) -> StoreVersions {
-        self.lock().versions
+        let state = self.lock();
+        StoreVersions {
+            operators: state.operators,
+            servers: state.server_progress.revision(),
+        }
     }
 
     /// Servers of a service to which new requests may be sent.
@@ -208,12 +214,26 @@
     /// Applies changed rows of the servers' table, which is then known up to `version`.
     pub fn on_server_rows(&self, rows: &[StoreRow], version: u64, now: Duration) {
         let mut state = self.lock();
+        let new = self.apply_server_rows(&mut state, rows, now);
+        state.server_progress.on_all(new, version);
+    }
+
+    /// Applies rows of servers, and returns the revisions of those that were new.
+    pub(crate) fn apply_server_rows(
+        &self,
+        state: &mut State,
+        rows: &[StoreRow],
+        now: Duration,
+    ) -> Vec<Revision> {
+        let mut new = Vec::new();
         for row in rows {
             let change = decode_server_row(row);
             info!(self.log, "servers: row changed"; "server" => &*row.key, "version" => row.version,
                 "change" => ?change.row, "count" => ?change.count);
             let found = counted(row, &change);
-            if !state.servers.on_counted_row(found, now) && state.servers.is_passed_over(&row.key) {
+            if state.servers.on_counted_row(found, now) {
+                new.push(row.version);
+            } else if state.servers.is_passed_over(&row.key) {
                 info!(self.log, "servers: row passed over, it may be from before the known one";
                     "server" => &*row.key, "version" => row.version, "count" => ?change.count,
                     "known" => ?state.servers.count(&row.key));
@@ -222,8 +242,8 @@
                 state.servers.on_start(&row.key, started);
             }
         }
-        self.log_restarted(&mut state);
-        state.versions.servers = state.versions.servers.max(version);
+        self.log_restarted(state);
+        new
     }
 
     /// Applies a listing of the servers' table.
@@ -239,7 +259,7 @@
         let newest = newest.unwrap_or_default();
         let newest = newest.max(proof.revision());
         let mut state = self.lock();
-        let known = state.versions.servers;
+        let known = state.server_progress.revision();
         if known > 0 {
             for row in &listing.rows {
                 if state.servers.is_newer(&row.key, row.version, now) {
@@ -253,9 +273,9 @@
             state.servers.on_start(server, started);
         }
         if has_news || known == 0 {
-            state.is_untold.servers |= known > 0 && newest <= known;
             // An empty table was read too.
-            state.versions.servers = known.max(newest).max(1);
+            let new = has_news.then_some(newest);
+            state.server_progress.on_all(new, newest.max(1));
         }
         self.log_restarted(&mut state);
         info!(self.log, "servers: listed"; "rows" => listing.rows.len(),
@@ -427,7 +447,7 @@
     }
 
     pub(crate) fn advance_operators(&mut self, version: u64) {
-        self.versions.operators = self.versions.operators.max(version);
+        self.operators = self.operators.max(version);
         self.servers.set_evacuated(self.evacuations.active());
     }
 }
--- a/crates/direct/src/store_check.rs
+++ b/crates/direct/src/store_check.rs
@@ -18,6 +18,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// The same until the first one, as a gateway that starts serves nothing before it.
 const FIRST_TICK: Duration = Duration::from_millis(10);
+/// Rows that others may lack are told by a check this long after the last one.
+const TELLING_PAUSE: Duration = Duration::from_millis(250);
 /// Domains whose orders are compared.
 const MAX_DOMAINS: usize = 30;
 /// Rows that are compared in one call. The store takes at most 100 entries, of which one is the mark.
@@ -36,6 +38,7 @@
         store,
         next_chunk: random(),
         process: random(),
+        last: Duration::ZERO,
     };
     let mut tick = FIRST_TICK;
     loop {
@@ -43,6 +46,7 @@
         if !check.is_due() {
             continue;
         }
+        check.last = check.shared.clock.now();
         let at = Clock::boot_time();
         let checked = check.run().await;
         check.shared.see_store_era(&check.store);
@@ -76,6 +80,8 @@
     next_chunk: u64,
     /// Random number of this process, which its marks bear.
     process: u64,
+    /// When the last check began.
+    last: Duration,
 }
 
 impl StoreCheck {
@@ -88,7 +94,10 @@
         let is_on_the_way = cache.declarations_bytes() > LARGE_DECLARATIONS
             && !self.shared.watches_store()
             && cache.knows_newer_declarations_than_in_force();
-        !is_on_the_way && self.shared.is_store_check_due()
+        let now = self.shared.clock.now();
+        let is_untold = self.shared.watches_store() && cache.has_untold_servers(now);
+        let is_telling_due = is_untold && now >= self.last + TELLING_PAUSE;
+        !is_on_the_way && (is_telling_due || self.shared.is_store_check_due())
     }
 
     /// Domains that can be evacuated: those of the settings, which may state none, and those of servers.
@@ -207,7 +216,7 @@
         self.shared.on_store_confirmed(at, by);
         let cache = &self.shared.store_cache;
         cache.on_confirmed(revision);
-        if cache.tell_untold(revision) {
+        if cache.tell_untold(revision, self.shared.clock.now()) {
             self.shared.fleet.urgent().notify();
             info!(self.shared.log, "store: rows that others may not have are told as newer";
                 "version" => revision);
@@ -222,7 +231,8 @@
         );
         let cache = &self.shared.store_cache;
         let before = self.expected();
-        cache.on_read_servers(&servers, self.shared.clock.now());
+        let polls = self.shared.watches_store();
+        cache.on_read_servers(&servers, polls, self.shared.clock.now());
         let refusal = cache
             .on_read_operators(operators, self.shared.clock.now())
             .await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -115,6 +115,7 @@
 mod store_reads;
 mod store_watchers;
 mod stream_waits;
+mod table_progress;
 mod team_shares;
 mod trace;
 mod tracked_server;
@@ -246,6 +247,7 @@
 pub use store_reads::{CheckWay, MarkNumber, ReadProof, StoreReads};
 pub use store_watchers::{PeerGateway, STORE_WATCHER_COUNT, is_store_reached, should_watch_store};
 pub use stream_waits::{first_event_wait, silence_limit};
+pub use table_progress::TableProgress;
 pub use team_shares::{MAX_REPORTED_TEAMS, TeamShares, TeamsOverShare, team_key};
 pub use trace::{
     FaultKind, TRACE_FORMAT, Trace, TraceEnd, TraceError, TraceEvent, TraceExpect, TraceFault,
