--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -77,6 +77,7 @@
 mod soak_log;
 mod soak_losses;
 mod soak_memory;
+mod soak_operator;
 mod soak_probes;
 mod soak_readiness;
 mod soak_rules;
