A gateway that starts asks peers only where the store states an era

Cause: until its first confirmation a start does not know whether the store states an era, and asked up to two peers at a time for all that they know; a store without eras loses nothing, so that this only cost bytes between gateways.

Change: peers are asked once the store has stated an era, which its first answer does.

Read from the code, no run showed a price.

--- a/crates/direct/src/lost_rows.rs
+++ b/crates/direct/src/lost_rows.rs
@@ -39,6 +39,11 @@
     }
     let mut asked = HashSet::new();
     while shared.is_starting() {
+        // A store that states no era has lost nothing.
+        if !shared.lock_start_hold().holds(shared.clock.now()) {
+            Timer::after(PAUSE).await;
+            continue;
+        }
         let mut round = next_round(peers, &asked).into_iter();
         let (first, second) = (round.next(), round.next());
         asked.extend(first.iter().chain(&second).cloned());
