--- a/crates/direct/src/content_sync.rs
+++ b/crates/direct/src/content_sync.rs
@@ -11,7 +11,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Time for each frame of the first fetch after a start.
+/// Time for each frame of a fetch of all that a peer knows.
 const FIRST_FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Hears which content peers have, and fetches what is newer than the own.
@@ -130,7 +130,8 @@
         fetched
     }
 
-    /// Fetches all that a peer knows, after a start. Fails if the peer has just started too.
+    /// Fetches all that a peer knows, after a start or once the store has come back from a copy. Fails if the peer has
+    /// just started too.
     pub async fn fetch_first(&self, peer: &str) -> Result<(), FetchError> {
         let address = self.lock_addresses().get(peer).copied();
         let address = address.ok_or(FetchError::Ended("look up the peer"))?;
--- a/crates/direct/src/peer_content.rs
+++ b/crates/direct/src/peer_content.rs
@@ -21,7 +21,7 @@
     pub servers: Vec<CountedRow>,
     /// Whether these are only the rows that are newer than what was asked with.
     pub is_difference: bool,
-    /// Whether it was asked for after a start, so that it counts though the tables need not be newer.
+    /// Whether all that the peer knows was asked for, so that it counts though the tables need not be newer.
     pub is_first: bool,
 }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -429,7 +429,8 @@
             .collect()
     }
 
-    /// Fetches all that a peer knows, after a start. Fails if the peer has just started too.
+    /// Fetches all that a peer knows, after a start or once the store has come back from a copy. Fails if the peer has
+    /// just started too.
     pub async fn fetch_first(&self, peer: &str) -> Result<(), FetchError> {
         self.content.fetch_first(peer).await
     }
--- a/crates/proto/src/store_content.rs
+++ b/crates/proto/src/store_content.rs
@@ -64,7 +64,7 @@
     /// The sender sends to as many peers as it can; instead of the declarations, which are asked for again
     /// later or elsewhere.
     Busy,
-    /// All request limits that the sender knows, after the head of an answer to a first request.
+    /// All request limits that the sender knows, after the head of an answer to one who asks for all.
     Limits(RequestLimitFrame),
     /// The same for prompts and requests that crash servers, after the limits.
     Crashes(CrashFrame),
