A confirmation from before the start of a gateway ends no hold

Cause: once peers had opened their links, they told when they had last confirmed the declarations, which was before the change and before the gateway's start; any confirmation ended the hold.

Change: only one of a time since the start does.

--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -132,7 +132,8 @@
             store_reads: Mutex::default(),
             confirmed: Mutex::new(
                 ConfirmedDeclarations::new(rand::random(), settings.bounds.declarations_apply)
-                    .with_drain_bound(settings.bounds.drain),
+                    .with_drain_bound(settings.bounds.drain)
+                    .with_start(Clock::boot_time()),
             ),
             is_confirmed: AtomicBool::new(true),
             first_in_force: OnceLock::new(),
--- a/crates/policy/src/confirmed_declarations.rs
+++ b/crates/policy/src/confirmed_declarations.rs
@@ -56,6 +56,8 @@
     process: u64,
     bound: Duration,
     own_check_interval: Duration,
+    /// When the process started.
+    started_at: Duration,
     /// When a version up to the one in force was last known to be the newest.
     confirmed_at: Option<Duration>,
     confirmed_by: Option<ConfirmedBy>,
@@ -77,6 +79,7 @@
             process,
             bound: bound.max(MIN_BOUND),
             own_check_interval: OWN_CHECK_INTERVAL,
+            started_at: Duration::ZERO,
             confirmed_at: None,
             confirmed_by: None,
             rewritten_at: None,
@@ -95,9 +98,15 @@
         }
     }
 
-    /// Whether anybody has confirmed declarations since the start.
+    /// Sets when the process started.
+    pub fn with_start(self, started_at: Duration) -> Self {
+        Self { started_at, ..self }
+    }
+
+    /// Whether anybody has confirmed declarations as the newest at some time since the start. Peers also tell of times
+    /// before.
     pub fn is_ever_confirmed(&self) -> bool {
-        self.confirmed_at.is_some()
+        self.confirmed_at.is_some_and(|at| at >= self.started_at)
     }
 
     /// Records that the store held no newer declarations than those in force, or refused, at the time `at`, as
--- a/crates/policy/tests/confirmed_declarations.rs
+++ b/crates/policy/tests/confirmed_declarations.rs
@@ -426,3 +426,17 @@
     }
     assert!(checks <= CHECKS_PER_SECOND, "{checks} within 200 ms");
 }
+
+/// A gateway that started while reads were behind served a withdrawn key, as a peer told when it had last confirmed
+/// the declarations: before the start, and before the change.
+#[test]
+fn what_a_peer_confirmed_before_the_start_ends_no_hold() {
+    let (mut a, mut b) = (gateway(1).with_start(at(100_000)), gateway(2));
+    b.on_store_answer(at(30_000), LISTED);
+    b.on_report("a", &a.report("b", 4, at(100_010)), 4, at(30_030));
+    a.on_report("b", &b.report("a", 4, at(30_040)), 4, at(100_030));
+    assert!(!a.is_ever_confirmed());
+    b.on_store_answer(at(30_060), LISTED);
+    a.on_report("b", &b.report("a", 4, at(30_070)), 4, at(100_060));
+    assert!(a.is_ever_confirmed());
+}
