Log and count what ended each request that was passed on

A stop that cuts streams could not be told from a server that was given up: `call: ended` named an outcome and a reason in words, a failed connection of a caller was logged at debug level only, and the counters of a process vanish with it.

`call: ended` gets `run_end` (what ended the last run at a server), `left_ms`, `draining` and the caller's `peer`; `bergamothold_direct_run_ends_total` counts by it, by outcome and by phase of the process; `process: ended` repeats those of the drain. `http: connection failed` is logged with its cause where a request had been read. The lines of unconfirmed declarations and of a drain say how long the process has run, which tells a start from later. `StreamItem` has a file of its own. No decision changes.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, is_blocked};
 use crate::request_limit;
+use crate::run_end::RunEnd;
 use crate::send_permit::SendPermit;
 use crate::server_failure;
 use crate::server_pause;
@@ -152,9 +153,11 @@
     match &result {
         Err(AttemptError::NotConnected(..)) => call.return_try(),
         Err(AttemptError::MayHaveRun(..)) => {
+            call.record_run_end(RunEnd::Failed);
             detect_crashed_server(call, server).await;
         }
         Err(AttemptError::TimedOut(_)) => {
+            call.record_run_end(RunEnd::Silent);
             check_server(call, server);
         }
         _ => {}
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -2,6 +2,7 @@
 
 use crate::local_reply::LocalReply;
 use crate::open_calls::CallNumber;
+use crate::run_end::{LastRunEnd, RunEnd};
 use crate::server_probe::ServerChecks;
 use crate::shared::Shared;
 use adapter::RequestHead;
@@ -15,6 +16,7 @@
 use proto::{RequestKey, Suspect};
 use runtime::{Body, ByteReservation, KEPT_LINE};
 use slog::info;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
@@ -57,6 +59,8 @@
     pub suspects: Box<[Suspect]>,
     /// Route, service and team of the request.
     pub admitted: Admission,
+    /// Address of the caller's connection.
+    pub peer: SocketAddr,
     /// Arrival time.
     pub arrived: Duration,
     /// Time at which the call must have ended: the deadline of the caller or the timeout of the
@@ -85,6 +89,7 @@
     is_trial: AtomicBool,
     /// Whether the last server that ran it crashed.
     server_crashed: AtomicBool,
+    last_run_end: LastRunEnd,
     ended: AtomicBool,
 }
 
@@ -95,6 +100,7 @@
         head: RequestHead,
         parts: Parts,
         admitted: Admission,
+        peer: SocketAddr,
         arrived: Duration,
     ) -> Self {
         let timeout = admitted.route.timeout;
@@ -110,6 +116,7 @@
             key: RequestKey::default(),
             suspects: Box::default(),
             admitted,
+            peer,
             arrived,
             deadline: arrived + limit,
             body_memory: Vec::new(),
@@ -186,6 +193,11 @@
         allowed
     }
 
+    /// Records what ended its last run at a server.
+    pub fn record_run_end(&self, end: RunEnd) {
+        self.progress.last_run_end.set(end);
+    }
+
     /// Records that the server that ran it crashed.
     pub fn record_crash(&self) {
         self.progress.server_crashed.store(true, Ordering::Relaxed);
@@ -270,12 +282,20 @@
         self.shared.open_calls.remove(self.number);
         let took = self.shared.clock.now().saturating_sub(self.arrived);
         self.shared.metrics.request(self.kind(), outcome);
+        let is_draining = self.shared.draining.is_started();
+        let run_end = self.progress.last_run_end.get().map(RunEnd::name);
+        if let Some(run_end) = run_end {
+            let metrics = &self.shared.metrics;
+            metrics.run_end(run_end, outcome, is_draining);
+        }
         info!(self.shared.log, #KEPT_LINE, "call: ended"; "req" => &*self.head.id, "outcome" => outcome,
             "detail" => detail, "route" => &*self.admitted.route.name,
             "service" => &*self.admitted.service.name,
             "team" => self.admitted.team.as_ref().map(|team| team.name.to_string()),
             "declarations" => self.admitted.declarations, "sends" => self.sends(),
-            "runs" => self.possible_runs(), "took_ms" => took.as_millis() as u64);
+            "runs" => self.possible_runs(), "run_end" => run_end, "draining" => is_draining,
+            "took_ms" => took.as_millis() as u64, "left_ms" => self.remaining().as_millis() as u64,
+            "peer" => %self.peer);
     }
 
     /// Ends the call with a response that the gateway generates.
@@ -294,6 +314,7 @@
         if self.possible_runs() == 0 {
             self.end_with_reply(LocalReply::NotRun(retry_after), detail)
         } else if self.remaining().is_zero() {
+            self.record_run_end(RunEnd::TimeLimit);
             self.end_with_reply(LocalReply::TimedOut, detail)
         } else {
             self.end_with_reply(LocalReply::Failed, detail)
@@ -349,12 +370,18 @@
 
     /// Ends the call with a reply that says whether it may have run, as the process ends.
     pub fn end_in_drain(&self) -> Response<Body> {
+        if self.possible_runs() > 0 {
+            self.record_run_end(RunEnd::Draining);
+        }
         self.end_without_response(DRAIN_RETRY_AFTER, DRAINING_REASON)
     }
 }
 
 impl Drop for Call {
     fn drop(&mut self) {
+        if self.possible_runs() > 0 && !self.progress.ended.load(Ordering::Relaxed) {
+            self.record_run_end(RunEnd::CallerLeft);
+        }
         self.record_end("caller left", "");
     }
 }
--- a/crates/direct/src/confirmation.rs
+++ b/crates/direct/src/confirmation.rs
@@ -109,11 +109,12 @@
         let unconfirmed_ms = self.unconfirmed_for().map(|age| age.as_millis() as u64);
         if may_refuse {
             info!(self.log, "declarations: confirmed again"; "unconfirmed_ms" => unconfirmed_ms,
+                "up_ms" => self.clock.now().as_millis() as u64,
                 "by" => ?self.confirmed_by(), "row" => self.store_cache.declarations_row());
         } else {
             warn!(self.log, "declarations: nobody confirms that they are the newest";
-                "unconfirmed_ms" => unconfirmed_ms, "by" => ?self.confirmed_by(),
-                "row" => self.store_cache.declarations_row(), "failing_tables" => self.failing_tables());
+                "unconfirmed_ms" => unconfirmed_ms, "up_ms" => self.clock.now().as_millis() as u64,
+                "by" => ?self.confirmed_by(), "row" => self.store_cache.declarations_row(), "failing_tables" => self.failing_tables());
         }
     }
 
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -34,7 +34,7 @@
 }
 
 impl Responder for Frontend {
-    async fn respond(&self, _peer: SocketAddr, req: Request<RequestBody>) -> Response<Body> {
+    async fn respond(&self, peer: SocketAddr, req: Request<RequestBody>) -> Response<Body> {
         let arrived = self.shared.clock.now();
         let (parts, body) = req.into_parts();
         let head = match RequestHead::read(&parts) {
@@ -52,7 +52,7 @@
         if !takes_call(open, self.shared.settings.memory_bytes) {
             return self.refuse_for_memory(&head, open).response(Some(&head.id));
         }
-        let mut call = Call::new(self.shared.clone(), head, parts, admitted, arrived);
+        let mut call = Call::new(self.shared.clone(), head, parts, admitted, peer, arrived);
         let (draining, clock) = (&self.shared.draining, &self.shared.clock);
         let last_reply = |times: Drain| times.last_reply;
         let read = draining.before(clock, last_reply, read_body(&mut call, body));
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -3,6 +3,8 @@
 use crate::content_metrics::ContentMetrics;
 use crate::stalls::StallMetrics;
 use policy::BlockedCounts;
+use prometheus::core::Collector as _;
+use prometheus::proto::MetricFamily;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -13,6 +15,10 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 1.5, 3.0, 6.0, 15.0,
 ];
 
+/// Phases of the process, as a label.
+const SERVING: &str = "serving";
+const DRAINING: &str = "draining";
+
 /// All metrics of the process, with the registry that exports them.
 #[derive(Debug)]
 pub struct Metrics {
@@ -21,6 +27,7 @@
     refusals: IntCounterVec,
     held_prompts: IntCounterVec,
     attempts: IntCounterVec,
+    run_ends: IntCounterVec,
     first_byte: HistogramVec,
     waiting: IntGauge,
     retries_denied: IntCounter,
@@ -82,6 +89,11 @@
             "Attempts at backend servers, by result",
             &["result"],
         )?;
+        let run_ends = counter_vec(
+            "bergamothold_direct_run_ends_total",
+            "Requests that were passed on and ended, by what ended the last run, outcome and phase of the process",
+            &["reason", "outcome", "phase"],
+        )?;
         let store_calls = counter_vec(
             "bergamothold_direct_store_calls_total",
             "Calls to the platform's store, by call and result",
@@ -131,6 +143,7 @@
             refusals,
             held_prompts,
             attempts,
+            run_ends,
             first_byte,
             waiting: gauge(
                 "bergamothold_direct_waiting",
@@ -225,6 +238,28 @@
         self.attempts.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that was passed on and has ended, by what ended its last run.
+    pub fn run_end(&self, reason: &str, outcome: &str, is_draining: bool) {
+        let phase = if is_draining { DRAINING } else { SERVING };
+        self.run_ends
+            .with_label_values(&[reason, outcome, phase])
+            .inc();
+    }
+
+    /// Requests that were passed on and ended while the process drains, as `reason outcome count` of each kind.
+    pub fn drained_run_ends(&self) -> String {
+        let families = self.run_ends.collect();
+        let metrics = families.iter().flat_map(MetricFamily::get_metric);
+        let drained = metrics.filter_map(|metric| {
+            let label = |name| metric.get_label().iter().find(|label| label.name() == name);
+            let [reason, outcome, phase] = ["reason", "outcome", "phase"].map(label);
+            let is_drained = phase.is_some_and(|phase| phase.value() == DRAINING);
+            let kind = [reason?.value(), outcome?.value()];
+            is_drained.then(|| format!("{} {}", kind.join(" "), metric.get_counter().get_value()))
+        });
+        drained.collect::<Vec<_>>().join(", ")
+    }
+
     /// Records the time from the arrival of a request to the first byte of its response.
     pub fn first_byte(&self, kind: &str, time: Duration) {
         self.first_byte
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -7,6 +7,7 @@
 use crate::job::Job;
 use crate::local_reply::LocalReply;
 use crate::plain_server::{choose_server, no_server};
+use crate::run_end::RunEnd;
 use crate::send_permit::SendPermit;
 use crate::server_probe::{detect_crashed_server, may_run_again};
 use adapter::{promises_not_run, response_headers};
@@ -111,14 +112,19 @@
     let err = match timeout(left, body).await {
         Ok(Ok(body)) => {
             run.on_answer();
+            call.record_run_end(RunEnd::Answered);
             if !head.status.is_server_error() {
                 call.record_time(taken());
             }
             return Ok((head.clone(), body));
         }
-        Ok(Err(err)) => failed(err.to_string().into()),
+        Ok(Err(err)) => {
+            call.record_run_end(RunEnd::Failed);
+            failed(err.to_string().into())
+        }
         Err(_) => {
             call.record_time(taken());
+            call.record_run_end(RunEnd::Silent);
             failed("the rest of it did not come in time".into())
         }
     };
--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -144,7 +144,8 @@
     let times = Drain::new(shared.clock.now(), settings.bounds.grace);
     let drain = shared.draining.start(times);
     let waiting = shared.prompt_queue.check(&shared);
-    info!(log, "process: draining"; "open" => shared.open_calls.count(), "waiting" => waiting);
+    info!(log, "process: draining"; "open" => shared.open_calls.count(), "waiting" => waiting,
+        "up_ms" => shared.clock.now().as_millis() as u64);
     let left = drain.end.saturating_sub(shared.clock.now());
     let joined = lock(&peers).clone();
     let unregistered = async {
@@ -169,7 +170,8 @@
     }
     shutdown.start();
     info!(log, "process: ended"; "cut" => timed_out, "open" => shared.open_calls.count(),
-        "ids" => shared.open_calls.some_ids(MAX_LOGGED_IDS).join(" "));
+        "ids" => shared.open_calls.some_ids(MAX_LOGGED_IDS).join(" "),
+        "run_ends" => shared.metrics.drained_run_ends());
     Ok(())
 }
 
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -8,9 +8,10 @@
 use crate::plain_server::assign_stream;
 use crate::prompt_queue::PlacementRequest;
 use crate::reservation::{Reservations, ReserveError};
+use crate::run_end::RunEnd;
 use crate::server_probe::{check_server, detect_crashed_server};
+use crate::stream_item::{ENGINE_LOST, StreamItem};
 use async_io::Timer;
-use bytes::Bytes;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
 use policy::{
@@ -28,9 +29,6 @@
 /// longer responses.
 const LENGTH_ESTIMATE_FACTOR: f64 = 1.3;
 
-/// Reason of an attempt or stream that is given up because its engine is lost.
-const ENGINE_LOST: &str = "the engine does not respond, and memory is reserved for it elsewhere";
-
 quick_error! {
     /// Why a stream could not be opened or resumed at an engine.
     #[derive(Debug)]
@@ -60,30 +58,6 @@
     }
 }
 
-/// Next item of a stream.
-#[derive(Debug)]
-pub enum StreamItem {
-    /// One or more complete events.
-    Events(Bytes),
-    /// The server ended the stream.
-    End,
-    /// The connection failed or the data is not a valid stream of events, with the reason.
-    Broken(Box<str>),
-    /// No event arrived within the allowed silence.
-    Silent,
-}
-
-impl StreamItem {
-    fn outcome(&self) -> &str {
-        match self {
-            Self::Events(_) => "events",
-            Self::End => "end",
-            Self::Broken(reason) => reason,
-            Self::Silent => "silent for too long",
-        }
-    }
-}
-
 /// A response stream from one server. Dropping it releases the memory reserved at helpers and
 /// ends the job.
 #[derive(Debug)]
@@ -327,6 +301,9 @@
         let shared = &call.shared;
         let now = shared.clock.now();
         let server = &self.assignment.server;
+        if let Some(end) = item.run_end() {
+            call.record_run_end(end);
+        }
         let health = match item {
             StreamItem::Events(_) if self.awaits_first_event => {
                 self.awaits_first_event = false;
@@ -385,6 +362,7 @@
         .fleet
         .on_result(&server.id, AttemptResult::Silent, now);
     shared.metrics.attempt("lost");
+    call.record_run_end(RunEnd::Lost);
     check_server(call, server);
     info!(shared.log, "attempt: no answer"; "req" => &*call.head.id, "server" => &*server.id,
         "err" => ENGINE_LOST);
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -5,9 +5,11 @@
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after};
 use crate::plain::{caller_response, relay_complete};
+use crate::run_end::RunEnd;
 use crate::server_probe::may_run_again;
-use crate::server_stream::{OpenError, ServerStream, StreamItem};
+use crate::server_stream::{OpenError, ServerStream};
 use crate::stream_buffers::{READS_TOO_SLOWLY, StreamBuffer};
+use crate::stream_item::StreamItem;
 use adapter::response_headers;
 use bytes::Bytes;
 use futures_lite::future::or;
@@ -57,6 +59,7 @@
                     None
                 }
                 StartOutcome::Complete(head, body) => {
+                    call.record_run_end(RunEnd::Answered);
                     return relay_complete(&call, &head, body, ANSWERED, last_server(&tried));
                 }
                 StartOutcome::Failed => None,
@@ -174,6 +177,7 @@
 enum RelayEnd {
     Complete,
     CallerLeft,
+    TimeUp,
     Broken(&'static str),
 }
 
@@ -185,19 +189,34 @@
         let end = shared
             .draining
             .before(&shared.clock, streams_end, forwarded);
-        match end.await.unwrap_or(RelayEnd::Broken(DRAINING_REASON)) {
-            RelayEnd::Complete => self.call.record_end("served", ""),
-            RelayEnd::CallerLeft if self.tx.is_ended() => {
+        match end.await {
+            Some(RelayEnd::Complete) => self.call.record_end("served", ""),
+            Some(RelayEnd::CallerLeft) if self.tx.is_ended() => {
+                self.call.record_run_end(RunEnd::SlowReader);
                 self.call.record_end("broken off", READS_TOO_SLOWLY);
             }
-            RelayEnd::CallerLeft => self.call.record_end("caller left", "midway"),
-            RelayEnd::Broken(reason) => {
-                self.call.record_end("broken off", reason);
-                self.tx.abort(reason);
+            Some(RelayEnd::CallerLeft) => {
+                self.call.record_run_end(RunEnd::CallerLeft);
+                self.call.record_end("caller left", "midway");
+            }
+            Some(RelayEnd::TimeUp) => {
+                self.call.record_run_end(RunEnd::TimeLimit);
+                self.break_off("time is up");
+            }
+            Some(RelayEnd::Broken(reason)) => self.break_off(reason),
+            None => {
+                self.call.record_run_end(RunEnd::Draining);
+                self.break_off(DRAINING_REASON);
             }
         }
     }
 
+    /// Ends the response as one that is not complete.
+    fn break_off(self, reason: &str) {
+        self.call.record_end("broken off", reason);
+        self.tx.abort(reason);
+    }
+
     async fn forward(&mut self, mut stream: Box<ServerStream>, mut events: Bytes) -> RelayEnd {
         let mut last_event = stream.last_event();
         loop {
@@ -205,7 +224,7 @@
             match timeout(self.call.remaining(), sent).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return RelayEnd::CallerLeft,
-                Err(_) => return RelayEnd::Broken("time is up"),
+                Err(_) => return RelayEnd::TimeUp,
             }
             (stream, events) = match self.next_events(stream, last_event).await {
                 Ok(next) => next,
@@ -230,7 +249,7 @@
                 StreamItem::Silent => true,
             };
             if self.call.remaining().is_zero() {
-                return Err(RelayEnd::Broken("time is up"));
+                return Err(RelayEnd::TimeUp);
             }
             if !is_silent {
                 drop(stream);
--- a/crates/runtime/src/http_connection.rs
+++ b/crates/runtime/src/http_connection.rs
@@ -16,9 +16,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use rustix::net::sockopt;
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 use std::convert::Infallible;
+use std::error::Error as _;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::pin;
 use std::sync::Arc;
@@ -150,6 +151,11 @@
         };
         match result {
             Ok(()) => monitor.on_last_response(),
+            // A response that was on its way has not arrived whole.
+            Err(err) if monitor.has_requests() => {
+                info!(self.log, "http: connection failed"; "peer" => %self.peer, "err" => %err,
+                    "cause" => err.source().map(ToString::to_string));
+            }
             Err(err) => {
                 debug!(self.log, "http: connection failed"; "peer" => %self.peer, "err" => %err);
             }
--- a/crates/trials/tests/drain.rs
+++ b/crates/trials/tests/drain.rs
@@ -361,6 +361,20 @@
         rig.wait_exit().await;
         assert!(rig.rig.gateway.process.has_logged("\"cut\":false"));
     };
+    // Neither the log nor the metrics of a process that ended told what a stop had cut, and why.
+    the_last_line_of_a_drain_says_what_ended_its_calls => async |executor: &Executor, mut rig: Rig| {
+        rig.engine.standin().set_behaviour(ServerBehaviour::StallAfter(3));
+        let open = rig.start_prompt("open").await;
+        rig.registry.standin().set_run_time(Duration::from_secs(1));
+        let served = rig.spawn_call(executor, "served", "/lookup/x", 1_000);
+        assert!(rig.rig.wait_until(async || rig.has_run("served")).await);
+        rig.terminate().await;
+        assert_eq!(served.await.status, StatusCode::OK);
+        assert!(open.body.collect().await.is_err());
+        rig.wait_exit().await;
+        rig.wait_for_log("answered served 1, draining broken off 1").await;
+        rig.wait_for_log("\"run_end\":\"draining\"").await;
+    };
     further_signals_in_a_drain_cut_nothing => async |executor: &Executor, mut rig: Rig| {
         rig.engine.standin().set_behaviour(ServerBehaviour::PauseAfter(3));
         let open = rig.start_prompt("open").await;
