A drain counts from when SIGTERM may have been sent, not from when it was handled

What callers saw: a gateway without processor time when it gets SIGTERM handles the signal late, while the platform counts the grace period from sending it. Its end and its last replies, 0.4 and 0.8 s before SIGKILL, then come after it: streams and calls end closed, without an answer or midway, and connections are accepted for longer than 2.6 s, so that requests of the last seconds are among them.

Cause: all times of the drain were counted from the handling.

Change: the process looks for signals four times a second; where it finds one after it had stood still, the drain counts from the look before (`Drain::earliest_start`), in the listening socket too. Where it stood still at its end, it goes on for what is left of the grace but 80 ms, as replies that were due have not been given (`Drain::overtime`). `process: draining` says `late_ms`.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -17,7 +17,7 @@
 use futures_lite::StreamExt as _;
 use futures_lite::future::{or, zip};
 use hyper::{Request, Response, StatusCode};
-use policy::Drain;
+use policy::{Drain, SIGNAL_CHECK_INTERVAL};
 use quick_error::quick_error;
 use runtime::{
     Body, Executor, HttpLimits, HttpServer, LogLosses, RequestBody, Responder, ShutdownSignal,
@@ -26,6 +26,7 @@
 use slog::{Logger, error, info, warn};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -140,12 +141,13 @@
     let served =
         executor.spawn(callers.serve(executor.clone(), frontend, None, shared.draining.signal()));
     let mut signals = signals;
-    handle_signals(&mut signals, &options.settings_path, &shared).await;
-    let times = Drain::new(shared.clock.now(), settings.bounds.grace);
-    let drain = shared.draining.start(times);
+    let signalled_at = await_termination(&mut signals, &options.settings_path, &shared).await;
+    let times = Drain::new(signalled_at, settings.bounds.grace);
+    let delay = shared.clock.now().saturating_sub(signalled_at);
+    let drain = shared.draining.start_late(times, delay);
     let waiting = shared.prompt_queue.check(&shared);
     info!(log, "process: draining"; "open" => shared.open_calls.count(), "waiting" => waiting,
-        "up_ms" => shared.clock.now().as_millis() as u64);
+        "up_ms" => shared.clock.now().as_millis() as u64, "late_ms" => delay.as_millis() as u64);
     let left = drain.end.saturating_sub(shared.clock.now());
     let joined = lock(&peers).clone();
     let unregistered = async {
@@ -153,7 +155,8 @@
             peers.unregister().await;
         }
     };
-    let drained = timeout(left, zip(served, unregistered));
+    let mut drained = pin!(zip(served, unregistered));
+    let in_time = timeout(left, drained.as_mut());
     let more_signals = async {
         while handle_signals(&mut signals, &options.settings_path, &shared)
             .await
@@ -161,7 +164,11 @@
         {}
         std::future::pending().await
     };
-    let timed_out = or(drained, more_signals).await.is_err();
+    let mut timed_out = or(in_time, more_signals).await.is_err();
+    if timed_out {
+        let overtime = drain.overtime(shared.clock.now());
+        timed_out = timeout(overtime, drained).await.is_err();
+    }
     let peers = lock(&peers).take();
     if let Some(peers) = peers.filter(|_| !timed_out) {
         let left = drain.end.saturating_sub(shared.clock.now());
@@ -205,6 +212,20 @@
     watch(shared, store, GatewayTableHandler(peers)).await;
 }
 
+/// Handles signals until SIGTERM or SIGINT; returns when that was sent at the earliest.
+async fn await_termination(signals: &mut Signals, path: &Path, shared: &Shared) -> Duration {
+    let mut last_check = shared.clock.now();
+    loop {
+        let handled = handle_signals(signals, path, shared);
+        let is_over = timeout(SIGNAL_CHECK_INTERVAL, handled).await.is_ok();
+        let now = shared.clock.now();
+        if is_over {
+            return Drain::earliest_start(last_check, now);
+        }
+        last_check = now;
+    }
+}
+
 /// Checks the settings file at each SIGHUP; returns SIGTERM or SIGINT, or `None` if signals are over.
 async fn handle_signals(signals: &mut Signals, path: &Path, shared: &Shared) -> Option<Signal> {
     while let Some(signal) = signals.next().await {
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -17,6 +17,12 @@
 const MAX_REPLY_MARGIN: Duration = Duration::from_millis(400);
 /// Fraction of that time in which streams that are left are ended.
 const STREAM_MARGIN_FRACTION: u32 = 4;
+/// Interval at which a process looks for signals while there are none.
+pub const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// A check that is later by more than this shows that the process stood still.
+const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
+/// What is left of the grace period when a process ends that stood still at its end.
+const MIN_KILL_MARGIN: Duration = Duration::from_millis(80);
 /// Each margin takes at most this fraction of a short grace period.
 const MARGIN_FRACTION: u32 = 10;
 /// A call that may run once is started only if this many times its expected duration is left.
@@ -69,6 +75,8 @@
     pub streams_end: Duration,
     /// The process ends then, whatever is left.
     pub end: Duration,
+    /// The platform sends SIGKILL then.
+    kill: Duration,
 }
 
 impl Drain {
@@ -76,7 +84,29 @@
     pub fn new(start: Duration, grace: Duration) -> Self {
         let kill_margin = MAX_KILL_MARGIN.min(grace / MARGIN_FRACTION);
         let accept_end = start + MAX_ACCEPT_TIME.min(grace / 2);
-        Self::with_margin(accept_end, start + grace - kill_margin, grace)
+        Self {
+            kill: start + grace,
+            ..Self::with_margin(accept_end, start + grace - kill_margin, grace)
+        }
+    }
+
+    /// When a signal was sent at the earliest that is handled at `now`. The process found none at `last_check`,
+    /// and looks for signals each [`SIGNAL_CHECK_INTERVAL`].
+    ///
+    /// Load pattern: a process without processor time handles SIGTERM late, while the platform counts the grace
+    /// period from when it sent the signal.
+    pub fn earliest_start(last_check: Duration, now: Duration) -> Duration {
+        let stood_still = now > last_check + SIGNAL_CHECK_INTERVAL + MAX_CHECK_DELAY;
+        if stood_still { last_check } else { now }
+    }
+
+    /// Time for which the process goes on at `now`, its end, where it stood still before: what was due
+    /// meanwhile, such as last replies, has not been done.
+    pub fn overtime(&self, now: Duration) -> Duration {
+        let stood_still = now > self.end + MAX_CHECK_DELAY;
+        let latest = self.kill.saturating_sub(MIN_KILL_MARGIN);
+        let left = latest.saturating_sub(now);
+        if stood_still { left } else { Duration::ZERO }
     }
 
     /// Times of a drain that starts at `start`, accepts for `accept` and ends after `time` in all.
@@ -92,6 +122,7 @@
             last_reply: end - reply_margin,
             streams_end: end - reply_margin / STREAM_MARGIN_FRACTION,
             end,
+            kill: end,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -155,7 +155,9 @@
 pub use crash_guard::CrashGuard;
 pub use data_evidence::DataEvidence;
 pub use domain_tracker::{DomainChange, DomainRampConfig, DomainTracker};
-pub use drain::{DRAIN_RETRY_AFTER, DRAINING_REASON, Drain, LateCall, LateStream};
+pub use drain::{
+    DRAIN_RETRY_AFTER, DRAINING_REASON, Drain, LateCall, LateStream, SIGNAL_CHECK_INTERVAL,
+};
 pub use edit_script::{apply_script, edit_script, script_bytes};
 pub use engine_choice::{
     EngineCandidate, EnginePlacement, MAX_HELPERS, PrefillHelper, PromptRequirements, WaitReason,
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -72,6 +72,25 @@
         assert_eq!(times.expected("lookup", "service"), Some(ms(30)));
         assert_eq!(times.expected_stream("other"), None);
     };
+    // SIGTERM was taken for one sent when it was handled, however long the process had stood still.
+    a_signal_that_is_handled_late_was_sent_after_the_last_check => {
+        let last_check = START - ms(1_000);
+        assert_eq!(Drain::earliest_start(last_check, START), last_check);
+        for age in [0, 10, 250, 340] {
+            assert_eq!(Drain::earliest_start(START - ms(age), START), START, "{age}");
+        }
+    };
+    a_process_that_stood_still_at_its_end_has_time_for_what_was_due => {
+        let drain = drain();
+        assert_eq!(drain.overtime(drain.end), ms(0));
+        assert_eq!(drain.overtime(drain.end + ms(50)), ms(0));
+        let late = drain.end + ms(200);
+        assert!(drain.overtime(late) >= ms(100), "{drain:?}");
+        for late in [ms(200), ms(390), ms(400), ms(5_000)] {
+            let now = drain.end + late;
+            assert!(now >= START + GRACE || now + drain.overtime(now) < START + GRACE, "{late:?}");
+        }
+    };
     the_steps_of_a_drain_come_in_order => {
         for grace in [ms(100), ms(1_000), ms(6_000), GRACE, ms(60_000)] {
             let drain = Drain::new(START, grace);
--- a/crates/runtime/src/draining.rs
+++ b/crates/runtime/src/draining.rs
@@ -26,8 +26,13 @@
 impl<T: Copy> Draining<T> {
     /// Starts the drain with these times; further calls have no effect. Returns the times in force.
     pub fn start(&self, times: T) -> T {
+        self.start_late(times, Duration::ZERO)
+    }
+
+    /// As [`Self::start`], for a drain that was to start `delay` ago.
+    pub fn start_late(&self, times: T, delay: Duration) -> T {
         let times = *self.times.get_or_init(|| times);
-        self.signal.start();
+        self.signal.start_late(delay);
         times
     }
 
--- a/crates/runtime/src/http_server.rs
+++ b/crates/runtime/src/http_server.rs
@@ -19,7 +19,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Connections that the kernel completes before they are accepted. Beyond that it drops the opening
@@ -133,8 +133,8 @@
         };
         let limits = acceptor.limits.clone();
         let mut stop = pin!(async {
-            shutdown.started().await;
-            Timer::after(limits.accept_grace).await;
+            let start = shutdown.start_time().await;
+            Timer::at(start + limits.accept_grace).await;
         });
         while let Some(accepted) = accept(&self.listener, stop.as_mut()).await {
             match accepted {
@@ -142,8 +142,7 @@
                 Err(_) => drop(Timer::after(ACCEPT_RETRY_DELAY).await),
             }
         }
-        let read_time = limits.read_grace.saturating_sub(limits.accept_grace);
-        let read_end = Instant::now() + read_time;
+        let read_end = shutdown.start_time().await + limits.read_grace;
         let read_ended = async {
             Timer::at(read_end).await;
         };
--- a/crates/trials/src/direct_gateway.rs
+++ b/crates/trials/src/direct_gateway.rs
@@ -22,8 +22,8 @@
 /// Memory of the host in the settings of gateways, that of the smallest hosts on which they run.
 pub const HOST_MEMORY_MB: u64 = 160;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time from SIGTERM to the end of a process, where a trial sets no other.
-const GRACE_S: f64 = 6.0;
+/// Time from SIGTERM to SIGKILL, where a trial sets no other.
+pub const RIG_GRACE: Duration = Duration::from_secs(6);
 const MAX_RESPONSE_BYTES: usize = 1 << 20;
 /// Times that a metrics page is asked for.
 const MAX_PAGE_TRIES: usize = 10;
@@ -137,7 +137,7 @@
              Platform:\n  Address: \"{store}\"\nBounds:\n",
             port = peer_address.port()
         );
-        let grace = [("GraceS", GRACE_S)];
+        let grace = [("GraceS", RIG_GRACE.as_secs_f64())];
         let grace = grace
             .iter()
             .filter(|_| bounds.iter().all(|(name, _)| *name != "GraceS"));
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -97,7 +97,9 @@
 pub use capacity::Capacity;
 pub use capacity_sum::CapacityLine;
 pub use change_cost::{ChangeCost, measure_change_cost};
-pub use direct_gateway::{CallerAnswer, DirectCaller, DirectGateway, HOST_MEMORY_MB, RIG_HOST};
+pub use direct_gateway::{
+    CallerAnswer, DirectCaller, DirectGateway, HOST_MEMORY_MB, RIG_GRACE, RIG_HOST,
+};
 pub use direct_rig::DirectRig;
 pub use direct_soak::{SoakFigures, SoakPlan, run_soak};
 pub use driver::{Driver, Sample, Summary, quantile_ms};
