A server that is silent goes on while another one is tried

What callers saw: 502 after 1.0 s, at streams whose server would have sent its first event a second later, well within their time limit, wherever no other server could take over: the budget of repeats was spent, the process was draining, no other server was free, or the other one failed. A safe call of a plain service lost its first server the same way after a third of its time.

Cause: a server that was silent for too long was given up first, with the work that it had begun, and only then was it found out whether a repeat could follow.

A server that is silent counts as a run and goes on, others are tried beside it, and the first that succeeds is used; where all others fail, the silent one is waited for until the call's time is up or a check shows that it is gone. Silent servers are noticed as before (`attempt: silent, and goes on`). Servers that were tried belong to the call (`TriedServers`), each send knows whether it counts (`PossibleRun`), so that MaxAttempts holds with two under way, and ends of checks wake all that wait for them (`Broadcast`). Retry budgets have a file of their own.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, is_blocked};
+use crate::possible_run::PossibleRun;
 use crate::request_limit;
 use crate::run_end::RunEnd;
 use crate::send_permit::SendPermit;
@@ -85,27 +86,27 @@
 
 /// Sends a call to a server and waits for the response head until `gives_up` has ended.
 ///
-/// Uses up `permit`. Records the result in the health of the server, in the metrics and in the
-/// call. Adds the server to those that are not chosen again for the call, or instead of it another
-/// one that it names as the one at fault.
+/// Uses up `permit`. Records the result in the health of the server, in the metrics, in the call and in
+/// `run`. Adds the server to those that were tried for the call, or instead of it another one that it
+/// names as the one at fault.
 pub async fn send(
     call: &Call,
     server: &BackendEntry,
     permit: &mut SendPermit,
     prompt: Option<StreamSend<'_>>,
     gives_up: impl Future<Output = ()>,
-    tried: &mut Vec<BackendId>,
+    run: &PossibleRun<'_>,
 ) -> Result<SingleResponse, AttemptError> {
-    tried.push(server.id.clone());
-    let result = exchange(call, server, permit, prompt, gives_up).await;
+    call.tried.push(server.id.clone());
+    let result = exchange(call, server, permit, prompt, gives_up, run).await;
     let at_fault = match &result {
         Ok(response) => other_at_fault(server, &ResponseHead::read(&response.head, &call.head.id)),
         Err(AttemptError::OtherAtFault(_, other)) => Some(*other),
         Err(_) => None,
     };
     if let Some(other) = at_fault {
-        tried.retain(|id| *id != server.id);
-        tried.extend(record_server_at_fault(call, server, other));
+        let others = record_server_at_fault(call, server, other);
+        call.tried.replace(&server.id, others);
     }
     let (health, label) = match &result {
         Ok(_) if at_fault.is_some() => (None, "other at fault"),
@@ -142,13 +143,13 @@
         call.shared.fleet.on_result(&server.id, health, now);
     }
     call.shared.metrics.attempt(label);
-    if !matches!(
-        result,
-        Err(AttemptError::NotRun(..)
+    match &result {
+        Err(
+            AttemptError::NotRun(..)
             | AttemptError::OtherAtFault(..)
-            | AttemptError::NotConnected(..))
-    ) {
-        call.record_possible_run();
+            | AttemptError::NotConnected(..),
+        ) => run.on_not_run(),
+        _ => run.count(),
     }
     match &result {
         Err(AttemptError::NotConnected(..)) => call.return_try(),
@@ -178,6 +179,7 @@
     permit: &mut SendPermit,
     prompt: Option<StreamSend<'_>>,
     gives_up: impl Future<Output = ()>,
+    run: &PossibleRun<'_>,
 ) -> Result<SingleResponse, AttemptError> {
     let shared = &call.shared;
     let helpers = prompt.as_ref().map_or(&[][..], |prompt| prompt.helpers);
@@ -236,11 +238,9 @@
         "service" => &*server.service, "helpers" => helpers.len(), "behind" => last_event,
         "left_ms" => options.time_left.as_millis() as u64,
         "parts" => format_parts(&call.head.shared_parts), "key" => format!("{:016x}", call.key));
-    let abandoned = AbandonedRun(call);
+    run.on_sent();
     let response = unless(exchange.send(req), gives_up);
     let response = timeout(call.remaining(), response).await;
-    // The future was not dropped, so `send` records a possible run according to the result.
-    std::mem::forget(abandoned);
     let response = response.ok().flatten();
     let response = response.ok_or_else(|| AttemptError::TimedOut(name()))?;
     let response = response.map_err(|err| {
@@ -270,16 +270,6 @@
     requested_pause(head.status, &head.headers).is_ok_and(|pause| pause.is_some())
 }
 
-/// Records a possible run when the future is dropped while it waits for the response, as when
-/// the caller disconnects.
-struct AbandonedRun<'a>(&'a Call);
-
-impl Drop for AbandonedRun<'_> {
-    fn drop(&mut self) {
-        self.0.record_possible_run();
-    }
-}
-
 fn check_head(server: &BackendEntry, head: &ResponseHead) -> Result<(), AttemptError> {
     let name = || server.id.clone();
     if let Some(other) = other_at_fault(server, head)
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -5,6 +5,7 @@
 use crate::run_end::{LastRunEnd, RunEnd};
 use crate::server_probe::ServerChecks;
 use crate::shared::Shared;
+use crate::tried_servers::TriedServers;
 use adapter::RequestHead;
 use bytes::Bytes;
 use hyper::Response;
@@ -70,6 +71,8 @@
     pub body_memory: Vec<ByteReservation>,
     /// Checks of the servers that may have run it and have failed.
     pub checks: ServerChecks,
+    /// Servers that were tried for it.
+    pub tried: TriedServers,
     number: CallNumber,
     progress: Progress,
 }
@@ -121,6 +124,7 @@
             deadline: arrived + limit,
             body_memory: Vec::new(),
             checks: ServerChecks::default(),
+            tried: TriedServers::default(),
             progress: Progress::default(),
         }
     }
@@ -223,11 +227,24 @@
         self.progress.is_trial.store(false, Ordering::Relaxed);
     }
 
-    /// Records that a server may have run the request.
-    pub fn record_possible_run(&self) {
+    /// Adds a server that may have run the request.
+    pub fn add_possible_run(&self) {
         self.progress.possible_runs.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes back one that [`Self::add_possible_run`] added.
+    pub fn withdraw_possible_run(&self) {
+        self.progress.possible_runs.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Whether tries and the retry budget are left to send the request once more.
+    pub fn has_repeats_left(&self) -> bool {
+        let now = self.shared.clock.now();
+        let fleet = &self.shared.fleet;
+        self.progress.tries.load(Ordering::Relaxed) < MAX_TRIES
+            && fleet.may_claim_retry(&self.admitted.service.name, now)
+    }
+
     /// Number of times that the request was sent to a server.
     pub fn sends(&self) -> u32 {
         self.progress.sends.load(Ordering::Relaxed)
--- a/crates/direct/src/crash_guard.rs
+++ b/crates/direct/src/crash_guard.rs
@@ -6,8 +6,7 @@
 use crate::shared::Shared;
 use async_io::Timer;
 use policy::{
-    BackendId, CrashGuard, GuardChange, GuardVerdict, RetryTurn, RowChange, RunId, Spread,
-    server_key,
+    CrashGuard, GuardChange, GuardVerdict, RetryTurn, RowChange, RunId, Spread, server_key,
 };
 use proto::{BackendEntry, CrashFrame, StreamOpening, Suspect};
 use slog::{info, warn};
@@ -83,7 +82,7 @@
 
 /// Delays a call whose server has crashed, and a new call while the same request is a suspect, until its
 /// turn to be sent, which is returned.
-pub async fn await_turn(call: &Call, tried: &[BackendId]) -> Option<RetryTurn> {
+pub async fn await_turn(call: &Call) -> Option<RetryTurn> {
     let shared = &call.shared;
     let turn = if call.take_crash() {
         let now = shared.clock.now();
@@ -99,7 +98,7 @@
     } else {
         return None;
     };
-    let delay = turn.delay(working_servers(call, tried));
+    let delay = turn.delay(working_servers(call));
     if !delay.is_zero() {
         Timer::after(delay.min(call.remaining())).await;
         review(shared);
@@ -124,8 +123,9 @@
 }
 
 /// Number of servers that a call was not sent to and that have not crashed a moment ago.
-fn working_servers(call: &Call, tried: &[BackendId]) -> usize {
+fn working_servers(call: &Call) -> usize {
     let shared = &call.shared;
+    let tried = call.tried.list();
     let now = shared.clock.now();
     let servers = shared
         .store_cache
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,12 +1,13 @@
 //! Load, health and rate limits of the backend servers, as tracked by this gateway.
 
+use crate::retry_budgets::RetryBudgets;
 use crate::signal::Signal;
 use adapter::HostSettings;
 use policy::{
     AttemptResult, BackendId, DataEvidence, EngineCandidate, FleetLoad, HerdAvoidance, JobId,
-    JobLoad, LimitRevision, PeerReportEffect, PlainCandidate, RepeatBudget, RepeatCounts,
-    RepeatLimits, SendLimiter, SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses,
-    ServiceName, ServiceSpec, SuspectKind, cold_send_bound, server_key,
+    JobLoad, LimitRevision, PeerReportEffect, PlainCandidate, RepeatCounts, SendLimiter,
+    SendShares, SendTimes, ServerFailures, ServerHealth, ServerPauses, ServiceSpec, SuspectKind,
+    cold_send_bound, server_key,
 };
 use proto::{BackendEntry, RequestLimit, ServerKey, ServerReport, ServerUsage};
 use rand::Rng as _;
@@ -31,7 +32,7 @@
     urgent: Signal,
     name: Box<str>,
     domain: Box<str>,
-    retry_limits: RepeatLimits,
+    retries: RetryBudgets,
     cold_overage: f64,
     cold_slack: f64,
 }
@@ -43,7 +44,6 @@
     health: HashMap<BackendId, ServerHealth>,
     failures: ServerFailures,
     pauses: ServerPauses,
-    retry_budgets: HashMap<ServiceName, RepeatBudget>,
 }
 
 impl Fleet {
@@ -59,14 +59,13 @@
                 health: HashMap::new(),
                 failures: ServerFailures::default(),
                 pauses: ServerPauses::default(),
-                retry_budgets: HashMap::new(),
             }),
             name: settings.name.clone(),
             awaits_data: AtomicBool::new(false),
             update_interval_micros: AtomicU64::new(0),
             next_job_id: AtomicU64::new(1),
             domain: settings.domain.clone(),
-            retry_limits: bounds.repeats,
+            retries: RetryBudgets::new(bounds.repeats),
             cold_overage: bounds.cold_overage,
             cold_slack: bounds.cold_slack,
         }
@@ -366,20 +365,29 @@
 
     /// Counts a caller's request, which adds to the retry budget of the service.
     pub fn record_request(&self, service: &str, now: Duration) {
-        self.with_retry_budget(service, |budget| budget.record_first(now));
+        self.retries
+            .with(service, |budget, _| budget.record_first(now));
     }
 
     /// Takes one retry from the budget of the service; returns `false` if it is exhausted.
     pub fn claim_retry(&self, service: &str, now: Duration) -> bool {
         let gateways = self.lock().sends.shares().gateways();
-        self.with_retry_budget(service, |budget| {
-            budget.try_spend(now, self.retry_limits, gateways)
+        self.retries.with(service, |budget, limits| {
+            budget.try_spend(now, limits, gateways)
+        })
+    }
+
+    /// Whether [`Self::claim_retry`] would allow a retry.
+    pub fn may_claim_retry(&self, service: &str, now: Duration) -> bool {
+        let gateways = self.lock().sends.shares().gateways();
+        self.retries.with(service, |budget, limits| {
+            budget.may_spend(now, limits, gateways)
         })
     }
 
     /// What the retry budget of the service counts at present.
     pub fn repeat_counts(&self, service: &str, now: Duration) -> RepeatCounts {
-        self.with_retry_budget(service, |budget| budget.counts(now))
+        self.retries.with(service, |budget, _| budget.counts(now))
     }
 
     /// Adds a job to the load of its servers.
@@ -428,14 +436,6 @@
         }
     }
 
-    fn with_retry_budget<T>(&self, service: &str, f: impl FnOnce(&mut RepeatBudget) -> T) -> T {
-        let mut state = self.lock();
-        let window = self.retry_limits.window;
-        let budget = state.retry_budgets.entry(service.into());
-        // Times are counted from the start of the process.
-        f(budget.or_insert_with(|| RepeatBudget::new(window, Duration::ZERO)))
-    }
-
     /// Requests that all gateways together may send to one server of the service per second.
     fn send_bound(&self, service: &ServiceSpec) -> Option<f64> {
         cold_send_bound(service.cold_rate, self.cold_overage, self.cold_slack)
--- a/crates/direct/src/plain_server.rs
+++ b/crates/direct/src/plain_server.rs
@@ -6,7 +6,7 @@
 use crate::job::Job;
 use crate::prompt_queue::PAUSED_REASON;
 use crate::send_permit::SendPermit;
-use policy::{BackendId, RetryTurn, choose_plain_server, suggest_retry_after_limit};
+use policy::{RetryTurn, choose_plain_server, suggest_retry_after_limit};
 use proto::BackendEntry;
 use slog::info;
 use std::time::Duration;
@@ -19,12 +19,9 @@
 /// Chooses the server of a plain service that gets a request, and takes a permit to send it there.
 ///
 /// A call that is sent again after a crash goes to the server of its `turn`.
-pub fn choose_server(
-    call: &Call,
-    tried: &[BackendId],
-    turn: Option<RetryTurn>,
-) -> Option<(BackendEntry, SendPermit)> {
+pub fn choose_server(call: &Call, turn: Option<RetryTurn>) -> Option<(BackendEntry, SendPermit)> {
     let shared = &call.shared;
+    let tried = call.tried.list();
     let service = &call.admitted.service;
     loop {
         let now = shared.clock.now();
@@ -55,8 +52,9 @@
 }
 
 /// Why no server could be chosen, and when the caller should retry.
-pub fn no_server(call: &Call, tried: &[BackendId]) -> NoServer {
+pub fn no_server(call: &Call) -> NoServer {
     let shared = &call.shared;
+    let tried = call.tried.list();
     let service = &call.admitted.service;
     let now = shared.clock.now();
     let mut servers = shared.store_cache.usable_servers(&service.name, now);
@@ -88,13 +86,9 @@
 }
 
 /// Assigns a server of a plain service to the stream of a call.
-pub fn assign_stream(
-    call: &Call,
-    tried: &[BackendId],
-    turn: Option<RetryTurn>,
-) -> Result<Assignment, NoServer> {
-    let chosen = choose_server(call, tried, turn);
-    let (server, permit) = chosen.ok_or_else(|| no_server(call, tried))?;
+pub fn assign_stream(call: &Call, turn: Option<RetryTurn>) -> Result<Assignment, NoServer> {
+    let chosen = choose_server(call, turn);
+    let (server, permit) = chosen.ok_or_else(|| no_server(call))?;
     let job = Job::start_plain(&call.shared, &server);
     Ok(Assignment {
         server,
--- a/crates/direct/src/server_probe.rs
+++ b/crates/direct/src/server_probe.rs
@@ -1,10 +1,10 @@
 //! Connections to servers that show whether they run, and checks of servers that failed during a call.
 
+use crate::broadcast::Broadcast;
 use crate::call::Call;
 use crate::crash_guard::record_crash;
 use crate::server_failure;
 use crate::shared::Shared;
-use crate::signal::Signal;
 use async_channel::Sender;
 use async_io::Timer;
 use futures_lite::future::or;
@@ -120,7 +120,7 @@
 #[derive(Debug, Default)]
 struct CheckState {
     checks: Mutex<CallChecks>,
-    ended: Signal,
+    ended: Broadcast,
 }
 
 impl ServerChecks {
@@ -134,12 +134,14 @@
         self.lock().gone()
     }
 
-    /// Waits until a condition holds that only the end of a check can bring about. One task of a call
-    /// waits at a time.
+    /// Waits until a condition holds that only the end of a check can bring about.
     pub async fn until(&self, holds: impl Fn() -> bool) {
-        while !holds() {
-            self.state.ended.notified().await;
-        }
+        self.state.ended.until(holds).await;
+    }
+
+    /// Waits until a server is known to be gone.
+    pub async fn until_gone(&self, server: &BackendId) {
+        self.until(|| self.is_gone(server)).await;
     }
 
     fn lock(&self) -> MutexGuard<'_, CallChecks> {
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -5,7 +5,9 @@
 use crate::call::Call;
 use crate::crash_guard::{BLOCKED_REASON, GuardedRun, admit, await_turn};
 use crate::event_splitter::EventSplitter;
+use crate::on_silence::{OnSilence, record_silence};
 use crate::plain_server::assign_stream;
+use crate::possible_run::PossibleRun;
 use crate::prompt_queue::PlacementRequest;
 use crate::reservation::{Reservations, ReserveError};
 use crate::run_end::RunEnd;
@@ -70,6 +72,8 @@
     splitter: EventSplitter,
     evidence: DataEvidence,
     sent_at: Duration,
+    /// Whether memory of helpers is reserved for it.
+    holds_memory: bool,
     /// Whether it goes on with a stream that began elsewhere.
     is_resumed: bool,
     awaits_first_event: bool,
@@ -106,22 +110,22 @@
 impl ServerStream {
     /// Waits until a server is assigned, reserves memory at helpers and sends the request.
     ///
-    /// With `last_event`, the server resumes the stream after that event. The assigned server is
-    /// added to `tried`.
+    /// With `last_event`, the server resumes the stream after that event. `silence` says what to do
+    /// where it is silent for too long.
     pub async fn open(
         call: &Call,
-        tried: &mut Vec<BackendId>,
         last_event: Option<u64>,
+        silence: OnSilence<'_>,
     ) -> Result<Self, OpenError> {
         let shared = &call.shared;
-        let turn = await_turn(call, tried).await;
+        let turn = await_turn(call).await;
         if !admit(call).await {
             return Err(OpenError::Blocked);
         }
         if !call.claim_try() {
             return Err(OpenError::TriesExhausted);
         }
-        let mut assignment = assign(call, tried, turn).await?;
+        let mut assignment = assign(call, turn).await?;
         let name = call.reservation_name();
         let reserved =
             Reservations::acquire(shared, &name, &assignment.server, &assignment.helpers).await;
@@ -134,17 +138,28 @@
             let now = shared.clock.now();
             shared.fleet.on_result(helper, AttemptResult::Silent, now);
             // Nothing was sent to the engine that was to decode, so that it can be chosen again.
-            tried.push(helper.clone());
+            call.tried.push(helper.clone());
         } else if !matches!(&reserved, Ok(_) | Err(ReserveError::Left(_))) {
-            tried.push(assignment.server.id.clone());
+            call.tried.push(assignment.server.id.clone());
         }
         let (reservations, helpers) = reserved?;
         let sent_at = shared.clock.now();
         let patience = first_event_wait(&call.admitted.route, assignment.first_event_forecast());
+        let possible_run = PossibleRun::new(call);
+        let holds_memory = helpers.iter().any(|helper| helper.reservation.is_some());
+        let engine = assignment.server.clone();
         let gives_up = async {
             Timer::after(patience).await;
             // A check may find that a server which ran it before is gone.
             call.checks.until(|| !call.is_last_run()).await;
+            if !silence.ends_try(call, holds_memory) {
+                if possible_run.is_sent() {
+                    possible_run.count();
+                    record_silence(call, &engine);
+                    silence.notify();
+                }
+                call.checks.until_gone(&engine.id).await;
+            }
         };
         let prompt = StreamSend {
             helpers: &helpers,
@@ -153,7 +168,7 @@
         };
         let Assignment { server, permit, .. } = &mut assignment;
         let run = GuardedRun::start(call, server);
-        let answered = send(call, server, permit, Some(prompt), gives_up, tried);
+        let answered = send(call, server, permit, Some(prompt), gives_up, &possible_run);
         let lost = async {
             reservations.engine_lost().await;
             Err(give_up_lost_engine(call, server))
@@ -168,6 +183,7 @@
             splitter: EventSplitter::after(last_event.or(call.head.last_event_id)),
             evidence: DataEvidence::default(),
             sent_at,
+            holds_memory,
             is_resumed: last_event.is_some(),
             awaits_first_event: true,
             is_last_choice: false,
@@ -180,6 +196,16 @@
         self.assignment.server.address
     }
 
+    /// Id of the server.
+    pub fn server_id(&self) -> BackendId {
+        self.assignment.server.id.clone()
+    }
+
+    /// Whether it ends where the server is silent for too long.
+    pub fn ends_by_silence(&self, call: &Call, silence: OnSilence<'_>) -> bool {
+        silence.ends_try(call, self.holds_memory)
+    }
+
     /// Id of the last complete event; `None` before the first one.
     pub fn last_event(&self) -> Option<u64> {
         self.splitter.last_event()
@@ -204,8 +230,14 @@
                 item => break item,
             }
         };
-        self.record(call, &item);
-        match &item {
+        self.settle(call, &item).await;
+        item
+    }
+
+    /// Records an item, and finds out why the server broke off.
+    async fn settle(&mut self, call: &Call, item: &StreamItem) {
+        self.record(call, item);
+        match item {
             // It did not respond for some time before, as an engine on a lost host.
             StreamItem::Broken(reason) if &**reason == ENGINE_LOST => {
                 check_server(call, &self.assignment.server);
@@ -213,15 +245,20 @@
             StreamItem::Broken(_) => detect_crashed_server(call, &self.assignment.server).await,
             _ => {}
         }
-        item
     }
 
-    /// Waits for the next item of a server that has already been silent for too long, up to the
-    /// deadline of the call.
+    /// Waits for the next item of a server that has already been silent for too long, until it is known to
+    /// be gone or the deadline of the call.
     pub async fn next_late(&mut self, call: &Call) -> StreamItem {
-        let item = self.next_within(call, call.remaining()).await;
+        let id = self.server_id();
+        let gone = async {
+            call.checks.until_gone(&id).await;
+            StreamItem::Silent
+        };
+        let item = or(self.next_within(call, call.remaining()), gone).await;
         info!(call.shared.log, "stream: the silent engine goes on"; "req" => &*call.head.id,
             "server" => &*self.assignment.server.id, "how" => item.outcome());
+        self.settle(call, &item).await;
         item
     }
 
@@ -338,16 +375,12 @@
 }
 
 /// Waits until a server is assigned: engines by the queue of prompts, another one at once.
-async fn assign(
-    call: &Call,
-    tried: &[BackendId],
-    turn: Option<RetryTurn>,
-) -> Result<Assignment, OpenError> {
+async fn assign(call: &Call, turn: Option<RetryTurn>) -> Result<Assignment, OpenError> {
     let shared = &call.shared;
     if call.admitted.service.engine.is_none() {
-        return assign_stream(call, tried, turn).map_err(OpenError::NoServer);
+        return assign_stream(call, turn).map_err(OpenError::NoServer);
     }
-    let request = placement_request(call, tried, turn);
+    let request = placement_request(call, turn);
     let assigned = shared.prompt_queue.assign(shared, request).await;
     let assignment = assigned.map_err(OpenError::NoServer)?;
     log_assignment(call, &assignment);
@@ -369,11 +402,7 @@
     AttemptError::MayHaveRun(server.id.clone(), ENGINE_LOST.into())
 }
 
-fn placement_request(
-    call: &Call,
-    tried: &[BackendId],
-    turn: Option<RetryTurn>,
-) -> PlacementRequest {
+fn placement_request(call: &Call, turn: Option<RetryTurn>) -> PlacementRequest {
     let now = call.shared.clock.now();
     let is_retry = call.sends() > 0;
     // A retry starts to wait now: the caller of a resumed stream already has part of the response.
@@ -389,7 +418,7 @@
         deadline: call
             .deadline
             .min(since + call.admitted.route.caller_wait_limit()),
-        tried_servers: tried.to_vec(),
+        tried_servers: call.tried.list(),
         suspects: call.suspects.clone(),
         is_trial: call.is_trial(),
         turn,
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -1,129 +1,63 @@
 //! Calls whose response is a stream of events.
 
-use crate::answer_body::read_body;
 use crate::attempt::AttemptError;
 use crate::call::Call;
-use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after};
+use crate::call_tries::run_tries;
+use crate::crash_guard::BLOCKED_REASON;
+use crate::on_silence::OnSilence;
 use crate::plain::{caller_response, relay_complete};
 use crate::run_end::RunEnd;
 use crate::server_probe::may_run_again;
 use crate::server_stream::{OpenError, ServerStream};
 use crate::stream_buffers::{READS_TOO_SLOWLY, StreamBuffer};
 use crate::stream_item::StreamItem;
+use crate::stream_start::{ANSWERED, Started, StreamTry, respond_to_failure};
 use adapter::response_headers;
 use bytes::Bytes;
 use futures_lite::future::or;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode};
-use policy::{BackendId, DRAIN_RETRY_AFTER, DRAINING_REASON, Drain, RouteKind};
+use policy::{DRAINING_REASON, Drain, RouteKind};
 use runtime::{Body, timeout};
 use slog::info;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// `Retry-After` of refused requests, such as where memory could not be reserved or no retry is
-/// left.
-const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Content type of a stream of events, which parameters may follow.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
-/// Outcome of calls that end with a response which is not a stream.
-const ANSWERED: &str = "server's answer";
-
-/// Result of a call at one engine, up to its first event.
-enum StartOutcome {
-    Stream(Box<ServerStream>, Bytes),
-    /// The engine ended the stream without an event.
-    Empty(Box<ServerStream>),
-    /// A response that is not a stream, such as an error.
-    Complete(Parts, Body),
-    Failed,
-}
 
 /// Runs a call. The response head is sent only once the first event is there, so that other
 /// engines can be tried until then.
 pub async fn run(call: Arc<Call>) -> Response<Body> {
-    let mut tried = Vec::new();
-    let mut error_response = None;
-    loop {
-        let reason = match ServerStream::open(&call, &mut tried, None).await {
-            Ok(stream) => match await_first_event(&call, stream).await {
-                StartOutcome::Stream(stream, events) => return relay(call, stream, events, tried),
-                StartOutcome::Empty(stream) => {
-                    call.record_end("served", "no event");
-                    return caller_response(&stream.response.head, Body::full(Bytes::new()));
-                }
-                StartOutcome::Complete(head, body) if head.status.is_server_error() => {
-                    error_response = Some((head, body));
-                    None
-                }
-                StartOutcome::Complete(head, body) => {
-                    call.record_run_end(RunEnd::Answered);
-                    return relay_complete(&call, &head, body, ANSWERED, last_server(&tried));
-                }
-                StartOutcome::Failed => None,
-            },
-            Err(OpenError::NoServer(refusal)) => Some((refusal.retry_after, refusal.reason)),
-            Err(OpenError::Blocked | OpenError::Attempt(AttemptError::Blocked)) => {
-                let retry_after = blocked_retry_after(&call.shared, &call.suspects);
-                Some((retry_after, BLOCKED_REASON))
-            }
-            Err(OpenError::TriesExhausted) => Some((REFUSAL_RETRY_AFTER, "tried enough")),
-            Err(OpenError::Attempt(AttemptError::RetryBudgetSpent)) => {
-                Some((REFUSAL_RETRY_AFTER, "repeats spent"))
-            }
-            Err(OpenError::Attempt(AttemptError::Draining)) => {
-                Some((DRAIN_RETRY_AFTER, DRAINING_REASON))
-            }
-            Err(OpenError::Reservation(_)) if call.remaining() > REFUSAL_RETRY_AFTER => None,
-            Err(OpenError::Reservation(_)) => Some((REFUSAL_RETRY_AFTER, "no memory")),
-            Err(OpenError::Attempt(_)) => None,
-        };
-        let is_final = call.remaining().is_zero() || !may_run_again(&call).await;
-        let (retry_after, detail) = match reason {
-            Some(reason) => reason,
-            None if is_final => (REFUSAL_RETRY_AFTER, "no answer"),
-            None => continue,
-        };
-        return match error_response {
-            Some((head, body)) => relay_complete(&call, &head, body, ANSWERED, detail),
-            None => call.end_without_response(retry_after, detail),
-        };
+    match run_tries(&StreamTry(&call)).await {
+        Ok(started) => respond(call, started),
+        Err(failure) => respond_to_failure(&call, failure),
     }
 }
 
-fn last_server(tried: &[BackendId]) -> &str {
-    tried.last().map_or("", |server| server)
-}
-
-async fn await_first_event(call: &Call, mut stream: ServerStream) -> StartOutcome {
-    if !stream.response.head.status.is_success() {
-        return read_complete(call, stream).await;
-    }
-    match stream.next(call).await {
-        StreamItem::Events(events) => StartOutcome::Stream(Box::new(stream), events),
-        StreamItem::End => StartOutcome::Empty(Box::new(stream)),
-        StreamItem::Broken(_) | StreamItem::Silent => StartOutcome::Failed,
-    }
-}
-
-async fn read_complete(call: &Call, mut stream: ServerStream) -> StartOutcome {
-    let server = stream.server_address();
-    let body = read_body(&call.shared, server, &mut stream.response.body);
-    match timeout(call.remaining(), body).await {
-        Ok(Ok(body)) => StartOutcome::Complete(stream.response.head.clone(), body),
-        _ => StartOutcome::Failed,
+/// Builds the response to the caller from that of a server.
+fn respond(call: Arc<Call>, started: Started) -> Response<Body> {
+    match started {
+        Started::Stream(stream, events) => relay(call, stream, events),
+        Started::Empty(stream) => {
+            call.record_end("served", "no event");
+            caller_response(&stream.response.head, Body::full(Bytes::new()))
+        }
+        Started::Complete(complete) => {
+            call.record_run_end(RunEnd::Answered);
+            relay_complete(
+                &call,
+                &complete.head,
+                complete.body,
+                ANSWERED,
+                &complete.server,
+            )
+        }
     }
 }
 
 /// Builds the response to the caller, and starts a task that relays the stream.
-fn relay(
-    call: Arc<Call>,
-    stream: Box<ServerStream>,
-    events: Bytes,
-    tried: Vec<BackendId>,
-) -> Response<Body> {
+fn relay(call: Arc<Call>, stream: Box<ServerStream>, events: Bytes) -> Response<Body> {
     let took = call.shared.clock.now().saturating_sub(call.arrived);
     call.shared.metrics.first_byte(call.kind(), took);
     let (tx, body) = call.shared.stream_buffers.open(&call);
@@ -132,12 +66,7 @@
     *response.headers_mut() = response_headers(&stream.response.head);
     let executor = call.shared.executor.clone();
     let kind = AnswerKind::of(&stream.response.head);
-    let relay = Relay {
-        call,
-        tx,
-        tried,
-        kind,
-    };
+    let relay = Relay { call, tx, kind };
     executor.detach(relay.run(stream, events));
     response
 }
@@ -145,7 +74,6 @@
 struct Relay {
     call: Arc<Call>,
     tx: StreamBuffer,
-    tried: Vec<BackendId>,
     /// What the caller has been told of its answer.
     kind: AnswerKind,
 }
@@ -336,7 +264,7 @@
             return Err(RelayEnd::Broken("it cannot be resumed"));
         };
         while !self.call.remaining().is_zero() && self.may_run_again().await? {
-            let opened = ServerStream::open(&self.call, &mut self.tried, Some(last_event));
+            let opened = ServerStream::open(&self.call, Some(last_event), OnSilence::GiveUp);
             match unless_caller_left(&self.tx, opened).await {
                 None => return Err(RelayEnd::CallerLeft),
                 Some(Ok(stream)) => {
--- a/crates/policy/src/sliding_window.rs
+++ b/crates/policy/src/sliding_window.rs
@@ -192,15 +192,20 @@
 
     /// Takes one repeat from the budget; returns whether there was one left.
     pub fn try_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
-        let earned = EARNED_FRACTION * limits.ratio * self.first_sends.count(now) as f64;
-        let allowed = earned + self.constant_share(now, limits, gateways);
-        let is_allowed = (self.repeats.count(now) + 1) as f64 <= allowed;
+        let is_allowed = self.may_spend(now, limits, gateways);
         if is_allowed {
             self.repeats.record(now);
         }
         is_allowed
     }
 
+    /// Whether one repeat is left.
+    pub fn may_spend(&mut self, now: Duration, limits: RepeatLimits, gateways: usize) -> bool {
+        let earned = EARNED_FRACTION * limits.ratio * self.first_sends.count(now) as f64;
+        let allowed = earned + self.constant_share(now, limits, gateways);
+        (self.repeats.count(now) + 1) as f64 <= allowed
+    }
+
     /// Share of the constant. It accrues in the first window of the process, for which the one before
     /// it may have spent a whole share.
     fn constant_share(&self, now: Duration, limits: RepeatLimits, gateways: usize) -> f64 {
