--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -119,12 +119,10 @@
             None => pending().await,
         }
         if !silence.ends_try(call, false) {
-            if possible_run.is_sent() {
-                call.record_time(taken());
-                possible_run.count();
-                record_silence(call, server);
-                silence.notify();
-            }
+            call.record_time(taken());
+            possible_run.count();
+            record_silence(call, server);
+            silence.notify();
             call.checks.until_gone(&server.id).await;
         }
     });
--- a/crates/direct/src/possible_run.rs
+++ b/crates/direct/src/possible_run.rs
@@ -28,11 +28,6 @@
         self.is_sent.store(true, Ordering::Relaxed);
     }
 
-    /// Whether the request was sent.
-    pub fn is_sent(&self) -> bool {
-        self.is_sent.load(Ordering::Relaxed)
-    }
-
     /// Counts it.
     pub fn count(&self) {
         if !self.is_counted.swap(true, Ordering::Relaxed) {
@@ -51,7 +46,7 @@
 
 impl Drop for PossibleRun<'_> {
     fn drop(&mut self) {
-        if self.is_sent() {
+        if self.is_sent.load(Ordering::Relaxed) {
             self.count();
         }
     }
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -153,11 +153,9 @@
             // A check may find that a server which ran it before is gone.
             call.checks.until(|| !call.is_last_run()).await;
             if !silence.ends_try(call, holds_memory) {
-                if possible_run.is_sent() {
-                    possible_run.count();
-                    record_silence(call, &engine);
-                    silence.notify();
-                }
+                possible_run.count();
+                record_silence(call, &engine);
+                silence.notify();
                 call.checks.until_gone(&engine.id).await;
             }
         };
