A silent server that took over goes on as well, before the head and midway

What callers saw: a server ended, another one took its stream over and was silent for a second, and no third one was there. Before the head they got 502 "no server" with 6.0 s left; midway their stream was cut, status 200, "no engine to go on", with 6.8 s left, while the engine that had resumed it was at work.

Cause: only the first of the tries went on while it was silent; those beside it, and all that resume a stream, were given up before it was known whether another server could follow.

Change: `run_tries` keeps every silent try under way and starts one more beside it; a resumption (`ResumeTry`) goes through it too.

--- a/crates/direct/src/call_tries.rs
+++ b/crates/direct/src/call_tries.rs
@@ -8,7 +8,9 @@
 use hyper::http::response::Parts;
 use policy::BackendId;
 use runtime::Body;
-use std::pin::pin;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 /// How a call is tried at one server.
@@ -69,72 +71,109 @@
             error: later.error.or(self.error),
         }
     }
-
-    async fn is_final(&self, call: &Call) -> bool {
-        self.refusal.is_some() || call.remaining().is_zero() || !may_run_again(call).await
-    }
 }
 
 /// Tries servers until one succeeds or no further one can be tried.
 ///
-/// A server that is silent for too long goes on while others are tried, and the first that succeeds is used:
-/// silence is no reason to drop work where nothing may come of another try.
+/// A server that is silent for too long goes on while another one is tried beside it, and the first that
+/// succeeds is used: silence is no reason to drop work where nothing may come of another try.
 pub async fn run_tries<T: CallTry>(tries: &T) -> Result<T::Success, TryFailure> {
+    let call = tries.call();
+    let silent = Signal::default();
+    let mut running = RunningTries::new(Box::pin(run_one(tries, &silent, false)));
     let mut failure = TryFailure::default();
     loop {
-        let silent = Signal::default();
-        let first = tries.run(OnSilence::Notify(&silent));
-        match with_others(first, &silent, tries).await {
-            Ok(success) => return Ok(success),
-            Err(later) => failure = failure.followed_by(later),
+        let is_silent = async {
+            silent.notified().await;
+            TryEvent::Silent
+        };
+        match or(running.next_end(), is_silent).await {
+            TryEvent::Silent => running.on_silent(),
+            TryEvent::Ended(Ok(success)) => return Ok(success),
+            TryEvent::Ended(Err(TryEnd::NotTried)) if running.is_empty() => return Err(failure),
+            TryEvent::Ended(Err(TryEnd::NotTried)) => continue,
+            TryEvent::Ended(Err(TryEnd::Failed(later))) => failure = failure.followed_by(later),
         }
-        if failure.is_final(tries.call()).await {
+        let is_refused = failure.refusal.is_some() || call.remaining().is_zero();
+        // Two that are not counted as runs yet could exceed the attempts of the call.
+        if !is_refused && !running.has_newest {
+            running.start(Box::pin(run_one(tries, &silent, true)));
+        } else if running.is_empty() {
             return Err(failure);
         }
     }
 }
 
-/// What came first.
-enum Winner<R> {
-    First(R),
-    Others(R),
+/// What happened to the tries of a call.
+enum TryEvent<S> {
+    /// One is silent, and goes on.
+    Silent,
+    /// One has ended.
+    Ended(Result<S, TryEnd>),
 }
 
-/// Waits for `first`. Once it is `silent`, others are tried beside it; what does not win is dropped.
-async fn with_others<T: CallTry>(
-    first: impl Future<Output = Result<T::Success, TryFailure>> + Send,
-    silent: &Signal,
+/// How a try ended without success.
+enum TryEnd {
+    /// It gave no response for the caller.
+    Failed(TryFailure),
+    /// No further server may run the call.
+    NotTried,
+}
+
+async fn run_one<T: CallTry>(
     tries: &T,
-) -> Result<T::Success, TryFailure> {
-    let mut first = pin!(first);
-    let ended = async { Some(first.as_mut().await) };
-    let is_silent = async {
-        silent.notified().await;
-        None
-    };
-    if let Some(result) = or(ended, is_silent).await {
-        return result;
+    silent: &Signal,
+    is_repeat: bool,
+) -> Result<T::Success, TryEnd> {
+    if is_repeat && !may_run_again(tries.call()).await {
+        return Err(TryEnd::NotTried);
     }
-    // Most calls need no room for it.
-    let mut others = Box::pin(run_in_turn(tries));
-    let first_ended = async { Winner::First(first.as_mut().await) };
-    let others_ended = async { Winner::Others(others.as_mut().await) };
-    let (failure, rest) = match or(first_ended, others_ended).await {
-        Winner::First(Ok(success)) | Winner::Others(Ok(success)) => return Ok(success),
-        Winner::First(Err(failure)) => (failure, others.await),
-        Winner::Others(Err(failure)) => (failure, first.await),
-    };
-    rest.map_err(|later| failure.followed_by(later))
+    let tried = tries.run(OnSilence::new(silent)).await;
+    tried.map_err(TryEnd::Failed)
 }
 
-/// Tries one server after the other; each is given up once it is silent for too long and another may follow.
-async fn run_in_turn<T: CallTry>(tries: &T) -> Result<T::Success, TryFailure> {
-    let mut failure = TryFailure::default();
-    while !failure.is_final(tries.call()).await {
-        match tries.run(OnSilence::GiveUp).await {
-            Ok(success) => return Ok(success),
-            Err(later) => failure = failure.followed_by(later),
+/// Tries of a call that are under way; what does not win is dropped.
+struct RunningTries<F> {
+    tries: Vec<Pin<Box<F>>>,
+    /// Whether the last one of them is not silent.
+    has_newest: bool,
+}
+
+impl<S, F: Future<Output = Result<S, TryEnd>>> RunningTries<F> {
+    fn new(first: Pin<Box<F>>) -> Self {
+        Self {
+            tries: vec![first],
+            has_newest: true,
         }
     }
-    Err(failure)
+
+    fn start(&mut self, further: Pin<Box<F>>) {
+        self.tries.push(further);
+        self.has_newest = true;
+    }
+
+    /// Records that the last one is silent.
+    fn on_silent(&mut self) {
+        self.has_newest = false;
+    }
+
+    fn is_empty(&self) -> bool {
+        self.tries.is_empty()
+    }
+
+    /// Waits for the end of one of them, the first ones before later ones.
+    async fn next_end(&mut self) -> TryEvent<S> {
+        let (index, result) = poll_fn(|cx| {
+            let polls = self.tries.iter_mut().enumerate();
+            let mut ended = polls.filter_map(|(index, run)| match run.as_mut().poll(cx) {
+                Poll::Ready(result) => Some((index, result)),
+                Poll::Pending => None,
+            });
+            ended.next().map_or(Poll::Pending, Poll::Ready)
+        })
+        .await;
+        self.has_newest &= index + 1 < self.tries.len();
+        drop(self.tries.remove(index));
+        TryEvent::Ended(result)
+    }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -71,6 +71,7 @@
 mod stream;
 mod stream_buffers;
 mod stream_item;
+mod stream_resume;
 mod stream_start;
 mod tried_servers;
 mod unknown_peers;
--- a/crates/direct/src/on_silence.rs
+++ b/crates/direct/src/on_silence.rs
@@ -7,32 +7,27 @@
 use proto::BackendEntry;
 use slog::info;
 
-/// What a try does where its server is silent for too long.
+/// What a try does where its server is silent for too long: it goes on, and another server is tried beside it.
 #[derive(Debug, Clone, Copy)]
-pub enum OnSilence<'a> {
-    /// It ends, so that another one can follow.
-    GiveUp,
-    /// It goes on, and notifies so that another server can be tried beside it.
-    Notify(&'a Signal),
+pub struct OnSilence<'a> {
+    silent: &'a Signal,
 }
 
-impl OnSilence<'_> {
-    /// Whether the try ends here, where another one may run. One that holds memory of helpers leaves it to the
-    /// next one, unless none can follow.
+impl<'a> OnSilence<'a> {
+    /// Has another server tried by `silent`.
+    pub fn new(silent: &'a Signal) -> Self {
+        Self { silent }
+    }
+
+    /// Whether the try ends instead. One that holds memory of helpers leaves it to the next one, unless none can
+    /// follow.
     pub fn ends_try(self, call: &Call, holds_memory: bool) -> bool {
-        match self {
-            Self::Notify(_) if !holds_memory => false,
-            Self::Notify(_) | Self::GiveUp => {
-                call.has_repeats_left() && !call.shared.draining.is_started()
-            }
-        }
+        holds_memory && call.has_repeats_left() && !call.shared.draining.is_started()
     }
 
     /// Has another server tried beside a try that goes on.
     pub fn notify(self) {
-        if let Self::Notify(signal) = self {
-            signal.notify();
-        }
+        self.silent.notify();
     }
 }
 
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -199,11 +199,6 @@
         self.assignment.server.id.clone()
     }
 
-    /// Whether it ends where the server is silent for too long.
-    pub fn ends_by_silence(&self, call: &Call, silence: OnSilence<'_>) -> bool {
-        silence.ends_try(call, self.holds_memory)
-    }
-
     /// Id of the last complete event; `None` before the first one.
     pub fn last_event(&self) -> Option<u64> {
         self.splitter.last_event()
@@ -245,6 +240,21 @@
         }
     }
 
+    /// As [`Self::next`]. Where the server is silent for too long, has another one tried and waits on, unless
+    /// `silence` ends the try.
+    pub async fn next_despite_silence(
+        &mut self,
+        call: &Call,
+        silence: OnSilence<'_>,
+    ) -> StreamItem {
+        let item = self.next(call).await;
+        if !matches!(item, StreamItem::Silent) || silence.ends_try(call, self.holds_memory) {
+            return item;
+        }
+        silence.notify();
+        self.next_late(call).await
+    }
+
     /// Waits for the next item of a server that has already been silent for too long, until it is known to
     /// be gone or the deadline of the call.
     pub async fn next_late(&mut self, call: &Call) -> StreamItem {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -1,31 +1,23 @@
 //! Calls whose response is a stream of events.
 
-use crate::attempt::AttemptError;
 use crate::call::Call;
-use crate::call_tries::run_tries;
-use crate::crash_guard::BLOCKED_REASON;
-use crate::on_silence::OnSilence;
+use crate::call_tries::{TryFailure, run_tries};
 use crate::plain::{caller_response, relay_complete};
 use crate::run_end::RunEnd;
 use crate::server_probe::may_run_again;
-use crate::server_stream::{OpenError, ServerStream};
+use crate::server_stream::ServerStream;
 use crate::stream_buffers::{READS_TOO_SLOWLY, StreamBuffer};
 use crate::stream_item::StreamItem;
+use crate::stream_resume::{AnswerKind, ResumeTry, Resumed};
 use crate::stream_start::{ANSWERED, Started, StreamTry, respond_to_failure};
 use adapter::response_headers;
 use bytes::Bytes;
 use futures_lite::future::or;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::http::response::Parts;
-use hyper::{Response, StatusCode};
+use hyper::Response;
 use policy::{DRAINING_REASON, Drain, RouteKind};
 use runtime::{Body, timeout};
-use slog::info;
 use std::sync::Arc;
 
-/// Content type of a stream of events, which parameters may follow.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// Runs a call. The response head is sent only once the first event is there, so that other
 /// engines can be tried until then.
 pub async fn run(call: Arc<Call>) -> Response<Body> {
@@ -78,29 +70,6 @@
     kind: AnswerKind,
 }
 
-/// What the head of an answer says of its body.
-#[derive(Debug)]
-struct AnswerKind {
-    status: StatusCode,
-    content_type: Option<HeaderValue>,
-}
-
-impl AnswerKind {
-    fn of(head: &Parts) -> Self {
-        Self {
-            status: head.status,
-            content_type: head.headers.get(CONTENT_TYPE).cloned(),
-        }
-    }
-
-    /// Whether an answer of this kind goes on with a stream whose caller was told of the kind `first`.
-    fn goes_on_with(&self, first: &Self) -> bool {
-        let content_type = self.content_type.as_ref();
-        let is_stream = content_type.is_some_and(|name| name.as_bytes().starts_with(EVENT_STREAM));
-        self.status == first.status && (is_stream || self.content_type == first.content_type)
-    }
-}
-
 /// How a relayed stream ended.
 enum RelayEnd {
     Complete,
@@ -232,68 +201,36 @@
         }
     }
 
-    /// Resumes the stream at other engines until one sends events.
+    /// Resumes the stream after `last_event` at other engines until one sends events, if the route allows it.
     async fn fail_over(
-        &mut self,
+        &self,
         last_event: Option<u64>,
     ) -> Result<(Box<ServerStream>, Bytes), RelayEnd> {
-        loop {
-            let mut stream = self.resume_elsewhere(last_event).await?;
-            let next = unless_caller_left(&self.tx, stream.next(&self.call)).await;
-            match next.ok_or(RelayEnd::CallerLeft)? {
-                StreamItem::Events(events) => return Ok((stream, events)),
-                StreamItem::End => return Err(RelayEnd::Complete),
-                StreamItem::Broken(_) | StreamItem::Silent => {}
-            }
-        }
-    }
-
-    /// Whether one more engine may run the call; an error if the caller has left.
-    async fn may_run_again(&self) -> Result<bool, RelayEnd> {
-        let may_run = unless_caller_left(&self.tx, may_run_again(&self.call));
-        may_run.await.ok_or(RelayEnd::CallerLeft)
-    }
-
-    /// Resumes the stream after `last_event` at another engine, if the route allows it.
-    async fn resume_elsewhere(
-        &mut self,
-        last_event: Option<u64>,
-    ) -> Result<Box<ServerStream>, RelayEnd> {
         let resumable = self.call.admitted.route.kind == RouteKind::Stream { resumable: true };
         let Some(last_event) = last_event.filter(|_| resumable) else {
             return Err(RelayEnd::Broken("it cannot be resumed"));
         };
-        while !self.call.remaining().is_zero() && self.may_run_again().await? {
-            let opened = ServerStream::open(&self.call, Some(last_event), OnSilence::GiveUp);
-            match unless_caller_left(&self.tx, opened).await {
-                None => return Err(RelayEnd::CallerLeft),
-                Some(Ok(stream)) => {
-                    let kind = AnswerKind::of(&stream.response.head);
-                    if kind.goes_on_with(&self.kind) {
-                        return Ok(Box::new(stream));
-                    }
-                    info!(self.call.shared.log, "stream: not resumed, the answer is of another kind";
-                        "req" => &*self.call.head.id, "answer" => ?kind);
-                }
-                Some(Err(OpenError::NoServer(_))) => {
-                    return Err(RelayEnd::Broken("no engine to go on"));
-                }
-                Some(Err(OpenError::Blocked | OpenError::Attempt(AttemptError::Blocked))) => {
-                    return Err(RelayEnd::Broken(BLOCKED_REASON));
-                }
-                Some(Err(OpenError::TriesExhausted)) => {
-                    return Err(RelayEnd::Broken("tried enough"));
-                }
-                Some(Err(OpenError::Attempt(AttemptError::RetryBudgetSpent))) => {
-                    return Err(RelayEnd::Broken("repeats spent"));
-                }
-                Some(Err(OpenError::Attempt(AttemptError::Draining))) => {
-                    return Err(RelayEnd::Broken(DRAINING_REASON));
-                }
-                Some(Err(OpenError::Reservation(_) | OpenError::Attempt(_))) => {}
+        let tries = ResumeTry {
+            call: &self.call,
+            kind: &self.kind,
+            last_event,
+        };
+        let resumed = async {
+            // The server that broke off has run it.
+            if !may_run_again(&self.call).await {
+                return Err(TryFailure::default());
+            }
+            run_tries(&tries).await
+        };
+        let resumed = unless_caller_left(&self.tx, resumed).await;
+        match resumed.ok_or(RelayEnd::CallerLeft)? {
+            Ok(Resumed::Events(stream, events)) => Ok((stream, events)),
+            Ok(Resumed::Ended) => Err(RelayEnd::Complete),
+            Err(TryFailure { refusal, .. }) => {
+                let reason = refusal.map_or("no server to go on", |(reason, _)| reason);
+                Err(RelayEnd::Broken(reason))
             }
         }
-        Err(RelayEnd::Broken("no server to go on"))
     }
 }
 
--- a/crates/direct/src/stream_start.rs
+++ b/crates/direct/src/stream_start.rs
@@ -94,12 +94,7 @@
     mut stream: ServerStream,
     silence: OnSilence<'_>,
 ) -> Result<Started, TryFailure> {
-    let mut item = stream.next(call).await;
-    if matches!(item, StreamItem::Silent) && !stream.ends_by_silence(call, silence) {
-        silence.notify();
-        item = stream.next_late(call).await;
-    }
-    match item {
+    match stream.next_despite_silence(call, silence).await {
         StreamItem::Events(events) => Ok(Started::Stream(Box::new(stream), events)),
         StreamItem::End => Ok(Started::Empty(Box::new(stream))),
         StreamItem::Broken(_) | StreamItem::Silent => Err(TryFailure::default()),
