--- a/crates/trials/src/fleet_config.rs
+++ b/crates/trials/src/fleet_config.rs
@@ -4,6 +4,7 @@
     Declarations, Domain, Model, Operator, Route, Server, ServerKind, Team, hash_key,
 };
 use standins::{EngineSpec, ServiceSpec, TableSpec, WeightStoreSpec};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// API key of the fleet's first team.
@@ -37,6 +38,8 @@
     Engine(EngineSpec),
     /// A plain service.
     Service(ServiceSpec),
+    /// A server that is started elsewhere, at this address.
+    At(SocketAddr),
 }
 
 /// Configuration of a local fleet.
--- a/crates/trials/src/platform_stand_ins.rs
+++ b/crates/trials/src/platform_stand_ins.rs
@@ -31,6 +31,8 @@
     pub engines: BTreeMap<Box<str>, StandinServer<EngineStandin>>,
     /// Stand-ins of plain services.
     pub services: BTreeMap<Box<str>, StandinServer<ServiceStandin>>,
+    /// Addresses of servers that are started elsewhere.
+    pub others: BTreeMap<Box<str>, SocketAddr>,
 }
 
 impl PlatformStandIns {
@@ -81,6 +83,9 @@
                     let standin = standin.map_err(start_error)?;
                     stand_ins.services.insert(name, standin);
                 }
+                BackendStandIn::At(address) => {
+                    stand_ins.others.insert(name, *address);
+                }
             }
         }
         Ok(stand_ins)
@@ -100,6 +105,7 @@
         let service = self.services.get(server).map(StandinServer::local_addr);
         engine
             .or(service)
+            .or_else(|| self.others.get(server).copied())
             .ok_or_else(|| TrialError::StandIn("find a stand-in", server.into()))
     }
 }
