A status that HTTP does not have is no response

Callers of `direct` got 600, 700 and 999 with the server's seal, callers of `serve` these and 101; a write to the store that was answered so counted as refused, which promises that it had no effect.

Cause: the HTTP library parses any three digits from 100 on as a status, and ends a request with a 101. No client of ours asked whether the status is one of a final response; `is_genuine` refused 1xx alone.

The one place through which all responses come, `send_request` of `runtime`, now fails with `HttpError::InvalidStatus` outside 200 to 599 (RFC 9110, section 15). That covers calls, streams and their resumptions, memory orders, the agent's calls of engines and services, the store, the table and the host list. It counts as an invalid head in `bergamothold_direct_invalid_answers_total`, and may have run. The connection carries no further request.

--- a/crates/runtime/src/http_client.rs
+++ b/crates/runtime/src/http_client.rs
@@ -36,6 +36,10 @@
         EndlessHead(peer: SocketAddr) {
             display("{peer} sent {MAX_BYTES_BEFORE_HEAD} bytes without the head of a response")
         }
+        /// The peer sent a head whose status is not one of a final response. It may have seen the request.
+        InvalidStatus(peer: SocketAddr, status: StatusCode) {
+            display("{peer} sent the invalid status {}", status.as_u16())
+        }
         /// The response body ended early or exceeded its size limit.
         Body(peer: SocketAddr, reason: Box<str>) {
             display("read response body from {peer}: {reason}")
@@ -51,7 +55,7 @@
     /// Whether the peer sent a head that is no valid response, or is too long.
     pub fn is_invalid_head(&self) -> bool {
         match self {
-            Self::EndlessHead(_) => true,
+            Self::EndlessHead(_) | Self::InvalidStatus(..) => true,
             Self::Exchange(_, err) => err.is_parse() || err.is_parse_too_large(),
             _ => false,
         }
@@ -73,7 +77,7 @@
     builder
 }
 
-/// Sends a request and waits for the head of its response.
+/// Sends a request and waits for the head of its final response.
 pub(crate) async fn send_request(
     peer: SocketAddr,
     tx: &mut SendRequest<Body>,
@@ -87,9 +91,18 @@
         false => HttpError::Exchange(peer, err),
     })?;
     head_limit.end();
+    let status = response.status();
+    if !is_final(status) {
+        return Err(HttpError::InvalidStatus(peer, status));
+    }
     Ok(response)
 }
 
+/// Whether a status is one of a final response (RFC 9110, section 15). `StatusCode` holds up to 999.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 struct Connection {
--- a/crates/runtime/tests/early_ends.rs
+++ b/crates/runtime/tests/early_ends.rs
@@ -38,7 +38,7 @@
     /// By a close with a part of the request unread, which resets it.
     Close,
     /// By an orderly end of the sending side; the request is read on.
-    EndOfStream,
+    InOrder,
 }
 
 /// A response, and where the server is told that its part was read.
@@ -81,7 +81,7 @@
             sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO)).ok()?;
         }
         End::Close => {}
-        End::EndOfStream => {
+        End::InOrder => {
             stream.get_ref().shutdown(Shutdown::Write).ok()?;
             while stream.read(&mut buf).await.ok()? > 0 {}
         }
@@ -103,7 +103,7 @@
         let Ok(frame) = frame else {
             return false;
         };
-        read += frame.data_ref().map_or(0, |data| data.len());
+        read += frame.data_ref().map_or(0, bytes::Bytes::len);
         if read == part {
             let _ = part_read.try_send(());
         }
@@ -170,17 +170,17 @@
     a_response_until_close_that_is_closed_before_the_request_is_read_is_not_complete:
         Framing::Close, End::Close, false;
     a_response_until_close_that_ends_in_order_is_complete:
-        Framing::Close, End::EndOfStream, true;
+        Framing::Close, End::InOrder, true;
     a_response_with_length_that_is_reset_is_not_complete: Framing::Length, End::Reset, false;
     a_response_with_length_that_is_reset_later_is_not_complete:
         Framing::Length, End::LateReset, false;
     a_response_with_length_that_is_closed_is_not_complete: Framing::Length, End::Close, false;
     a_response_with_length_that_ends_in_order_is_not_complete:
-        Framing::Length, End::EndOfStream, false;
+        Framing::Length, End::InOrder, false;
     a_response_in_chunks_that_is_reset_is_not_complete: Framing::Chunks, End::Reset, false;
     a_response_in_chunks_that_is_reset_later_is_not_complete:
         Framing::Chunks, End::LateReset, false;
     a_response_in_chunks_that_is_closed_is_not_complete: Framing::Chunks, End::Close, false;
     a_response_in_chunks_that_ends_in_order_is_not_complete:
-        Framing::Chunks, End::EndOfStream, false;
+        Framing::Chunks, End::InOrder, false;
 }
