A body whose writer is dropped is not complete

`BufferWriter` and `BodySender` ended a body normally when they were dropped. A task that ends early for whatever reason, such as a panic or the end of its executor, closed the stream of its caller with the last chunk, as if the answer were whole. No path that does so in operation is known; each break-off we know of aborts.

A body now ends normally only by `finish`; a dropped writer ends it with an error. `direct` finishes a stream where the relay is complete, `serve` where the agent has confirmed the end, within the time of the drain.

Tests: cut_responses, HTTP/1.1: 2 of 6 red before (a last chunk behind "id: 0" of a dropped writer), green after.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -190,7 +190,10 @@
             .draining
             .before(&shared.clock, streams_end, forwarded);
         match end.await {
-            Some(RelayEnd::Complete) => self.call.record_end("served", ""),
+            Some(RelayEnd::Complete) => {
+                self.call.record_end("served", "");
+                self.tx.finish();
+            }
             Some(RelayEnd::CallerLeft) if self.tx.is_ended() => {
                 self.call.record_run_end(RunEnd::SlowReader);
                 self.call.record_end("broken off", READS_TOO_SLOWLY);
--- a/crates/direct/src/stream_buffers.rs
+++ b/crates/direct/src/stream_buffers.rs
@@ -137,6 +137,11 @@
         self.writer.is_discarded()
     }
 
+    /// Ends the response after what is held; it is complete.
+    pub fn finish(self) {
+        self.writer.finish();
+    }
+
     /// Ends the response with an error after what is held.
     pub fn abort(self, reason: &str) {
         self.writer.abort(reason);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -168,6 +168,7 @@
                 .await
                 .map_err(|_| StreamInterruption::CallerLeft)?;
         }
+        self.tx.clone().finish().await;
         Ok(())
     }
 
--- a/crates/runtime/src/body.rs
+++ b/crates/runtime/src/body.rs
@@ -1,6 +1,6 @@
 //! HTTP message bodies: fully buffered, or streamed through a bounded channel.
 
-use crate::buffered_body::{BufferReader, BufferWriter, buffered_body};
+use crate::buffered_body::{BufferReader, BufferWriter, WRITER_GONE, buffered_body};
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
 use futures_lite::Stream as _;
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 const MAX_BUFFERED_CHUNKS: usize = 16;
 
@@ -35,14 +35,23 @@
 /// Dropping `_reader_alive` tells the sender that the reader has gone.
 #[derive(Debug)]
 struct Stream {
-    chunks: Pin<Box<Receiver<io::Result<Bytes>>>>,
+    items: Pin<Box<Receiver<StreamItem>>>,
+    is_ended: bool,
     _reader_alive: Sender<()>,
 }
 
-/// Writes the chunks of a streamed [`Body`]. Dropping the last clone ends the body normally.
+#[derive(Debug)]
+enum StreamItem {
+    Chunk(Bytes),
+    End,
+    Abort(Box<str>),
+}
+
+/// Writes the chunks of a streamed [`Body`]. Dropping the last clone ends the body with an error, unless one
+/// of them has finished it.
 #[derive(Debug, Clone)]
 pub struct BodySender {
-    tx: Sender<io::Result<Bytes>>,
+    tx: Sender<StreamItem>,
     reader_alive: Receiver<()>,
 }
 
@@ -82,7 +91,8 @@
         let (tx, rx) = async_channel::bounded(MAX_BUFFERED_CHUNKS);
         let (alive_tx, reader_alive) = async_channel::bounded(1);
         let stream = Stream {
-            chunks: Box::pin(rx),
+            items: Box::pin(rx),
+            is_ended: false,
             _reader_alive: alive_tx,
         };
         (
@@ -105,12 +115,18 @@
 impl BodySender {
     /// Sends a chunk, waiting while the channel is full. Fails if the reader has gone.
     pub async fn send(&self, data: Bytes) -> Result<(), ReaderGone> {
-        self.tx.send(Ok(data)).await.map_err(|_| ReaderGone)
+        let item = StreamItem::Chunk(data);
+        self.tx.send(item).await.map_err(|_| ReaderGone)
+    }
+
+    /// Ends the body; it is complete.
+    pub async fn finish(self) {
+        let _ = self.tx.send(StreamItem::End).await;
     }
 
     /// Ends the body with an error, so that the reader cannot mistake it for complete.
     pub async fn abort(self, reason: &str) {
-        let _ = self.tx.send(Err(io::Error::other(reason.to_owned()))).await;
+        let _ = self.tx.send(StreamItem::Abort(reason.into())).await;
     }
 
     /// Whether the reader has dropped the body.
@@ -124,6 +140,23 @@
     }
 }
 
+impl Stream {
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.is_ended {
+            return Poll::Ready(None);
+        }
+        let item = ready!(self.items.as_mut().poll_next(cx));
+        let reason = match item {
+            Some(StreamItem::Chunk(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+            Some(StreamItem::End) => None,
+            Some(StreamItem::Abort(reason)) => Some(reason),
+            None => Some(WRITER_GONE.into()),
+        };
+        self.is_ended = true;
+        Poll::Ready(reason.map(|reason| Err(io::Error::other(reason.into_string()))))
+    }
+}
+
 impl http_body::Body for Body {
     type Data = Bytes;
     type Error = io::Error;
@@ -139,10 +172,7 @@
                 pieces.bytes -= piece.as_ref().map_or(0, |piece| piece.len() as u64);
                 Poll::Ready(piece.map(|piece| Ok(Frame::data(piece))))
             }
-            Kind::Stream(stream) => {
-                let item = stream.chunks.as_mut().poll_next(cx);
-                item.map(|item| item.map(|data| data.map(Frame::data)))
-            }
+            Kind::Stream(stream) => stream.poll_frame(cx),
             Kind::Buffered(reader) => reader.poll_frame(cx),
         }
     }
--- a/crates/runtime/src/buffered_body.rs
+++ b/crates/runtime/src/buffered_body.rs
@@ -11,6 +11,9 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
+/// Error of a body that its writer has neither finished nor aborted.
+pub(crate) const WRITER_GONE: &str = "the writer of the body has gone";
+
 #[derive(Debug)]
 struct Chunk {
     data: Bytes,
@@ -70,7 +73,7 @@
     }
 }
 
-/// Writes the chunks of a buffered body. Dropping it ends the body normally.
+/// Writes the chunks of a buffered body. Dropping it ends the body with an error, unless it was finished.
 #[derive(Debug)]
 pub struct BufferWriter(Arc<Buffer>);
 
@@ -161,6 +164,11 @@
         self.0.lock().is_discarded
     }
 
+    /// Ends the body after the chunks that wait; it is complete.
+    pub fn finish(self) {
+        self.0.end(Ok(()));
+    }
+
     /// Ends the body with an error after the chunks that wait, so that the reader cannot mistake it for
     /// complete.
     pub fn abort(self, reason: &str) {
@@ -175,7 +183,7 @@
 
 impl Drop for BufferWriter {
     fn drop(&mut self) {
-        self.0.end(Ok(()));
+        self.0.end(Err(WRITER_GONE.into()));
     }
 }
 
--- a/crates/standins/src/engine_http.rs
+++ b/crates/standins/src/engine_http.rs
@@ -337,7 +337,7 @@
             Some(Ok(EngineOutput::Done { .. })) => {
                 let last = Bytes::from_static(completion.last_event().as_bytes());
                 let _ = tx.send(last).await;
-                return;
+                return tx.finish().await;
             }
             Some(_) => return tx.abort("broke off").await,
             None => return,
--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -328,6 +328,7 @@
             return StreamEnd::CallerDisconnected;
         }
     }
+    tx.finish().await;
     StreamEnd::Written
 }
 
--- a/crates/trials/src/caller.rs
+++ b/crates/trials/src/caller.rs
@@ -322,6 +322,7 @@
                 return;
             }
         }
+        tx.finish().await;
     });
     body
 }
--- a/crates/trials/tests/raw_backend/mod.rs
+++ b/crates/trials/tests/raw_backend/mod.rs
@@ -21,9 +21,9 @@
     /// In order, once the request is read.
     InOrder,
     /// By a reset, while the request is still being sent.
-    EarlyReset,
+    ResetsEarly,
     /// In order, while the request is still being sent.
-    EarlyEnd,
+    EndsEarly,
 }
 
 /// What the raw servers respond to requests of callers.
@@ -126,10 +126,10 @@
     stream.write_all(&response).await.ok()?;
     match end {
         End::InOrder => {}
-        End::EarlyReset => {
+        End::ResetsEarly => {
             sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO)).ok()?;
         }
-        End::EarlyEnd => {
+        End::EndsEarly => {
             stream.get_ref().shutdown(Shutdown::Write).ok()?;
             while stream.read(&mut buf).await.ok()? > 0 {}
         }
--- a/crates/trials/tests/serve_responses.rs
+++ b/crates/trials/tests/serve_responses.rs
@@ -115,8 +115,8 @@
         let mut seed = 0;
         for headers in FRAMINGS {
             for bytes in [0, 3 << 10, 2 << 20] {
-                for end in [End::EarlyReset, End::EarlyEnd] {
-                    if headers.is_empty() && end == End::EarlyEnd {
+                for end in [End::ResetsEarly, End::EndsEarly] {
+                    if headers.is_empty() && end == End::EndsEarly {
                         // The end of the connection is that of the response.
                         continue;
                     }
