A cut response of HTTP/1.0 does not look whole

Callers of HTTP/1.0 get a stream without chunks, which ends with its connection. Where such a stream was broken off, at a stop, at its time limit or for a lost server, the server closed the connection in order, and the caller took the part for the whole answer.

A connection whose response body failed is now reset where its end would be that of the response. Responses in chunks lack their last chunk and are closed as before, as a reset may destroy what the caller has not read.

Not covered: a gateway that is killed; the kernel closes its connections in order.

--- a/crates/runtime/src/http_connection.rs
+++ b/crates/runtime/src/http_connection.rs
@@ -12,9 +12,11 @@
 use futures_lite::future::poll_once;
 use futures_lite::io::{AsyncRead, AsyncWrite};
 use futures_rustls::TlsAcceptor;
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use hyper::{Request, Version};
 use rustix::net::sockopt;
 use slog::{Logger, debug, info};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -69,6 +71,10 @@
         }
         let monitor = Arc::new(RequestMonitor::default());
         self.serve_stream(&stream, tls, &monitor).await;
+        if monitor.has_cut_response() {
+            let _ = sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
+            return;
+        }
         let read_ended = &self.shutdown.read_ended;
         let peer_may_send = monitor.peer_may_send();
         self.lingering
@@ -114,9 +120,9 @@
     }
 
     async fn serve(&self, io: impl AsyncRead + AsyncWrite + Unpin, monitor: &Arc<RequestMonitor>) {
-        let service = service_fn(|req| {
+        let service = service_fn(|req: Request<Incoming>| {
             let (responder, monitor) = (self.responder.clone(), monitor.clone());
-            monitor.on_request();
+            monitor.on_request(req.version() == Version::HTTP_10);
             let req = req.map(|body| RequestBody::new(body, monitor.clone()));
             // The library keeps room for this future while the connection is idle.
             Box::pin(async move {
@@ -149,6 +155,9 @@
                 connection.await
             }
         };
+        if result.as_ref().is_err_and(hyper::Error::is_user) {
+            monitor.on_cut_response();
+        }
         match result {
             Ok(()) => monitor.on_last_response(),
             // A response that was on its way has not arrived whole.
--- a/crates/runtime/src/request_monitor.rs
+++ b/crates/runtime/src/request_monitor.rs
@@ -19,11 +19,16 @@
     has_requests: AtomicBool,
     has_unread_body: AtomicBool,
     has_last_response: AtomicBool,
+    connection_ends_response: AtomicBool,
+    has_cut_response: AtomicBool,
 }
 
 impl RequestMonitor {
-    /// Records that the head of a request has been read.
-    pub fn on_request(&self) {
+    /// Records that the head of a request has been read, and whether the end of the connection is that of a
+    /// response without a length.
+    pub fn on_request(&self, connection_ends_response: bool) {
+        self.connection_ends_response
+            .store(connection_ends_response, Ordering::Relaxed);
         self.has_requests.store(true, Ordering::Relaxed);
         self.has_unread_body.store(true, Ordering::Relaxed);
     }
@@ -43,6 +48,17 @@
         self.has_last_response.store(true, Ordering::Relaxed);
     }
 
+    /// Records that the body of the response failed.
+    pub fn on_cut_response(&self) {
+        let is_cut = self.connection_ends_response.load(Ordering::Relaxed);
+        self.has_cut_response.store(is_cut, Ordering::Relaxed);
+    }
+
+    /// Whether an orderly end of the connection would make a response look whole that is not.
+    pub fn has_cut_response(&self) -> bool {
+        self.has_cut_response.load(Ordering::Relaxed)
+    }
+
     fn on_bytes(&self) {
         self.is_unanswered.store(true, Ordering::Relaxed);
         self.first_bytes.start();
