Agents count invalid answers

`direct` counts responses whose head is no valid answer; behind `serve` such a server showed only as failed attempts. The agent counts them in `bergamothold_agent_invalid_answers_total`.

Tests: the statuses of serve_responses, 3 of 3 red before (0 counted of each status), 6 of 6 of the file green after (one run, debug build, load about 10 on 8 cores).

--- a/crates/agent/src/backend.rs
+++ b/crates/agent/src/backend.rs
@@ -48,6 +48,11 @@
             _ => false,
         }
     }
+
+    /// Whether the backend server sent a head that is no valid answer.
+    pub fn is_invalid_answer(&self) -> bool {
+        matches!(self, Self::Http(err) if err.is_invalid_head())
+    }
 }
 
 #[derive(Deserialize)]
--- a/crates/agent/src/backend_run.rs
+++ b/crates/agent/src/backend_run.rs
@@ -241,6 +241,9 @@
 
     async fn handle_failed_call(&mut self, err: &BackendError) -> Result<(), EarlyEnd> {
         self.registration.report_ended(false);
+        if err.is_invalid_answer() {
+            self.attempt.agent.metrics.invalid_answers.inc();
+        }
         if err.is_unsent() {
             self.refuse_server_down().await?;
         } else {
--- a/crates/agent/src/claimed_run.rs
+++ b/crates/agent/src/claimed_run.rs
@@ -4,6 +4,7 @@
 use crate::attempt_claim::AttemptClaim;
 use crate::backend::{Backend, BackendError};
 use crate::claims::ClaimVerdict;
+use crate::metrics::Metrics;
 use crate::registration::Registration;
 use crate::scheduler_driver::Command;
 use async_channel::Receiver;
@@ -75,9 +76,10 @@
         let offer = self.attempt.offer.clone();
         let (tx, rx) = async_channel::bounded(1);
         let (claims, backend) = (self.claim.hand_over(), agent.backend.clone());
+        let metrics = agent.metrics.clone();
         let mut registration = registration;
         agent.executor.detach(async move {
-            let result = call_backend(&backend, &offer, priority, body).await;
+            let result = call_backend(&backend, &metrics, &offer, priority, body).await;
             registration.report_ended(matches!(result, CallResult::Answered(_)));
             claims.handle(claim_event(offer.attempt, &result));
             let _ = tx.send(result).await;
@@ -140,12 +142,23 @@
     }
 }
 
-async fn call_backend(backend: &Backend, offer: &Offer, priority: u8, body: Bytes) -> CallResult {
+async fn call_backend(
+    backend: &Backend,
+    metrics: &Metrics,
+    offer: &Offer,
+    priority: u8,
+    body: Bytes,
+) -> CallResult {
     let limit = offer.remaining + EXTRA_CALL_TIME;
     let work = async {
         match backend.send_request(offer, priority, None, body).await {
             Ok(response) => collect_response(response).await,
-            Err(err) => failed_call(&err),
+            Err(err) => {
+                metrics
+                    .invalid_answers
+                    .inc_by(err.is_invalid_answer().into());
+                failed_call(&err)
+            }
         }
     };
     let timed_out = CallResult::MayHaveRun("the backend server did not answer".into());
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -14,6 +14,8 @@
     pub dispatched: IntCounter,
     /// Attempts that ended, by outcome: `finished`, `refused`, `failed` or `cancelled`.
     pub ended: IntCounterVec,
+    /// Responses of the backend server to requests of callers whose head is no valid answer.
+    pub invalid_answers: IntCounter,
     /// Attempts that wait or run.
     pub outstanding: IntGauge,
     /// Version of the active configuration; zero without one.
@@ -38,6 +40,10 @@
             ),
             &["outcome"],
         )?;
+        let invalid_answers = IntCounter::new(
+            "bergamothold_agent_invalid_answers_total",
+            "Responses of the backend server whose head is no valid answer",
+        )?;
         let outstanding = IntGauge::new(
             "bergamothold_agent_outstanding",
             "Attempts that wait or run",
@@ -57,6 +63,7 @@
         registry.register(Box::new(offered.clone()))?;
         registry.register(Box::new(dispatched.clone()))?;
         registry.register(Box::new(ended.clone()))?;
+        registry.register(Box::new(invalid_answers.clone()))?;
         registry.register(Box::new(outstanding.clone()))?;
         registry.register(Box::new(config_version.clone()))?;
         Ok(Self {
@@ -64,6 +71,7 @@
             offered,
             dispatched,
             ended,
+            invalid_answers,
             outstanding,
             config_version,
             claims,
--- a/crates/trials/tests/serve_responses.rs
+++ b/crates/trials/tests/serve_responses.rs
@@ -19,11 +19,13 @@
     "2OO OK",
     "-200 OK",
     "",
-    "100 Continue",
     "101 Switching Protocols",
+    "100 Continue",
     "102 Processing",
     "199 Odd",
 ];
+/// Those at the end of `INVALID` that a client cannot tell from an interim response.
+const INTERIM: usize = 3;
 /// A prompt that takes more bytes than the kernel buffers of a connection on loopback hold.
 const LONG_PROMPT_TOKENS: u64 = 1 << 20;
 const LONG_BODY_BYTES: usize = 4 << 20;
@@ -72,13 +74,31 @@
     outcome.end.is_whole() && *outcome.text == *EVENTS
 }
 
+/// Invalid responses that the agent of the request's server has counted.
+async fn invalid_answers(rig: &mut RawFleet, request: Request) -> usize {
+    let server = match request {
+        Request::Completion => "engine-1",
+        Request::Plain | Request::Repeatable => "registry-1",
+    };
+    let agent = rig.fleet.agent_of(server);
+    let (_, page) = rig.fleet.get_page(&agent, "/metrics").await.unwrap();
+    let name = "bergamothold_agent_invalid_answers_total ";
+    let count = page.lines().find_map(|line| line.strip_prefix(name));
+    count.map_or(0, |count| count.parse().unwrap())
+}
+
 fn statuses_are_not_passed_on(request: Request) {
     Executor::run(2, move |executor| async move {
-        let rig = RawFleet::start(&executor, request == Request::Repeatable).await;
+        let mut rig = RawFleet::start(&executor, request == Request::Repeatable).await;
         let mut wrong = Vec::new();
         for (seed, status) in (0..).zip(INVALID) {
             rig.respond(with_length(status), End::InOrder);
+            let before = invalid_answers(&mut rig, request).await;
             let outcome = request.run(&executor, &rig, seed, false).await;
+            let counted = invalid_answers(&mut rig, request).await - before;
+            if (seed as usize) < INVALID.len() - INTERIM && counted != 1 {
+                wrong.push(format!("{status:?}: {counted} counted"));
+            }
             if !is_gateways_own(&outcome) || rig.responses() != 1 {
                 wrong.push(format!("{status:?}, {}: {outcome:?}", rig.responses()));
             }
