--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -331,6 +331,7 @@
             return StreamEnd::CallerDisconnected;
         }
     }
+    tx.finish().await;
     StreamEnd::Written
 }
 
