SIGTERM is not taken for one that was sent before the grace period

What callers would see: a gateway that stood still for longer than its grace period and then gets SIGTERM ends at once. Its open calls are closed without an answer, although SIGKILL is a whole grace period away.

Cause: the drain was counted from the last look for signals, however long ago that was. The end was in the past, and `Drain::overtime` was zero as well.

Change: where the last look is as old as the grace period, the signal counts from its handling: one that was sent then would have been followed by SIGKILL.

--- a/crates/direct/src/process.rs
+++ b/crates/direct/src/process.rs
@@ -220,7 +220,7 @@
         let is_over = timeout(SIGNAL_CHECK_INTERVAL, handled).await.is_ok();
         let now = shared.clock.now();
         if is_over {
-            return Drain::earliest_start(last_check, now);
+            return Drain::earliest_start(last_check, now, shared.settings.bounds.grace);
         }
         last_check = now;
     }
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -88,13 +88,15 @@
     }
 
     /// When a signal was sent at the earliest that is handled at `now`. The process found none at `last_check`,
-    /// and looks for signals each [`SIGNAL_CHECK_INTERVAL`].
+    /// and looks for signals each [`SIGNAL_CHECK_INTERVAL`]. A signal that was sent longer ago than `grace` would
+    /// have been followed by SIGKILL.
     ///
     /// Load pattern: a process without processor time handles SIGTERM late, while the platform counts the grace
     /// period from when it sent the signal.
-    pub fn earliest_start(last_check: Duration, now: Duration) -> Duration {
+    pub fn earliest_start(last_check: Duration, now: Duration, grace: Duration) -> Duration {
         let stood_still = now > last_check + SIGNAL_CHECK_INTERVAL + MAX_CHECK_DELAY;
-        if stood_still { last_check } else { now }
+        let may_be_late = stood_still && now < last_check + grace;
+        if may_be_late { last_check } else { now }
     }
 
     /// Time for which the process goes on at `now`, its end, where it stood still before: what was due
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -75,11 +75,19 @@
     // SIGTERM was taken for one sent when it was handled, however long the process had stood still.
     a_signal_that_is_handled_late_was_sent_after_the_last_check => {
         let last_check = START - ms(1_000);
-        assert_eq!(Drain::earliest_start(last_check, START), last_check);
+        assert_eq!(Drain::earliest_start(last_check, START, GRACE), last_check);
         for age in [0, 10, 250, 340] {
-            assert_eq!(Drain::earliest_start(START - ms(age), START), START, "{age}");
+            assert_eq!(Drain::earliest_start(START - ms(age), START, GRACE), START, "{age}");
         }
     };
+    // A process that had stood still for longer ended at once, with calls that had time left.
+    a_signal_was_sent_within_the_grace_period => {
+        for age in [GRACE, GRACE + ms(1), 3 * GRACE] {
+            assert_eq!(Drain::earliest_start(START - age, START, GRACE), START, "{age:?}");
+        }
+        let last_check = START - GRACE + ms(1);
+        assert_eq!(Drain::earliest_start(last_check, START, GRACE), last_check);
+    };
     a_process_that_stood_still_at_its_end_has_time_for_what_was_due => {
         let drain = drain();
         assert_eq!(drain.overtime(drain.end), ms(0));
--- a/crates/trials/tests/late_signals.rs
+++ b/crates/trials/tests/late_signals.rs
@@ -45,3 +45,33 @@
         );
     });
 }
+
+/// SIGKILL has not come since the process stood still, so that SIGTERM was sent later than that: a call that
+/// had time left was ended at once.
+#[test]
+fn a_process_that_stood_still_for_longer_than_the_grace_period_drains() {
+    Executor::run(2, |executor| async move {
+        let mut rig = DirectRig::start(&executor).unwrap();
+        rig.write_patient_declarations(3, &["key-1"], Duration::from_secs(15));
+        let registry = rig.add_server("registry-1", "registry", ServerKind::Plain);
+        let registry = registry.unwrap();
+        assert!(rig.wait_until_ready().await);
+        let is_served = async || rig.call("first", "/once/x", KEY).await.status == StatusCode::OK;
+        assert!(rig.wait_until(is_served).await);
+        let stall = RIG_GRACE + STALL / 5;
+        registry.standin().set_run_time(RIG_GRACE + STALL);
+        let caller = rig.gateway.caller();
+        let call = executor.spawn(async move { caller.call("open", "/once/x", KEY, 1_000).await });
+        let is_sent = async || {
+            let runs = registry.standin().executed_requests();
+            runs.iter().any(|run| &*run.request_id == "open")
+        };
+        assert!(rig.wait_until(is_sent).await);
+        rig.gateway.process.freeze().unwrap();
+        async_io::Timer::after(stall).await;
+        rig.gateway.process.terminate().unwrap();
+        rig.gateway.process.thaw().unwrap();
+        let status = call.await.status;
+        assert_eq!(status, StatusCode::OK, "{}", rig.gateway.process.log());
+    });
+}
