Count what ended streams that a server answered with an error

What operators saw: a call whose engine answered 500 instead of a stream had `run_end` null and was in no bergamothold_direct_run_ends_total; one whose answer was cut kept what had ended an earlier run.

Cause: the end was set where a whole answer is passed on, which errors of servers do not reach. Change: it is set where the answer is read.

--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -43,16 +43,13 @@
             call.record_end("served", "no event");
             caller_response(&stream.response.head, Body::full(Bytes::new()))
         }
-        Started::Complete(complete) => {
-            call.record_run_end(RunEnd::Answered);
-            relay_complete(
-                &call,
-                &complete.head,
-                complete.body,
-                ANSWERED,
-                &complete.server,
-            )
-        }
+        Started::Complete(complete) => relay_complete(
+            &call,
+            &complete.head,
+            complete.body,
+            ANSWERED,
+            &complete.server,
+        ),
     }
 }
 
--- a/crates/direct/src/stream_start.rs
+++ b/crates/direct/src/stream_start.rs
@@ -7,6 +7,7 @@
 use crate::crash_guard::{BLOCKED_REASON, blocked_retry_after};
 use crate::on_silence::OnSilence;
 use crate::plain::relay_complete;
+use crate::run_end::RunEnd;
 use crate::server_stream::{OpenError, ServerStream};
 use crate::stream_item::StreamItem;
 use bytes::Bytes;
@@ -110,8 +111,10 @@
     let server = stream.server_address();
     let body = read_body(&call.shared, server, &mut stream.response.body);
     let Ok(Ok(body)) = timeout(call.remaining(), body).await else {
+        call.record_run_end(RunEnd::Failed);
         return Err(TryFailure::default());
     };
+    call.record_run_end(RunEnd::Answered);
     let complete = WholeResponse {
         server: stream.server_id(),
         head: stream.response.head.clone(),
