--- a/crates/trials/tests/late_signals.rs
+++ b/crates/trials/tests/late_signals.rs
@@ -51,7 +51,7 @@
 #[test]
 fn a_process_that_stood_still_for_longer_than_the_grace_period_drains() {
     Executor::run(2, |executor| async move {
-        let mut rig = DirectRig::start(&executor).unwrap();
+        let rig = DirectRig::start(&executor).unwrap();
         rig.write_patient_declarations(3, &["key-1"], Duration::from_secs(15));
         let registry = rig.add_server("registry-1", "registry", ServerKind::Plain);
         let registry = registry.unwrap();
