A refusal of one try is not the end of the others, and late replies have time

A refusal now holds for the moment at which it was given. A process that stood still beyond the end of its drain goes on for 150 ms at least, as long as SIGKILL has not come.

--- a/crates/direct/src/call_tries.rs
+++ b/crates/direct/src/call_tries.rs
@@ -87,14 +87,18 @@
             silent.notified().await;
             TryEvent::Silent
         };
+        // A refusal holds for this moment: servers may be free when a silent one breaks off later.
+        let mut is_refused = call.remaining().is_zero();
         match or(running.next_end(), is_silent).await {
             TryEvent::Silent => running.on_silent(),
             TryEvent::Ended(Ok(success)) => return Ok(success),
             TryEvent::Ended(Err(TryEnd::NotTried)) if running.is_empty() => return Err(failure),
             TryEvent::Ended(Err(TryEnd::NotTried)) => continue,
-            TryEvent::Ended(Err(TryEnd::Failed(later))) => failure = failure.followed_by(later),
+            TryEvent::Ended(Err(TryEnd::Failed(later))) => {
+                is_refused |= later.refusal.is_some();
+                failure = failure.followed_by(later);
+            }
         }
-        let is_refused = failure.refusal.is_some() || call.remaining().is_zero();
         // Two that are not counted as runs yet could exceed the attempts of the call.
         if !is_refused && !running.has_newest {
             running.start(Box::pin(run_one(tries, &silent, true)));
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -25,6 +25,7 @@
 use runtime::{SingleResponse, timeout};
 use slog::info;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// Estimates of the response length are correct in the median; this factor covers most
@@ -72,6 +73,8 @@
     splitter: EventSplitter,
     evidence: DataEvidence,
     sent_at: Duration,
+    /// Whether another server is tried beside it, as it was silent.
+    goes_on: bool,
     /// Whether memory of helpers is reserved for it.
     holds_memory: bool,
     /// Whether it goes on with a stream that began elsewhere.
@@ -148,11 +151,13 @@
         let possible_run = PossibleRun::new(call);
         let holds_memory = helpers.iter().any(|helper| helper.reservation.is_some());
         let engine = assignment.server.clone();
+        let goes_on = AtomicBool::new(false);
         let gives_up = async {
             Timer::after(patience).await;
             // A check may find that a server which ran it before is gone.
             call.checks.until(|| !call.is_last_run()).await;
             if !silence.ends_try(call, holds_memory) {
+                goes_on.store(true, Ordering::Relaxed);
                 possible_run.count();
                 record_silence(call, &engine);
                 silence.notify();
@@ -181,6 +186,7 @@
             splitter: EventSplitter::after(last_event.or(call.head.last_event_id)),
             evidence: DataEvidence::default(),
             sent_at,
+            goes_on: goes_on.into_inner(),
             holds_memory,
             is_resumed: last_event.is_some(),
             awaits_first_event: true,
@@ -247,11 +253,14 @@
         call: &Call,
         silence: OnSilence<'_>,
     ) -> StreamItem {
-        let item = self.next(call).await;
-        if !matches!(item, StreamItem::Silent) || silence.ends_try(call, self.holds_memory) {
-            return item;
+        if !self.goes_on {
+            let item = self.next(call).await;
+            if !matches!(item, StreamItem::Silent) || silence.ends_try(call, self.holds_memory) {
+                return item;
+            }
+            self.goes_on = true;
+            silence.notify();
         }
-        silence.notify();
         self.next_late(call).await
     }
 
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -23,6 +23,8 @@
 const MAX_CHECK_DELAY: Duration = Duration::from_millis(100);
 /// What is left of the grace period when a process ends that stood still at its end.
 const MIN_KILL_MARGIN: Duration = Duration::from_millis(80);
+/// Time that such a process takes at least to give the replies that were due. SIGKILL ends it if it comes before.
+const MIN_OVERTIME: Duration = Duration::from_millis(150);
 /// Each margin takes at most this fraction of a short grace period.
 const MARGIN_FRACTION: u32 = 10;
 /// A call that may run once is started only if this many times its expected duration is left.
@@ -105,7 +107,11 @@
         let stood_still = now > self.end + MAX_CHECK_DELAY;
         let latest = self.kill.saturating_sub(MIN_KILL_MARGIN);
         let left = latest.saturating_sub(now);
-        if stood_still { left } else { Duration::ZERO }
+        if stood_still {
+            left.max(MIN_OVERTIME)
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Times of a drain that starts at `start`, accepts for `accept` and ends after `time` in all.
