--- a/crates/standins/src/platform_server.rs
+++ b/crates/standins/src/platform_server.rs
@@ -294,6 +294,9 @@
     interval: Duration,
     behaviour: ServerBehaviour,
 ) -> StreamEnd {
+    if behaviour == ServerBehaviour::LateEvents {
+        Timer::after(PAUSE_DURATION).await;
+    }
     for id in first..=LAST_EVENT_ID {
         match behaviour {
             ServerBehaviour::BreakAfter(last) if id > last => {
@@ -400,6 +403,9 @@
         if self.is_fatal(&request) {
             self.crash().await;
         }
+        if behaviour == ServerBehaviour::LateResponse {
+            Timer::after(PAUSE_DURATION).await;
+        }
         let mut headers = vec![("x-request-id", request.request_id.to_string())];
         let body = match behaviour {
             ServerBehaviour::Full => {
--- a/crates/standins/src/server_behaviour.rs
+++ b/crates/standins/src/server_behaviour.rs
@@ -28,6 +28,10 @@
     BreakAfter(u64),
     /// It runs them, and never responds.
     Hang,
+    /// It runs them, and responds two seconds late.
+    LateResponse,
+    /// It sends the head of a stream at once, and the first event two seconds later.
+    LateEvents,
     /// It responds with the id of another request.
     WrongId,
     /// It pauses a stream for two seconds after the event with this id.
