Tests: a hung server is still replaced

A longer wait for a silent server must not keep a call at one that hangs: the call is served by the other one. An engine and a plain service's server.

--- a/crates/trials/tests/silent_servers.rs
+++ b/crates/trials/tests/silent_servers.rs
@@ -297,3 +297,25 @@
 fn other_engine_full_and_late_events() {
     with_engines_that_hold_a_prompt(ServerBehaviour::LateEvents);
 }
+
+macro_rules! hung_server_cases {
+    ($($name:ident($kind:expr) => $hung:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                Executor::run(2, |executor| async move {
+                    let rig = Rig::start(&executor, $kind, 2, REPEATS, FAST).await;
+                    rig.set_all($hung);
+                    let (call, first) = rig.start_call(PROMPT).await;
+                    rig.set_others(first, ServerBehaviour::Normal);
+                    rig.assert_whole_answer(&call.await, 1 - first);
+                });
+            }
+        )*
+    };
+}
+
+hung_server_cases! {
+    a_hung_engine_is_replaced(Kind::engines(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
+    a_hung_plain_server_is_replaced(Kind::plain(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
+}
