--- a/crates/trials/tests/raw_caller/mod.rs
+++ b/crates/trials/tests/raw_caller/mod.rs
@@ -31,6 +31,15 @@
         }
         text.to_lowercase()
     }
+
+    /// Reads until the connection ends.
+    #[allow(dead_code, reason = "not every test file reads streams")]
+    pub async fn read_to_end(&mut self) -> String {
+        let mut bytes = Vec::new();
+        // What came before an error counts.
+        let _ = self.0.read_to_end(&mut bytes).await;
+        String::from_utf8_lossy(&bytes).to_lowercase()
+    }
 }
 
 fn is_whole(answer: &str) -> bool {
