Soak: bursts of streams before engines slower than declared

Change: mix `bursts` of direct-soak. Streams of 2,000 to 14,000 tokens come at once to all gateways on kept connections; none, one, some or all gateways are stopped around them. It prints how the streams ended and each one that was closed before its end, with the gateway's line; LOST by the excuses of soak_losses. With `--disturbed 1` callers send in parts or late, read slowly and resume, engines stall, servers leave, declarations change and the store is lost for a moment.

--- a/crates/trials/examples/direct-soak.rs
+++ b/crates/trials/examples/direct-soak.rs
@@ -7,12 +7,20 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use trials::{
-    FleetSize, GrowthPlan, LinkFault, SoakFigures, SoakPlan, StopPlan, TrialError, TurnedAway,
-    TurnedAwayPlan, UnreadPlan, run_growth_soak, run_soak, run_stop_soak, run_turned_away_soak,
-    run_unread_soak,
+    BurstPlan, FleetSize, GrowthPlan, LinkFault, SoakFigures, SoakPlan, StopPlan, TrialError,
+    TurnedAway, TurnedAwayPlan, UnreadPlan, run_burst_soak, run_growth_soak, run_soak,
+    run_stop_soak, run_turned_away_soak, run_unread_soak,
 };
 
-const MIXES: [&str; 6] = ["faults", "calm", "growth", "turned-away", "unread", "all"];
+const MIXES: [&str; 7] = [
+    "faults",
+    "calm",
+    "bursts",
+    "growth",
+    "turned-away",
+    "unread",
+    "all",
+];
 const SHARES: [&str; 5] = ["any", "all", "all-but-one", "half", "third"];
 const REFUSALS: [&str; 6] = [
     "any",
@@ -153,7 +161,35 @@
         .arg(flag(
             "stops",
             "1",
-            "Gateways that are stopped at the same time, mix calm",
+            "Gateways that are stopped at the same time, mixes calm and bursts",
+        ))
+        .arg(flag("streams", "200", "Streams of a burst, mix bursts"))
+        .arg(flag("bursts", "5", "Bursts, mix bursts"))
+        .arg(flag(
+            "burst-ms",
+            "12000",
+            "Time between the starts of bursts, mix bursts",
+        ))
+        .arg(flag("stop-ms", "24000", "Time between stops, mix bursts"))
+        .arg(flag(
+            "first-stop-ms",
+            "300",
+            "Time from a burst to the first stop, mix bursts",
+        ))
+        .arg(flag(
+            "slow-percent",
+            "100",
+            "Time that engines take, in percent of the declared one, mix bursts",
+        ))
+        .arg(flag(
+            "target-ms",
+            "300",
+            "Declared time to the first event, mix bursts",
+        ))
+        .arg(flag(
+            "disturbed",
+            "0",
+            "1 for callers, engines, servers and a store with peculiarities, mix bursts",
         ))
 }
 
@@ -252,6 +288,23 @@
                 };
                 run_stop_soak(&executor, plan).await
             }
+            "bursts" => {
+                let ms = |name| Duration::from_millis(value(matches, name));
+                let plan = BurstPlan {
+                    seed,
+                    size,
+                    slowness: value(matches, "slow-percent") as f64 / 100.0,
+                    target: ms("target-ms"),
+                    streams: number("streams"),
+                    bursts: number("bursts"),
+                    burst_interval: ms("burst-ms"),
+                    stops_at_once: number("stops"),
+                    first_stop: ms("first-stop-ms"),
+                    stop_interval: ms("stop-ms"),
+                    is_disturbed: value(matches, "disturbed") > 0,
+                };
+                run_burst_soak(&executor, plan).await
+            }
             "growth" => {
                 let plan = growth_plan(seed, size, time, matches);
                 run_growth_soak(&executor, plan).await
--- a/crates/trials/src/soak_client.rs
+++ b/crates/trials/src/soak_client.rs
@@ -4,6 +4,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use futures_lite::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -137,6 +138,10 @@
     gateway: usize,
     address: SocketAddr,
     patience: Duration,
+    /// Time between two parts of a request.
+    write_pause: Duration,
+    /// Time between two reads of a response.
+    read_pause: Duration,
     kept: Option<Async<TcpStream>>,
 }
 
@@ -146,6 +151,8 @@
             gateway,
             address,
             patience: PATIENCE,
+            write_pause: Duration::ZERO,
+            read_pause: Duration::ZERO,
             kept: None,
         }
     }
@@ -156,6 +163,20 @@
         self
     }
 
+    /// Pauses between the parts of each request, and between the reads of each response.
+    pub(crate) fn with_pauses(mut self, write: Duration, read: Duration) -> Self {
+        self.write_pause = write;
+        self.read_pause = read;
+        self
+    }
+
+    /// Opens the connection of the next request, if none is kept.
+    pub(crate) async fn open(&mut self) {
+        if self.kept.is_none() {
+            self.kept = connect(self.address).await;
+        }
+    }
+
     pub(crate) fn gateway(&self) -> usize {
         self.gateway
     }
@@ -184,11 +205,17 @@
         };
         if let Some(mut stream) = stream {
             call.connected_at = Instant::now();
-            if stream.write_all(&encode(&call.request)).await.is_err() {
+            let bytes = encode(&call.request);
+            if write(&mut stream, &bytes, self.write_pause).await.is_err() {
                 call.ending = Ending::NotSent;
             } else {
                 call.sent_at = Instant::now();
-                call.ending = receive(&mut stream, call.request.time_limit + self.patience).await;
+                call.ending = receive(
+                    &mut stream,
+                    call.request.time_limit + self.patience,
+                    self.read_pause,
+                )
+                .await;
                 let keep = call.answer().is_some_and(|response| !response.closes);
                 self.kept = keep.then_some(stream);
             }
@@ -227,7 +254,18 @@
     format!("{head}\r\n{body}").into_bytes()
 }
 
-async fn receive(stream: &mut Async<TcpStream>, limit: Duration) -> Ending {
+/// Writes a request, in two parts if there is a pause.
+async fn write(stream: &mut Async<TcpStream>, bytes: &[u8], pause: Duration) -> io::Result<()> {
+    let (first, rest) = bytes.split_at(bytes.len() / 2);
+    if pause.is_zero() {
+        return stream.write_all(bytes).await;
+    }
+    stream.write_all(first).await?;
+    Timer::after(pause).await;
+    stream.write_all(rest).await
+}
+
+async fn receive(stream: &mut Async<TcpStream>, limit: Duration, pause: Duration) -> Ending {
     let mut received = Received::default();
     let read = async {
         let mut buf = vec![0; BUFFER_BYTES];
@@ -240,6 +278,9 @@
             if let Some(response) = received.response() {
                 return Some(Ending::Answered(response));
             }
+            if !pause.is_zero() {
+                Timer::after(pause).await;
+            }
         }
     };
     let left = async {
--- a/crates/trials/src/soak_fleet.rs
+++ b/crates/trials/src/soak_fleet.rs
@@ -90,12 +90,23 @@
         size: FleetSize,
         links: PeerLinks,
         write_declarations: impl FnOnce(&PlatformStore),
+    ) -> Result<Self, TrialError> {
+        Self::start_slowed(executor, size, links, 1.0, write_declarations)
+    }
+
+    /// As [`Self::start`], with engines that take `slowness` times as long as those of other soaks.
+    pub(crate) fn start_slowed(
+        executor: &Executor,
+        size: FleetSize,
+        links: PeerLinks,
+        slowness: f64,
+        write_declarations: impl FnOnce(&PlatformStore),
     ) -> Result<Self, TrialError> {
         let directory = TempDir::create()?;
         let io = |err| TrialError::File("stand-ins of a soak".into(), err);
         let store = PlatformStore::bind(executor, loopback(0)).map_err(io)?;
         write_declarations(store.standin());
-        let pace = Arc::new(EnginePace::new(256_000.0, 0.0917));
+        let pace = Arc::new(EnginePace::new(256_000.0 / slowness, 0.0917 * slowness));
         let mut servers = Vec::new();
         let kinds = [("engines", ServerKind::Engine, size.engines)];
         let kinds = kinds
@@ -106,7 +117,9 @@
                 let name = format!("{service}-{n}");
                 let server =
                     PlatformServer::bind(executor, loopback(0), &name, kind).map_err(io)?;
-                server.standin().set_event_interval(EVENT_INTERVAL);
+                server
+                    .standin()
+                    .set_event_interval(EVENT_INTERVAL.mul_f64(slowness));
                 server
                     .standin()
                     .set_run_time(RUN_TIMES[n % RUN_TIMES.len()]);
