Tests of a silent server that refuses new connections

Cause: as for the other cases of a silent server. Here the only server stops listening while it has the request, as one that leaves may do: the check of a silent server finds connections refused, which does not show that it has left its request. The call gets 502 after 1.0 s, the server answers after 2 s.

Change: one more case in each of the four ways.

--- a/crates/trials/tests/silent_servers.rs
+++ b/crates/trials/tests/silent_servers.rs
@@ -266,6 +266,13 @@
     other_server_fails(2, REPEATS, FAST) => async |rig: Rig| {
         rig.assert_first_answers(ServerBehaviour::Cut).await;
     };
+    // A refused connection does not show that the server has left its request.
+    only_server_refuses_connections(1, REPEATS, FAST) => async |rig: Rig| {
+        rig.set_all(rig.kind.late);
+        let (call, first) = rig.start_call(PROMPT).await;
+        rig.servers[first].shutdown_signal().start();
+        rig.assert_whole_answer(&call.await, first);
+    };
     other_server_hangs(2, REPEATS, FAST) => async |rig: Rig| {
         rig.assert_first_answers(ServerBehaviour::Hang).await;
     };
