--- a/crates/trials/tests/silent_servers.rs
+++ b/crates/trials/tests/silent_servers.rs
@@ -326,3 +326,30 @@
     a_hung_engine_is_replaced(Kind::engines(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
     a_hung_plain_server_is_replaced(Kind::plain(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
 }
+
+macro_rules! pausing_server_cases {
+    ($($name:ident($kind:expr, $refuses:expr);)*) => {
+        $(
+            #[test]
+            fn $name() {
+                Executor::run(2, |executor| async move {
+                    let rig = Rig::start(&executor, $kind, 1, REPEATS, FAST).await;
+                    rig.set_all(ServerBehaviour::PauseAfter(3));
+                    let (call, first) = rig.start_call(PROMPT).await;
+                    if $refuses {
+                        rig.servers[first].shutdown_signal().start();
+                    }
+                    rig.assert_whole_answer(&call.await, first);
+                });
+            }
+        )*
+    };
+}
+
+// A silence within a stream ends it no sooner either.
+pausing_server_cases! {
+    an_engine_that_pauses_midway(Kind::engines(ServerBehaviour::LateEvents), false);
+    an_engine_that_pauses_midway_and_refuses_connections(Kind::engines(ServerBehaviour::LateEvents), true);
+    a_plain_server_that_pauses_midway(Kind::plain(ServerBehaviour::LateEvents), false);
+    a_plain_server_that_pauses_midway_and_refuses_connections(Kind::plain(ServerBehaviour::LateEvents), true);
+}
