--- a/crates/trials/tests/silent_servers.rs
+++ b/crates/trials/tests/silent_servers.rs
@@ -266,6 +266,13 @@
     other_server_fails(2, REPEATS, FAST) => async |rig: Rig| {
         rig.assert_first_answers(ServerBehaviour::Cut).await;
     };
+    // A refused connection does not show that the server has left its request.
+    only_server_refuses_connections(1, REPEATS, FAST) => async |rig: Rig| {
+        rig.set_all(rig.kind.late);
+        let (call, first) = rig.start_call(PROMPT).await;
+        rig.servers[first].shutdown_signal().start();
+        rig.assert_whole_answer(&call.await, first);
+    };
     other_server_hangs(2, REPEATS, FAST) => async |rig: Rig| {
         rig.assert_first_answers(ServerBehaviour::Hang).await;
     };
@@ -297,3 +304,52 @@
 fn other_engine_full_and_late_events() {
     with_engines_that_hold_a_prompt(ServerBehaviour::LateEvents);
 }
+
+macro_rules! hung_server_cases {
+    ($($name:ident($kind:expr) => $hung:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                Executor::run(2, |executor| async move {
+                    let rig = Rig::start(&executor, $kind, 2, REPEATS, FAST).await;
+                    rig.set_all($hung);
+                    let (call, first) = rig.start_call(PROMPT).await;
+                    rig.set_others(first, ServerBehaviour::Normal);
+                    rig.assert_whole_answer(&call.await, 1 - first);
+                });
+            }
+        )*
+    };
+}
+
+hung_server_cases! {
+    a_hung_engine_is_replaced(Kind::engines(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
+    a_hung_plain_server_is_replaced(Kind::plain(ServerBehaviour::LateResponse)) => ServerBehaviour::Hang;
+}
+
+macro_rules! pausing_server_cases {
+    ($($name:ident($kind:expr, $refuses:expr);)*) => {
+        $(
+            #[test]
+            fn $name() {
+                Executor::run(2, |executor| async move {
+                    let rig = Rig::start(&executor, $kind, 1, REPEATS, FAST).await;
+                    rig.set_all(ServerBehaviour::PauseAfter(3));
+                    let (call, first) = rig.start_call(PROMPT).await;
+                    if $refuses {
+                        rig.servers[first].shutdown_signal().start();
+                    }
+                    rig.assert_whole_answer(&call.await, first);
+                });
+            }
+        )*
+    };
+}
+
+// A silence within a stream ends it no sooner either.
+pausing_server_cases! {
+    an_engine_that_pauses_midway(Kind::engines(ServerBehaviour::LateEvents), false);
+    an_engine_that_pauses_midway_and_refuses_connections(Kind::engines(ServerBehaviour::LateEvents), true);
+    a_plain_server_that_pauses_midway(Kind::plain(ServerBehaviour::LateEvents), false);
+    a_plain_server_that_pauses_midway_and_refuses_connections(Kind::plain(ServerBehaviour::LateEvents), true);
+}
