A silent server that accepts no connections may still respond on those it has

What callers saw: a server that leaves, or whose queue of connections is closed, was silent for a second and refused the connection of the check. It was taken for gone, and the request that it still ran was given up: 502 with 6 s left.

Cause: a refused connection and no reply at all counted alike. The host of a process that has ended closes its connections, so that one which stays open to a host that answers belongs to a process that lives; only a host that is cut off leaves a connection open without a sign. Change: `ServerFate` tells `Ended` from `CutOff`, and only the second ends the wait for a silent server. Both count as gone for the attempts of a call, as before.

--- a/crates/direct/src/assignment_pass.rs
+++ b/crates/direct/src/assignment_pass.rs
@@ -156,7 +156,7 @@
         let slowdown = engines[placement.decoder].slowdown;
         let forecast = placement.first_event_forecast
             + self.profile.decode_time(&requirements).mul_f64(slowdown);
-        let stream = LateStream::new(prompt, forecast);
+        let stream = LateStream { forecast };
         if self
             .drain
             .is_some_and(|drain| !drain.may_stream(&stream, self.now))
--- a/crates/direct/src/call.rs
+++ b/crates/direct/src/call.rs
@@ -361,8 +361,6 @@
         let measured = measured.expected_stream(&self.admitted.route.name);
         LateStream {
             forecast: measured.unwrap_or(Duration::MAX).min(self.remaining()),
-            queued_at: self.arrived,
-            is_retry: self.sends() > 0,
         }
     }
 
--- a/crates/direct/src/front.rs
+++ b/crates/direct/src/front.rs
@@ -61,6 +61,12 @@
             Some(Err(err)) => return call.end_with_reply(err.reply(), err.detail()),
             None => return call.end_in_drain(),
         }
+        let drain = draining.times();
+        if call.admitted.route.kind.is_stream()
+            && drain.is_some_and(|drain| !drain.takes_streams(clock.now()))
+        {
+            return call.end_in_drain();
+        }
         let call = Arc::new(call);
         // What is dropped at the last reply records whether the request may have run.
         let response = draining.before(clock, last_reply, run(call.clone())).await;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -123,7 +123,7 @@
             possible_run.count();
             record_silence(call, server);
             silence.notify();
-            call.checks.until_gone(&server.id).await;
+            call.checks.until_cut_off(&server.id).await;
         }
     });
     let sent = send(call, server, permit, None, gives_up.as_mut(), &possible_run).await;
--- a/crates/direct/src/server_probe.rs
+++ b/crates/direct/src/server_probe.rs
@@ -64,7 +64,7 @@
         ProbeResult::Accepted => {}
         ProbeResult::Refused => {
             let state = &call.checks.state;
-            state.on_fate(shared, &call.head.id, server, ServerFate::Gone);
+            state.on_fate(shared, &call.head.id, server, ServerFate::Ended);
         }
         ProbeResult::Unreachable => check_server(call, server),
     }
@@ -139,9 +139,10 @@
         self.state.ended.until(holds).await;
     }
 
-    /// Waits until a server is known to be gone.
-    pub async fn until_gone(&self, server: &BackendId) {
-        self.until(|| self.is_gone(server)).await;
+    /// Waits until a server is known to be cut off. One that only accepts no connections may still respond on those
+    /// that it has, as a server that leaves.
+    pub async fn until_cut_off(&self, server: &BackendId) {
+        self.until(|| self.lock().is_cut_off(server)).await;
     }
 
     fn lock(&self) -> MutexGuard<'_, CallChecks> {
@@ -151,7 +152,7 @@
 
 impl CheckState {
     fn on_fate(&self, shared: &Shared, req: &str, server: &BackendEntry, fate: ServerFate) {
-        if fate == ServerFate::Gone {
+        if fate != ServerFate::Lives {
             info!(shared.log, "attempt: the server that failed is gone"; "req" => req,
                 "server" => &*server.id);
         }
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -161,7 +161,7 @@
                 possible_run.count();
                 record_silence(call, &engine);
                 silence.notify();
-                call.checks.until_gone(&engine.id).await;
+                call.checks.until_cut_off(&engine.id).await;
             }
         };
         let prompt = StreamSend {
@@ -265,11 +265,11 @@
     }
 
     /// Waits for the next item of a server that has already been silent for too long, until it is known to
-    /// be gone or the deadline of the call.
+    /// be cut off or the deadline of the call.
     pub async fn next_late(&mut self, call: &Call) -> StreamItem {
         let id = self.server_id();
         let gone = async {
-            call.checks.until_gone(&id).await;
+            call.checks.until_cut_off(&id).await;
             StreamItem::Silent
         };
         let item = or(self.next_within(call, call.remaining()), gone).await;
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -41,26 +41,11 @@
     pub is_idempotent: bool,
 }
 
-/// The stream of a prompt that may be started while the process ends.
+/// A stream that may be started while the process ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LateStream {
     /// Time that it is forecast to take from its start.
     pub forecast: Duration,
-    /// When its prompt entered the queue.
-    pub queued_at: Duration,
-    /// Whether its prompt was sent before, so that the caller may have a part of the answer.
-    pub is_retry: bool,
-}
-
-impl LateStream {
-    /// The stream of a prompt that is forecast to take this long.
-    pub fn new(prompt: &QueuedPrompt, forecast: Duration) -> Self {
-        Self {
-            forecast,
-            queued_at: prompt.queued_at,
-            is_retry: prompt.is_retry,
-        }
-    }
 }
 
 /// Times of a process that was asked to end, on the clock of its start.
@@ -142,27 +127,23 @@
         end.min(call.deadline) <= self.last_reply
     }
 
-    /// Whether a stream is started now: it can be expected to end in time, and came before the end of accepting.
+    /// Whether a stream is started whose request has been read now: before the end of accepting only.
     ///
     /// Load pattern: engines are many times slower than their figures say. A stream that is cut has no truthful
     /// reply, while the caller of one that comes late has not waited yet and can go to another gateway.
-    pub fn may_stream(&self, stream: &LateStream, now: Duration) -> bool {
-        let is_in_time = now + stream.forecast <= self.streams_end;
-        is_in_time && !self.is_late(stream.queued_at, stream.is_retry)
+    pub fn takes_streams(&self, now: Duration) -> bool {
+        now <= self.accept_end
     }
 
-    fn is_late(&self, queued_at: Duration, is_retry: bool) -> bool {
-        queued_at > self.accept_end && !is_retry
+    /// Whether a stream can be expected to end in time if it is started now.
+    pub fn may_stream(&self, stream: &LateStream, now: Duration) -> bool {
+        now + stream.forecast <= self.streams_end
     }
 
-    /// The prompt with the latest time for its first event with which its stream is started and ends in time.
+    /// The prompt with the latest time for its first event with which its stream ends in time.
     pub fn limit_prompt(&self, profile: &EngineProfile, prompt: &QueuedPrompt) -> QueuedPrompt {
-        let latest = if self.is_late(prompt.queued_at, prompt.is_retry) {
-            self.accept_end
-        } else {
-            let decode_time = profile.decode_time(&prompt.request);
-            self.streams_end.saturating_sub(decode_time)
-        };
+        let decode_time = profile.decode_time(&prompt.request);
+        let latest = self.streams_end.saturating_sub(decode_time);
         QueuedPrompt {
             deadline: prompt.deadline.min(latest),
             ..prompt.clone()
--- a/crates/policy/src/server_check.rs
+++ b/crates/policy/src/server_check.rs
@@ -27,8 +27,10 @@
 pub enum ServerFate {
     /// Nothing shows that it is gone.
     Lives,
-    /// Its process has ended, or it is cut off.
-    Gone,
+    /// It accepts no connections any more. Those of a process that has ended are closed by its host.
+    Ended,
+    /// Its host is down, or it is cut off, so that its connections stay open without a sign.
+    CutOff,
 }
 
 /// What to do next in a check.
@@ -73,7 +75,7 @@
     pub fn on_reply(&mut self, reply: CheckReply) {
         let fate = match reply {
             CheckReply::Accepted | CheckReply::Failed => ServerFate::Lives,
-            CheckReply::Refused => ServerFate::Gone,
+            CheckReply::Refused => ServerFate::Ended,
         };
         self.fate.get_or_insert(fate);
     }
@@ -94,8 +96,8 @@
             return CheckStep::Wait(left);
         }
         if is_last {
-            self.fate = Some(ServerFate::Gone);
-            return CheckStep::Ended(ServerFate::Gone);
+            self.fate = Some(ServerFate::CutOff);
+            return CheckStep::Ended(ServerFate::CutOff);
         }
         self.connections += 1;
         self.last_connection = now;
@@ -140,6 +142,7 @@
     /// Servers that are checked, and when their checks have ended.
     pending: Vec<(BackendId, Duration)>,
     gone: Vec<BackendId>,
+    cut_off: Vec<BackendId>,
 }
 
 impl CallChecks {
@@ -157,9 +160,12 @@
     /// Records what is known of a server, which ends its check.
     pub fn on_fate(&mut self, server: &BackendId, fate: ServerFate) {
         self.pending.retain(|(id, _)| id != server);
-        if fate == ServerFate::Gone && !self.is_gone(server) {
+        if fate != ServerFate::Lives && !self.is_gone(server) {
             self.gone.push(server.clone());
         }
+        if fate == ServerFate::CutOff && !self.is_cut_off(server) {
+            self.cut_off.push(server.clone());
+        }
     }
 
     /// Whether a server is known to be gone.
@@ -167,6 +173,11 @@
         self.gone.contains(server)
     }
 
+    /// Whether a server is known to be cut off, so that nothing more comes from it.
+    pub fn is_cut_off(&self, server: &BackendId) -> bool {
+        self.cut_off.contains(server)
+    }
+
     /// Number of servers that are gone.
     pub fn gone(&self) -> u32 {
         self.gone.len() as u32
