A cut poll begins no wait for entries that expired with the store

Cause: any cut poll, also of 40 ms, began the 1.8 s in which a row that is gone counts as one that expired with the store.

Change: only an outage of HeartbeatMs or longer begins them. The store removes a row after three reports in a row are missing, so that two at least have to be lost to an outage. A call that takes longer than polls last counts from its sending.

--- a/crates/direct/src/store_cache.rs
+++ b/crates/direct/src/store_cache.rs
@@ -7,8 +7,8 @@
     Listing, ServerRow, StoreRow, decode_server_row, evacuated_domain, evacuation_key, keys,
 };
 use policy::{
-    BackendId, ContentHistory, CountedRow, DomainName, Evacuations, NewerDeclarations, ReadProof,
-    RouteTable, ServerSet, TableProgress, server_key,
+    BackendId, ContentHistory, CountedRow, DomainName, Evacuations, NewerDeclarations,
+    ROW_LIFETIME_REPORTS, ReadProof, RouteTable, ServerSet, TableProgress, server_key,
 };
 use proto::{BackendEntry, ContentDigest, EditScript, Revision, ServerKey, StoreVersions, era};
 use slog::{Logger, info, warn};
@@ -16,9 +16,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// Intervals between writes of a server after which the store removes its row.
-const ROW_LIFETIME_HEARTBEATS: u32 = 3;
-
 /// Active declarations, evacuated failure domains and servers, each from its newest row.
 ///
 /// Rows come from the store and from peers in any order; an older row never replaces a newer one.
@@ -61,7 +58,7 @@
 impl StoreCache {
     /// Creates an empty cache, where servers write to their rows at this interval.
     pub fn new(log: Logger, server_heartbeat: Duration) -> Self {
-        let row_lifetime = server_heartbeat.saturating_mul(ROW_LIFETIME_HEARTBEATS);
+        let row_lifetime = server_heartbeat.saturating_mul(ROW_LIFETIME_REPORTS);
         let state = State {
             servers: ServerSet::default().with_row_lifetime(row_lifetime),
             ..State::default()
@@ -168,9 +165,9 @@
         ids.find(|id| server_key(id) == key).cloned()
     }
 
-    /// Records that the store responds again after an outage.
-    pub fn on_store_returned(&self, now: Duration) {
-        self.lock().servers.on_store_returned(now);
+    /// Records that the store responds again after an outage of the time `away`.
+    pub fn on_store_returned(&self, now: Duration, away: Duration) {
+        self.lock().servers.on_store_returned(now, away);
     }
 
     /// Applies changed rows of the operators' table, which is then known up to `version`. Returns the
--- a/crates/direct/src/store_watch.rs
+++ b/crates/direct/src/store_watch.rs
@@ -164,6 +164,7 @@
         // What was read otherwise in the meantime need not be polled again.
         known_version = known_version.map(|version: u64| version.max(watch.cached_version()));
         let reports = report_progress::<H, _>(watch.shared.clone(), received.clone());
+        let sent = watch.shared.clock.now();
         let call = async {
             match known_version {
                 None => watch.list().await,
@@ -197,7 +198,7 @@
                     "table" => ?H::TABLE, "since" => known_version, "err" => %err);
                 known_version = None;
             }
-            Err(err) => watch.on_failure(&err).await,
+            Err(err) => watch.on_failure(&err, sent).await,
         }
     }
 }
@@ -344,11 +345,13 @@
             info!(self.shared.log, "store: regained"; "table" => ?H::TABLE,
                 "away_ms" => outage_duration.as_millis() as u64);
             self.shared.record_table_failing(false);
-            self.shared.store_cache.on_store_returned(now);
+            let cache = &self.shared.store_cache;
+            cache.on_store_returned(now, outage_duration);
         }
     }
 
-    async fn on_failure(&mut self, err: &StoreError) {
+    /// Handles the failure of a call that was sent at this time.
+    async fn on_failure(&mut self, err: &StoreError, sent: Duration) {
         if let StoreError::OutcomeUnknown(..) = err {
             self.schedule_listing(true);
         }
@@ -366,8 +369,10 @@
                 warn!(self.shared.log, "store: lost, continuing with the cached content";
                     "table" => ?H::TABLE, "err" => %err, "has_declarations" => is_ready);
                 self.shared.record_table_failing(true);
+                // A call that is answered too late or not at all may never have reached the store.
+                let is_overdue = now > sent + H::WAIT;
                 self.outage = Some(Outage {
-                    start: now,
+                    start: if is_overdue { sent } else { now },
                     backoff: MIN_BACKOFF,
                 });
                 MIN_BACKOFF
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -227,7 +227,7 @@
 };
 pub use server_pauses::ServerPauses;
 pub use server_runs::{RunId, RunProof, ServerRuns};
-pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ServerSet};
+pub use server_set::{BackendId, DomainName, EXPIRED_ROW_GRACE, ROW_LIFETIME_REPORTS, ServerSet};
 pub use short_prompt_choice::SoonAbleEngine;
 pub use sliding_window::{RepeatBudget, RepeatCounts, RepeatLimits, SendRateCap, SlidingWindow};
 pub use slow_readers::{
--- a/crates/policy/src/server_set.rs
+++ b/crates/policy/src/server_set.rs
@@ -45,6 +45,8 @@
 
 /// Time after an outage of the store within which rows that expired during the outage come back.
 pub const EXPIRED_ROW_GRACE: Duration = Duration::from_millis(1_800);
+/// Reports of a server, one after another, that have to be missing until the store removes its row.
+pub const ROW_LIFETIME_REPORTS: u32 = 3;
 /// A removed server that said it leaves is remembered for at least this long. It ends within minutes.
 const LEFT_RETENTION: Duration = Duration::from_secs(86_400);
 /// Rows of removed servers are kept, to recognize late updates, until there are this many rows.
@@ -71,9 +73,12 @@
 }
 
 impl ServerSet {
-    /// Records that the store is available again after an outage.
-    pub fn on_store_returned(&mut self, now: Duration) {
-        self.store_returned_at = Some(now);
+    /// Records that the store is available again after it was not for the time `away`.
+    pub fn on_store_returned(&mut self, now: Duration, away: Duration) {
+        // A row expires only if two reports in a row are lost.
+        if away >= self.row_lifetime / ROW_LIFETIME_REPORTS {
+            self.store_returned_at = Some(now);
+        }
     }
 
     /// Sets the time in which the store removes the rows of servers that write nothing.
--- a/crates/policy/tests/server_counts.rs
+++ b/crates/policy/tests/server_counts.rs
@@ -163,7 +163,7 @@
     let mut set = ServerSet::default().with_row_lifetime(LIFETIME);
     let last = row(Ready, (0, 4), revision(2, 5));
     set.on_counted_row(last.clone(), SEEN);
-    set.on_store_returned(SEEN);
+    set.on_store_returned(SEEN, LIFETIME);
     let removed = CountedRow {
         count: last.count,
         ..row(Absent, (0, 4), revision(1, 51))
--- a/crates/policy/tests/server_set.rs
+++ b/crates/policy/tests/server_set.rs
@@ -4,6 +4,11 @@
 use proto::{BackendEntry, BackendRow};
 use std::time::Duration;
 
+/// Time between two reports of a server.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// One in which rows expire.
+const OUTAGE: Duration = Duration::from_secs(5);
+
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -26,7 +31,7 @@
 }
 
 fn set() -> ServerSet {
-    let mut set = ServerSet::default();
+    let mut set = ServerSet::default().with_row_lifetime(HEARTBEAT * 3);
     assert!(set.on_row("x", entry("x", false), 5, at(0)));
     assert!(set.is_usable("x", at(0)));
     set
@@ -52,7 +57,7 @@
 #[test]
 fn entries_that_lapsed_with_the_store_are_waited_for() {
     let mut set = set();
-    set.on_store_returned(at(1_000));
+    set.on_store_returned(at(1_000), OUTAGE);
     set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_000));
     assert!(set.is_usable("x", at(1_000)));
     assert!(!set.is_usable("x", at(1_000) + EXPIRED_ROW_GRACE));
@@ -60,11 +65,34 @@
     assert!(set.is_usable("x", at(9_000)));
 }
 
+/// A server that was removed went on getting requests for 1.8 s after a poll had been cut.
+#[test]
+fn no_entry_lapses_in_an_outage_that_is_shorter_than_a_heartbeat() {
+    let short = HEARTBEAT - at(1);
+    for (away, is_waited_for) in [(at(40), false), (short, false), (HEARTBEAT, true)] {
+        let mut set = set();
+        set.on_store_returned(at(1_000), away);
+        set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_000));
+        assert_eq!(set.is_usable("x", at(1_000)), is_waited_for, "{away:?}");
+    }
+}
+
+#[test]
+fn a_cut_poll_after_an_outage_ends_no_wait_and_begins_none() {
+    let mut set = set();
+    set.on_store_returned(at(1_000), OUTAGE);
+    set.on_store_returned(at(1_500), at(40));
+    set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_500));
+    let end = at(1_000) + EXPIRED_ROW_GRACE;
+    assert!(set.is_usable("x", end - at(1)));
+    assert!(!set.is_usable("x", end));
+}
+
 #[test]
 fn a_draining_server_is_not_waited_for() {
     let mut set = set();
     set.on_row("x", entry("x", true), 6, at(10));
-    set.on_store_returned(at(1_000));
+    set.on_store_returned(at(1_000), OUTAGE);
     set.on_listing(Vec::<CountedRow>::new(), up_to(9), at(1_000));
     assert!(!set.is_usable("x", at(1_000)));
 }
--- a/crates/trials/tests/unread_changes.rs
+++ b/crates/trials/tests/unread_changes.rs
@@ -11,6 +11,9 @@
 const DRAIN: Duration = Duration::from_secs(2);
 const EVACUATE: Duration = Duration::from_secs(5);
 
+/// Time between two cuts of watches.
+const CUTS: Duration = Duration::from_millis(100);
+
 /// What watches leave out.
 #[derive(Debug, Clone, Copy)]
 enum Fault {
@@ -20,6 +23,8 @@
     Compaction,
     /// All changes of a moment; the history is kept.
     Hush,
+    /// The row that is changed, for good, while they are cut again and again.
+    DeafAndCut,
 }
 
 impl Fault {
@@ -37,6 +42,15 @@
                 trial.hush(QuietAnswer::NewestVersion, change).await;
                 trial.store().quieten_watches(None);
             }
+            Self::DeafAndCut => {
+                trial.store().hide_from_watches(table, key, true);
+                let start = Instant::now();
+                change(trial);
+                while start.elapsed() < DRAIN {
+                    trial.store().cut_watches();
+                    trial.wait(CUTS).await;
+                }
+            }
         }
     }
 }
@@ -290,6 +304,7 @@
         a_draining_server_in_a_hush: 2, Hush, drain;
         a_removed_server_and_deaf_watches: 2, Deaf, remove;
         a_removed_server_in_a_compaction: 2, Compaction, remove;
+        a_removed_server_beside_cut_polls: 3, DeafAndCut, remove;
     }
 
     fn a_new_server_is_used(fault: Fault) {
