--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -52,6 +52,7 @@
 mod possible_run;
 mod process;
 mod prompt_queue;
+mod prompt_request;
 mod request_limit;
 mod reservation;
 mod retry_budgets;
--- a/crates/direct/src/server_stream.rs
+++ b/crates/direct/src/server_stream.rs
@@ -8,7 +8,7 @@
 use crate::on_silence::{OnSilence, record_silence};
 use crate::plain_server::assign_stream;
 use crate::possible_run::PossibleRun;
-use crate::prompt_queue::PlacementRequest;
+use crate::prompt_request::placement_request;
 use crate::reservation::{Reservations, ReserveError};
 use crate::run_end::RunEnd;
 use crate::server_probe::{check_server, detect_crashed_server};
@@ -16,10 +16,7 @@
 use async_io::Timer;
 use futures_lite::future::or;
 use http_body_util::BodyExt as _;
-use policy::{
-    AttemptResult, BackendId, DataEvidence, PromptRequirements, RetryTurn, first_event_wait,
-    silence_limit, team_key,
-};
+use policy::{AttemptResult, BackendId, DataEvidence, RetryTurn, first_event_wait, silence_limit};
 use proto::BackendEntry;
 use quick_error::quick_error;
 use runtime::{SingleResponse, timeout};
@@ -28,10 +25,6 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-/// Estimates of the response length are correct in the median; this factor covers most
-/// longer responses.
-const LENGTH_ESTIMATE_FACTOR: f64 = 1.3;
-
 quick_error! {
     /// Why a stream could not be opened or resumed at an engine.
     #[derive(Debug)]
@@ -85,31 +78,6 @@
     has_no_successor: bool,
 }
 
-/// Estimates what a prompt needs of engines.
-pub fn prompt_requirements(call: &Call) -> PromptRequirements {
-    let mean_length = call
-        .admitted
-        .service
-        .engine
-        .as_ref()
-        .map_or(0, |profile| profile.mean_output_tokens);
-    let usage = call.head.usage;
-    let estimate = usage
-        .and_then(|usage| usage.estimated_output_tokens)
-        .unwrap_or(mean_length);
-    let output_tokens = (estimate as f64 * LENGTH_ESTIMATE_FACTOR) as u64;
-    PromptRequirements {
-        prompt_tokens: usage.map_or(1, |usage| usage.prompt_tokens),
-        expected_output_tokens: usage.map_or(output_tokens, |usage| {
-            output_tokens.min(usage.max_output_tokens)
-        }),
-        first_event_target: call.admitted.route.target_latency,
-        event_gap_target: call.admitted.route.target_gap,
-        waited: Duration::ZERO,
-        remaining: call.admitted.route.caller_wait_limit(),
-    }
-}
-
 impl ServerStream {
     /// Waits until a server is assigned, reserves memory at helpers and sends the request.
     ///
@@ -419,29 +387,6 @@
     AttemptError::MayHaveRun(server.id.clone(), ENGINE_LOST.into())
 }
 
-fn placement_request(call: &Call, turn: Option<RetryTurn>) -> PlacementRequest {
-    let now = call.shared.clock.now();
-    let is_retry = call.sends() > 0;
-    // A retry starts to wait now: the caller of a resumed stream already has part of the response.
-    let since = if is_retry { now } else { call.arrived };
-    PlacementRequest {
-        req: call.head.id.clone(),
-        service: call.admitted.service.clone(),
-        requirements: prompt_requirements(call),
-        rank: call.rank(),
-        team: team_key(call.admitted.team.as_ref().map(|team| &*team.name)),
-        is_retry,
-        since,
-        deadline: call
-            .deadline
-            .min(since + call.admitted.route.caller_wait_limit()),
-        tried_servers: call.tried.list(),
-        suspects: call.suspects.clone(),
-        is_trial: call.is_trial(),
-        turn,
-    }
-}
-
 fn log_assignment(call: &Call, assignment: &Assignment) {
     let waited = call.shared.clock.now().saturating_sub(call.arrived);
     let helper_tokens: u64 = assignment.helpers.iter().map(|(_, tokens)| tokens).sum();
