--- a/review/rig3.py
+++ b/review/rig3.py
@@ -137,14 +137,19 @@
             writer.transport.abort()
         self.writers.clear()
 
+    def _stop_accepting(self):
+        self.task.cancel()
+        if self.sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self.sock)
+
     def refuse(self):
         """The process has ended: new channels are reset by the machine."""
-        self.task.cancel()
+        self._stop_accepting()
         self.sock.close()
 
     def go_dark(self):
         """The machine is gone: an opening packet gets no answer, as the queue of new channels is full."""
-        self.task.cancel()
+        self._stop_accepting()
         self.sock.listen(0)
         for _ in range(4):
             filler = socket.socket()
@@ -153,7 +158,7 @@
             self.fillers.append(filler)
 
     def end(self):
-        self.task.cancel()
+        self._stop_accepting()
         for sock in [*self.fillers, self.sock]:
             sock.close()
         for writer in list(self.writers):
@@ -171,6 +176,8 @@
         self.ver = 100
         self.era = era
         self.changed = asyncio.Event()
+        self.polls = {}     # polls that wait, by table
+        self.polled_at = {}  # when the last poll was answered, by table
         self.listener = Listener(self._serve)
 
     @property
@@ -185,6 +192,19 @@
     def remove(self, table, key, part=""):
         self._apply([], [(table, part, key)])
 
+    def copy(self):
+        """What a copy of the store holds that is made now."""
+        return dict(self.rows), dict(self.removed), self.ver
+
+    async def drill(self, copy, away_s):
+        """The store is away for a moment and comes back from a copy, in the next era."""
+        port = self.listener.port
+        self.listener.end()
+        await asyncio.sleep(away_s)
+        self.rows, self.removed, self.ver = dict(copy[0]), dict(copy[1]), copy[2]
+        self.era += 1
+        self.listener = Listener(self._serve, port)
+
     def _apply(self, puts, removals):
         self.ver += 1
         for table, part, key, value in puts:
@@ -221,7 +241,26 @@
         return [row for _, row in sorted(rows, key=lambda item: item[0])]
 
     async def _feed(self, query):
+        table = query["Table"]
+        self.polls[table] = self.polls.get(table, 0) + 1
+        try:
+            return await self._changed_rows(query)
+        finally:
+            self.polls[table] -= 1
+            self.polled_at[table] = time.monotonic()
+
+    async def between_polls(self, table, limit=4):
+        """Waits, for a while, until all polls of a table were answered a moment ago."""
+        end = time.monotonic() + limit
+        while self.polls.get(table, 0) or time.monotonic() - self.polled_at.get(table, 0) > 0.03:
+            if time.monotonic() > end:
+                return
+            await asyncio.sleep(0.001)
+
+    async def _changed_rows(self, query):
         table, after = query["Table"], int(query["AfterRevision"])
+        if after > self.ver:
+            return 410, {}
         end = time.monotonic() + min(int(query.get("WaitMs", 0)), 30000) / 1000
         while True:
             rows, changed = self._changes(table, after), self.changed
